--- /dev/null
+++ b/carawayhub/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside an endpoint: gate, ledger, reports and orders."""
--- /dev/null
+++ b/carawayhub/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration folder: reading, merging, checking, explaining and versions."""
--- /dev/null
+++ b/carawayhub/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers' requests are admitted, routed and relayed here."""
--- /dev/null
+++ b/carawayhub/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and dissemination of the configuration between processes."""
--- /dev/null
+++ b/carawayhub/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Lock-step groups: expert maps, their change, and rebalancing decisions."""
--- /dev/null
+++ b/carawayhub/output/__init__.py
@@ -0,0 +1,1 @@
+"""What people and programs read: tables, JSON, logs and the audit trail."""
--- /dev/null
+++ b/carawayhub/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The messages and the authenticated links between the system's own processes."""
--- /dev/null
+++ b/carawayhub/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The port to the users' platform and its HTTP adapter."""
--- /dev/null
+++ b/carawayhub/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, engines, services and a faulty network."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one file for each feature."""
