--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -78,6 +78,17 @@
     PLATFORM_UNREACHABLE = 4010
     PLATFORM_MALFORMED = 4011
 
+    MAP_INVALID = 5001
+    ORDER_FENCED = 5002
+    ORDER_REFUSED = 5003
+    RANK_UNREACHABLE = 5004
+    RANK_MALFORMED = 5005
+    CHANGE_ABORTED = 5010
+    CHANGE_OVERTAKEN = 5011
+    STAGING_FAILED = 5012
+    STORE_BUSY = 5013
+    GROUP_BROKEN = 5020
+
     USAGE = 6001
     PORT_IN_USE = 6002
     INTERRUPTED = 6003
@@ -283,6 +294,39 @@
     Code.PLATFORM_MALFORMED: Meaning(
         _NONE, 0, "the configuration service gave what cannot be read", "check the service"
     ),
+    Code.MAP_INVALID: Meaning(
+        _NONE, 0, "an expert map does not fit its group", "nothing: the map in force stays"
+    ),
+    Code.ORDER_FENCED: Meaning(
+        _NONE, 0, "a rank has promised to a later decider", "nothing: the later one goes on"
+    ),
+    Code.ORDER_REFUSED: Meaning(
+        _NONE, 0, "a rank refused an order", "nothing: the rank is read again"
+    ),
+    Code.RANK_UNREACHABLE: Meaning(
+        _NONE, 0, "a rank does not answer", "check the rank's engine and its network"
+    ),
+    Code.RANK_MALFORMED: Meaning(
+        _NONE, 0, "a rank's answer cannot be read", "check the release of the engine"
+    ),
+    Code.CHANGE_ABORTED: Meaning(
+        _NONE, 0, "a change of the expert map was aborted", "nothing: the old map stays"
+    ),
+    Code.CHANGE_OVERTAKEN: Meaning(
+        _NONE, 0, "another decider took the group over", "nothing: it goes on by itself"
+    ),
+    Code.STAGING_FAILED: Meaning(
+        _NONE, 0, "a rank could not stage its weights", "check the weight store and the rank"
+    ),
+    Code.STORE_BUSY: Meaning(
+        _NONE, 0, "the weight store is at its rate", "nothing: it is asked again later"
+    ),
+    Code.GROUP_BROKEN: Meaning(
+        _NOT_RUN,
+        503,
+        "the ranks of the group are not in one formation",
+        "come back after 'retry-after'",
+    ),
     Code.USAGE: Meaning(_NONE, 0, "the command's words are off", "read its --help"),
     Code.PORT_IN_USE: Meaning(
         _NONE, 0, "the address is in use", "choose another port or end the process that has it"
--- a/carawayhub/errors.py
+++ b/carawayhub/errors.py
@@ -63,3 +63,9 @@
     """A command cannot do its work."""
 
     __slots__ = ()
+
+
+class GroupError(CarawayhubError):
+    """An order to a lock-step group or a change of its expert map failed."""
+
+    __slots__ = ()
