Add links between processes, the platform port and the audit trail

Cause: the whole path needs processes that can talk before anything else can be joined. Change: one bidirectional gRPC stream for each peer with heartbeats, MessagePack messages and an HMAC proof of the system key; unary calls over channels that are pinged while a call is open; the platform's read side with a deadline on every read, the watch included; JSON log lines.

--- /dev/null
+++ b/carawayhub/addresses.py
@@ -0,0 +1,34 @@
+"""``ip:port`` addresses."""
+
+from dataclasses import dataclass
+
+MAX_PORT = 65535
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a port.
+
+    Example:
+        >>> Address.parse("127.0.0.1:8000")
+        Address(host='127.0.0.1', port=8000)
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Read ``ip:port`` or ``[ipv6]:port``.
+
+        Raises:
+            ValueError: The text is not such an address.
+        """
+        host, colon, port = text.rpartition(":")
+        if not colon or not host or not port.isdigit() or int(port) > MAX_PORT:
+            raise ValueError(f"{text!r} is not ip:port")
+        return cls(host.strip("[]"), int(port))
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
--- /dev/null
+++ b/carawayhub/http.py
@@ -0,0 +1,77 @@
+"""Serving HTTP with ``uvicorn`` inside a process that runs other tasks as well."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import uvicorn
+
+from carawayhub.addresses import Address
+from carawayhub.codes import Code
+from carawayhub.errors import CommandError
+
+BACKLOG = 512
+
+
+def bind(address: Address) -> socket.socket:
+    """Return a listening TCP socket.
+
+    Raises:
+        CommandError: PORT_IN_USE where another process has the address.
+    """
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((address.host, address.port))
+        sock.listen(BACKLOG)
+    except OSError as exc:
+        sock.close()
+        raise CommandError(Code.PORT_IN_USE, f"{address}: {exc.strerror}") from exc
+    sock.setblocking(False)
+    return sock
+
+
+class HttpServer:
+    """One ASGI application on one socket.
+
+    Args:
+        app: The ASGI application.
+        sock: A listening socket; its address is known before the server runs.
+    """
+
+    __slots__ = ("_server", "_sock")
+
+    def __init__(self, app: Any, sock: socket.socket) -> None:
+        cfg = uvicorn.Config(
+            app,
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            log_level="critical",
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            timeout_keep_alive=30,
+        )
+        self._server = _EmbeddedServer(cfg)
+        self._sock = sock
+
+    async def run(self) -> None:
+        """Serve until ``stop`` was called and the last request has ended."""
+        await self._server.serve(sockets=[self._sock])
+
+    def stop(self) -> None:
+        """Accept nothing more; ``run`` returns when the requests in flight have ended."""
+        self._server.should_exit = True
+
+
+class _EmbeddedServer(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
--- /dev/null
+++ b/carawayhub/peers/calls.py
@@ -0,0 +1,121 @@
+"""The calling end of unary calls, with one kept channel for each peer."""
+
+from typing import Any
+
+import anyio
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from carawayhub.addresses import Address
+from carawayhub.codes import Code
+from carawayhub.errors import PeerError
+from carawayhub.peers.codec import MessagePackCodec
+from carawayhub.peers.methods import Method
+from carawayhub.peers.proofs import Prover
+
+CONNECT_TIMEOUT = 1.0
+KEEPALIVE = Configuration(
+    _keepalive_time=1.0,
+    _keepalive_timeout=2.0,
+    _http2_max_pings_without_data=0,
+    _http2_min_sent_ping_interval_without_data=1.0,
+)
+"""A channel with calls in flight is pinged each second and closed 2 s after a ping with no answer.
+
+Without it a call on a connection that went silent would wait for its own deadline, although a new
+connection would reach the peer at once.
+"""
+
+
+class NotSentError(PeerError):
+    """The call was not sent: no connection could be opened."""
+
+    __slots__ = ()
+
+
+class CallClient:
+    """Calls peers by address.
+
+    Calls of one peer share a channel. After a failure the channel takes no new calls: what
+    failed may be the connection and not the peer. Calls still in flight on it end by themselves,
+    since HTTP/2 keeps their streams apart, and then it is closed.
+    """
+
+    __slots__ = ("_channels", "_codec", "_prover")
+
+    def __init__(self, prover: Prover) -> None:
+        self._prover = prover
+        self._codec = MessagePackCodec()
+        self._channels: dict[Address, _SharedChannel] = {}
+
+    async def call(self, address: Address, method: Method, request: Any, timeout: float) -> Any:
+        """Return the peer's reply.
+
+        Args:
+            address: Where the peer takes calls.
+            method: Which call.
+            request: A ``method.request``.
+            timeout: Seconds until the call is given up.
+
+        Raises:
+            NotSentError: No connection could be opened, so the peer has not seen the request.
+            PeerError: The call failed after it may have been sent.
+        """
+        shared = self._shared(address)
+        with shared:
+            await self._connect(address, shared)
+            unary = UnaryUnaryMethod(shared.channel, method.path, method.request, method.reply)
+            try:
+                with anyio.fail_after(timeout):
+                    return await unary(request, metadata=self._prover.sign(method.path))
+            except GRPCError as exc:
+                raise PeerError(Code.PEER_PROTOCOL, str(exc.message)) from exc
+            except (OSError, ProtocolError, StreamTerminatedError, TimeoutError) as exc:
+                self._retire(address, shared)
+                raise PeerError(Code.PEER_SILENT, str(exc) or type(exc).__name__) from exc
+
+    def close(self) -> None:
+        """Close all channels."""
+        for shared in self._channels.values():
+            shared.channel.close()
+        self._channels.clear()
+
+    def _shared(self, address: Address) -> "_SharedChannel":
+        shared = self._channels.get(address)
+        if shared is None:
+            channel = Channel(address.host, address.port, codec=self._codec, config=KEEPALIVE)
+            shared = self._channels[address] = _SharedChannel(channel)
+        return shared
+
+    async def _connect(self, address: Address, shared: "_SharedChannel") -> None:
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT):
+                await shared.channel.__connect__()
+        except (OSError, TimeoutError) as exc:
+            self._retire(address, shared)
+            raise NotSentError(Code.PEER_SILENT, f"{address}: {exc or 'no connection'}") from exc
+
+    def _retire(self, address: Address, shared: "_SharedChannel") -> None:
+        shared.retired = True
+        if self._channels.get(address) is shared:
+            del self._channels[address]
+
+
+class _SharedChannel:
+    """A channel that is closed when it is retired and its last call has ended."""
+
+    __slots__ = ("_users", "channel", "retired")
+
+    def __init__(self, channel: Channel) -> None:
+        self.channel = channel
+        self.retired = False
+        self._users = 0
+
+    def __enter__(self) -> None:
+        self._users += 1
+
+    def __exit__(self, *_: object) -> None:
+        self._users -= 1
+        if self.retired and self._users == 0:
+            self.channel.close()
--- /dev/null
+++ b/carawayhub/peers/links.py
@@ -0,0 +1,192 @@
+"""The opening end of a link: one task for each peer keeps one stream up.
+
+A link is a bidirectional gRPC stream. This end sends a heartbeat at each interval and the peer
+answers each. The answer carries what the peer has to report, so one exchange serves liveness,
+reports and the comparison of configuration versions.
+"""
+
+import random
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import anyio
+from grpclib.client import Channel, Stream, StreamStreamMethod
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from loguru import logger
+
+from carawayhub.addresses import Address
+from carawayhub.clock import Clock
+from carawayhub.codes import Code
+from carawayhub.errors import PeerError
+from carawayhub.peers.codec import MessagePackCodec
+from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello, ProcessRole
+from carawayhub.peers.methods import LINK
+from carawayhub.peers.proofs import Prover
+
+CONNECT_TIMEOUT = 1.0
+FIRST_BACKOFF = 0.2
+LONGEST_BACKOFF = 5.0
+
+LinkFailure = (OSError, GRPCError, ProtocolError, StreamTerminatedError, PeerError, TimeoutError)
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another process of the system.
+
+    Attributes:
+        name: Its name; for an agent that of its endpoint.
+        role: Its kind.
+        address: Where it takes links and calls.
+    """
+
+    name: str
+    role: ProcessRole
+    address: Address
+
+
+class LinkOwner(Protocol):
+    """What the process that opens links provides."""
+
+    def hello(self) -> Hello:
+        """Return the introduction of this process."""
+
+    def heartbeat(self, peer: Peer, sequence: int) -> Heartbeat:
+        """Return the next heartbeat for ``peer``."""
+
+    def intervals(self) -> "Intervals":
+        """Return the times in force now."""
+
+    def link_up(self, peer: Peer, hello: Hello) -> None:
+        """Note that ``peer`` answered on a new connection."""
+
+    def replied(self, peer: Peer, reply: HeartbeatReply, asked_at: float) -> None:
+        """Take a reply; ``asked_at`` is the clock reading at which its heartbeat was sent."""
+
+    def link_lost(self, peer: Peer, reason: str) -> None:
+        """Note that a new connection to ``peer`` failed as well."""
+
+
+@dataclass(frozen=True, slots=True)
+class Intervals:
+    """Times of a link in seconds: between heartbeats, and of silence until it is replaced."""
+
+    heartbeat: float
+    timeout: float
+
+
+class Link:
+    """Keeps a stream to one peer up until cancelled."""
+
+    __slots__ = ("_clock", "_codec", "_owner", "_prover", "_rng", "_sent", "peer")
+
+    def __init__(
+        self, peer: Peer, owner: LinkOwner, prover: Prover, clock: Clock, rng: random.Random
+    ) -> None:
+        self.peer = peer
+        self._owner = owner
+        self._prover = prover
+        self._clock = clock
+        self._rng = rng
+        self._codec = MessagePackCodec()
+        self._sent: dict[int, float] = {}
+
+    async def run(self) -> None:
+        """Open connections to the peer one after the other.
+
+        A connection that went silent says nothing of the peer: something between the two ends may
+        have lost track of it while new connections work. So a session that had been up is
+        replaced at once, and the peer counts as lost only when the new connection fails too.
+        """
+        failures = 0
+        while True:
+            reached, reason = await self._session()
+            if reached:
+                failures = 0
+                logger.bind(peer=self.peer.name, reason=reason).info("link ended, opening another")
+                await anyio.sleep(self._rng.uniform(0, FIRST_BACKOFF))
+                continue
+            failures += 1
+            self._owner.link_lost(self.peer, reason)
+            ceiling = min(LONGEST_BACKOFF, FIRST_BACKOFF * 2**failures)
+            await anyio.sleep(self._rng.uniform(FIRST_BACKOFF, ceiling))
+
+    async def _session(self) -> tuple[bool, str]:
+        channel = Channel(self.peer.address.host, self.peer.address.port, codec=self._codec)
+        reached = False
+        try:
+            method = StreamStreamMethod(channel, LINK.path, LINK.request, LINK.reply)
+            async with method.open(metadata=self._prover.sign(LINK.path)) as stream:
+                try:
+                    with anyio.fail_after(CONNECT_TIMEOUT):
+                        await self._introduce(stream)
+                    reached = True
+                    await self._exchange(stream)
+                finally:
+                    await _abandon(stream)
+        except LinkFailure as exc:
+            return reached, _reason(exc)
+        finally:
+            channel.close()
+        return reached, "ended"
+
+    async def _introduce(self, stream: Stream[Any, Any]) -> None:
+        await stream.send_message(self._owner.hello())
+        answer = await stream.recv_message()
+        if not isinstance(answer, Hello):
+            raise PeerError(Code.PEER_PROTOCOL, "the peer did not introduce itself")
+        if answer.name != self.peer.name:
+            raise PeerError(Code.PEER_ID_MISMATCH, f"{answer.name} answers for {self.peer.name}")
+        self._owner.link_up(self.peer, answer)
+
+    async def _exchange(self, stream: Stream[Any, Any]) -> None:
+        self._sent.clear()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._beat, stream, tasks.cancel_scope)
+            try:
+                await self._receive(stream)
+            except LinkFailure as exc:
+                logger.bind(peer=self.peer.name, reason=_reason(exc)).debug("link failed")
+            tasks.cancel_scope.cancel()
+
+    async def _beat(self, stream: Stream[Any, Any], scope: anyio.CancelScope) -> None:
+        sequence = 0
+        while True:
+            sequence += 1
+            self._sent[sequence] = self._clock.monotonic()
+            try:
+                await stream.send_message(self._owner.heartbeat(self.peer, sequence))
+            except LinkFailure:
+                scope.cancel()
+                return
+            await anyio.sleep(self._owner.intervals().heartbeat)
+
+    async def _receive(self, stream: Stream[Any, Any]) -> None:
+        while True:
+            with anyio.fail_after(self._owner.intervals().timeout):
+                reply = await stream.recv_message()
+            match reply:
+                case HeartbeatReply(sequence=0):
+                    self._owner.replied(self.peer, reply, self._clock.monotonic())
+                case HeartbeatReply(sequence=sequence):
+                    asked_at = self._sent.pop(sequence, None)
+                    if asked_at is None:
+                        raise PeerError(Code.PEER_ID_MISMATCH, f"reply to heartbeat {sequence}")
+                    self._owner.replied(self.peer, reply, asked_at)
+                case _:
+                    raise PeerError(Code.PEER_SILENT, "the peer ended the stream")
+
+
+async def _abandon(stream: Stream[Any, Any]) -> None:
+    """Reset the stream: waiting for the end of a link that went silent would never return."""
+    with anyio.CancelScope(shield=True):
+        try:
+            await stream.cancel()
+        except (ProtocolError, StreamTerminatedError, OSError):
+            return
+
+
+def _reason(exc: BaseException) -> str:
+    if isinstance(exc, TimeoutError):
+        return "silent past the timeout"
+    return str(exc) or type(exc).__name__
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 
 class ServingState(Enum):
     """What an agent says of its endpoint."""
@@ -71,3 +73,130 @@
     skew: float = 1.0
     reason: str = ""
     cache: CacheEvents = field(default_factory=lambda: CacheEvents(first=0))
+
+
+class ProcessRole(Enum):
+    """Which kind of process a peer is."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class Hello(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """The first message on a link, in each direction.
+
+    Attributes:
+        name: Name of the sending process.
+        role: Its kind.
+        incarnation: Random number drawn when it started.
+        failure_domain: Where it stands.
+    """
+
+    name: str
+    role: ProcessRole
+    incarnation: int
+    failure_domain: str
+
+
+class Heartbeat(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Sent by the process that opened the link, at each report interval.
+
+    Attributes:
+        sequence: Number of this heartbeat on this link, from 1.
+        version: Configuration version in force at the sender.
+        digest: Its digest.
+        leaving: Whether the sender is stopping.
+        demand: What the sender's callers ask for, by organisation; only between entries.
+    """
+
+    sequence: int
+    version: int
+    digest: str
+    leaving: bool = False
+    demand: tuple["OrganisationDemand", ...] = ()
+
+
+class HeartbeatReply(msgspec.Struct, tag=True, frozen=True, kw_only=True):
+    """Answers a heartbeat, or tells at once of a changed state with sequence 0.
+
+    Attributes:
+        sequence: Number of the heartbeat that it answers, 0 for none.
+        version: Configuration version in force at the sender.
+        digest: Its digest.
+        leaving: Whether the sender is stopping.
+        report: State of the sender's endpoint; none from an entry.
+    """
+
+    sequence: int
+    version: int
+    digest: str
+    leaving: bool = False
+    report: EndpointReport | None = None
+
+
+class OrganisationDemand(msgspec.Struct, frozen=True, kw_only=True):
+    """Demand of one organisation at one entry.
+
+    Attributes:
+        organisation: Its name.
+        rate: Requests a second that its callers ask for.
+        running: Its requests in flight.
+    """
+
+    organisation: str
+    rate: float
+    running: int
+
+
+class RunRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that may run at most once, for the ledger of an agent.
+
+    Attributes:
+        request_id: Id of the caller's request, for logs.
+        organisation: Who sends it.
+        target: Name of the service or model.
+        key: The caller's idempotency key, empty where a ticket is used.
+        ticket: The ticket, empty where a key is used.
+        version: Configuration version under which the entry chose this agent.
+        method: HTTP method.
+        path: Path with query.
+        headers: Headers for the endpoint.
+        body: Body of the request.
+        remaining: Seconds until its deadline.
+    """
+
+    request_id: str
+    organisation: str
+    target: str
+    key: str
+    ticket: str
+    version: int
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    remaining: float
+
+
+class RunReply(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of a request that may run at most once.
+
+    Attributes:
+        request_id: Id of the request that it answers.
+        code: Number of the result.
+        detail: What is particular to this case.
+        retry_after: Seconds after which asking again is sensible, 0 for never.
+        replayed: Whether the answer is that of an earlier run.
+        status: HTTP status of the endpoint's answer, 0 where there is none.
+        headers: Headers of the endpoint's answer.
+        body: Body of the endpoint's answer.
+    """
+
+    request_id: str
+    code: int
+    detail: str = ""
+    retry_after: float = 0.0
+    replayed: bool = False
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
--- /dev/null
+++ b/carawayhub/peers/methods.py
@@ -0,0 +1,24 @@
+"""Names and types of the calls between the system's processes."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello, RunReply, RunRequest
+
+SERVICE = "/carawayhub.Peers/"
+
+LinkUp = Hello | Heartbeat
+LinkDown = Hello | HeartbeatReply
+
+
+@dataclass(frozen=True, slots=True)
+class Method:
+    """One call: its path, the type it takes and the type it gives."""
+
+    path: str
+    request: Any
+    reply: Any
+
+
+LINK = Method(SERVICE + "Link", LinkUp, LinkDown)
+RUN = Method(SERVICE + "Run", RunRequest, RunReply)
--- /dev/null
+++ b/carawayhub/platform/client.py
@@ -0,0 +1,73 @@
+"""The platform's services over HTTP."""
+
+import hashlib
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+from carawayhub.codes import Code
+from carawayhub.errors import PlatformError
+from carawayhub.platform.ports import PublishedManifest, VmList
+
+ANSWER_MARGIN = 3.0
+MAX_VALUE_BYTES = 1_048_576
+
+
+class PlatformClient:
+    """Reads configuration and VM list from the platform's HTTP address.
+
+    Each read stands under its own deadline, a watch under its wait plus a margin: a watch whose
+    connection went silent would otherwise wait for ever and miss every change. A connection that
+    saw such a timeout is closed by ``httpcore`` and the next read opens a new one.
+
+    Args:
+        url: Base of the address, for example ``http://10.0.0.9:7000``.
+    """
+
+    __slots__ = ("_pool", "_url")
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = httpcore.AsyncConnectionPool(max_connections=8, keepalive_expiry=60)
+
+    async def manifest(self, after: int, wait: float) -> PublishedManifest:
+        """Return the published version; see ``ConfigurationService``."""
+        body = await self._get(f"/config/manifest?after={after}&wait={wait:g}", wait)
+        return _decode(body, PublishedManifest)
+
+    async def file(self, digest: str) -> bytes:
+        """Return the content of a file; see ``ConfigurationService``."""
+        body = await self._get(f"/config/files/{digest}", 0)
+        if hashlib.sha256(body).hexdigest() != digest:
+            raise PlatformError(Code.CONFIG_DIGEST_MISMATCH, f"file {digest}")
+        return body
+
+    async def vms(self, after: int, wait: float) -> VmList:
+        """Return the list of VMs; see ``VmDirectory``."""
+        body = await self._get(f"/vms?after={after}&wait={wait:g}", wait)
+        return _decode(body, VmList)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def _get(self, path: str, wait: float) -> bytes:
+        try:
+            with anyio.fail_after(wait + ANSWER_MARGIN):
+                response = await self._pool.request("GET", self._url + path)
+        except (httpcore.NetworkError, httpcore.ProtocolError, OSError, TimeoutError) as exc:
+            raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{path}: {exc!r}") from exc
+        if response.status != 200:
+            raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{path}: status {response.status}")
+        if len(response.content) > MAX_VALUE_BYTES:
+            raise PlatformError(Code.PLATFORM_MALFORMED, f"{path}: over {MAX_VALUE_BYTES} bytes")
+        return response.content
+
+
+def _decode(body: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as exc:
+        raise PlatformError(Code.PLATFORM_MALFORMED, str(exc)) from exc
