--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -34,6 +34,10 @@
     CONFIG_NO_FILES = 1009
     CONFIG_FILE_UNREADABLE = 1010
     CONFIG_DUPLICATE_ADDRESS = 1011
+    CONFIG_FILE_TOO_LARGE = 1012
+    CONFIG_DUPLICATE_CREDENTIAL = 1013
+    CONFIG_ENDPOINT_USED_TWICE = 1014
+    CONFIG_DUPLICATE_ROUTE = 1015
     CONFIG_OLDER_VERSION = 1020
     CONFIG_VERSION_CONFLICT = 1021
     CONFIG_DIGEST_MISMATCH = 1022
@@ -63,6 +67,8 @@
     ANSWER_CUT = 3001
     ANSWER_TIMEOUT = 3002
     ENDPOINT_ERROR = 3003
+    ANSWER_MIXED = 3004
+    ANSWER_STALLED = 3005
     RUN_INCARNATION_GONE = 3010
     RUN_STILL_RUNNING = 3011
     RUN_EXPIRED = 3012
@@ -153,6 +159,18 @@
     Code.CONFIG_DUPLICATE_ADDRESS: Meaning(
         _NONE, 0, "two endpoints have one address", "give each endpoint an address of its own"
     ),
+    Code.CONFIG_FILE_TOO_LARGE: Meaning(
+        _NONE, 0, "a file is larger than the platform can hold", "split it into several files"
+    ),
+    Code.CONFIG_DUPLICATE_CREDENTIAL: Meaning(
+        _NONE, 0, "two organisations have one key", "give each organisation keys of its own"
+    ),
+    Code.CONFIG_ENDPOINT_USED_TWICE: Meaning(
+        _NONE, 0, "an endpoint belongs to two groups", "name it in one group only"
+    ),
+    Code.CONFIG_DUPLICATE_ROUTE: Meaning(
+        _NONE, 0, "two services have one route", "give each method and path to one service"
+    ),
     Code.CONFIG_OLDER_VERSION: Meaning(
         _NONE, 0, "an older configuration was offered", "nothing: the newer one stays in force"
     ),
@@ -247,6 +265,15 @@
     Code.ENDPOINT_ERROR: Meaning(
         _UNKNOWN, 502, "the endpoint answered with an error", "read the error in the body"
     ),
+    Code.ANSWER_MIXED: Meaning(
+        _UNKNOWN,
+        502,
+        "the endpoint's answer belongs to another request",
+        "repeat it if it may be repeated",
+    ),
+    Code.ANSWER_STALLED: Meaning(
+        _UNKNOWN, 502, "the answer stopped before its end", "repeat it if it may be repeated"
+    ),
     Code.RUN_INCARNATION_GONE: Meaning(
         _UNKNOWN,
         409,
