Add routing and limits as library code without a network

Cause: entries need one contract for choosing endpoints, telling callers which entries to use, and admitting requests, so that the relay can be built on it.

Demand between entries gains what each entry holds.

--- /dev/null
+++ b/carawayhub/limits/account.py
@@ -0,0 +1,87 @@
+"""One organisation's rate, concurrency and demand at one entry."""
+
+from carawayhub.limits.bucket import TokenBucket
+from carawayhub.limits.shares import Allowance, Demand
+
+RATE_GAIN = 0.4
+HEADROOM = 1.15
+
+
+class Account:
+    """What one organisation has used and asked for at this entry.
+
+    Attributes:
+        running: Its requests in flight.
+    """
+
+    __slots__ = (
+        "_arrivals",
+        "_bucket",
+        "_measured_at",
+        "_peak",
+        "_rate",
+        "_refused_slots",
+        "_single",
+        "_slots",
+        "_wanted_slots",
+        "running",
+    )
+
+    def __init__(self, now: float) -> None:
+        self.running = 0
+        self._bucket = TokenBucket(0.0, 1.0, 1.0, now)
+        self._slots = 0
+        self._single = True
+        self._arrivals = 0
+        self._rate = 0.0
+        self._peak = 0
+        self._refused_slots = 0
+        self._wanted_slots = 0.0
+        self._measured_at = now
+
+    def resize(self, allowance: Allowance, now: float) -> None:
+        """Take new limits into force."""
+        self._bucket.resize(allowance.rate, allowance.depth, now)
+        self._slots = allowance.slots
+        self._single = allowance.single
+
+    def arrived(self) -> None:
+        """Count a request, admitted or not."""
+        self._arrivals += 1
+
+    def rate_wait(self, now: float) -> float | None:
+        """Return the seconds until the rate leaves room for a request, None for never yet."""
+        return self._bucket.seconds_until(1.0, now)
+
+    def has_slot(self) -> bool:
+        """Return whether one more request may run."""
+        if self.running < self._slots:
+            return True
+        return self.running == 0 and self._single
+
+    def refused_slot(self) -> None:
+        """Count a request that was refused for want of a slot."""
+        self._refused_slots += 1
+
+    def begun(self, now: float) -> None:
+        """Count a request that was admitted."""
+        self._bucket.spend(1.0, now)
+        self.running += 1
+        self._peak = max(self._peak, self.running)
+
+    def ended(self) -> None:
+        """Count the end of a request."""
+        self.running -= 1
+
+    def demand(self, now: float) -> Demand:
+        """Return what the organisation's callers ask for, measured since the last call."""
+        elapsed = now - self._measured_at
+        if elapsed > 0.0:
+            self._rate += RATE_GAIN * (self._arrivals / elapsed - self._rate)
+            asked = float(self._peak + self._refused_slots)
+            self._wanted_slots += RATE_GAIN * (asked - self._wanted_slots)
+            self._measured_at = now
+            self._arrivals = 0
+            self._peak = self.running
+            self._refused_slots = 0
+        return Demand(self._rate * HEADROOM, self._wanted_slots * HEADROOM, self.running)
--- /dev/null
+++ b/carawayhub/limits/allotment.py
@@ -0,0 +1,113 @@
+"""Division of a target's concurrency among priorities and, within one, organisations."""
+
+from dataclasses import dataclass
+
+from carawayhub.limits.fill import water_fill
+
+INTERVAL_SECONDS = 0.1
+RATE_GAIN = 0.2
+HOLD_GAIN = 0.05
+MARGIN = 1.25
+UNKNOWN_PART = 0.05
+FORGET_RATE = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """Whose requests are counted together."""
+
+    priority: int
+    organisation: str
+
+
+class _Flow:
+    """The requests of one key.
+
+    Attributes:
+        arrivals: Requests since the last division.
+        rate: Requests a second, smoothed.
+        running: Requests that run.
+        allotted: Requests that may run when the target is near its limit.
+    """
+
+    __slots__ = ("allotted", "arrivals", "rate", "running")
+
+    def __init__(self, allotted: float) -> None:
+        self.arrivals = 0
+        self.rate = 0.0
+        self.running = 0
+        self.allotted = allotted
+
+
+class Allotment:
+    """Gives each priority what it asks for before the next, and within it even parts.
+
+    What a key asks for is its rate of arrival times the mean time a request is held. Shedding
+    then begins with the lowest priority, and an organisation that surges is cut back to its even
+    part while another of the same priority keeps all that it asks for.
+    """
+
+    __slots__ = ("_divided_at", "_flows", "_hold")
+
+    def __init__(self) -> None:
+        self._flows: dict[Key, _Flow] = {}
+        self._hold = 0.0
+        self._divided_at: float | None = None
+
+    def arrived(self, key: Key, now: float, limit: float) -> None:
+        """Count a request, admitted or not."""
+        self._flow(key, limit).arrivals += 1
+        if self._divided_at is None:
+            self._divided_at = now
+        elif now - self._divided_at >= INTERVAL_SECONDS:
+            self._divide(limit, now - self._divided_at)
+            self._divided_at = now
+
+    def has_room(self, key: Key, limit: float, full: bool) -> bool:
+        """Return whether a request of the key is within its part.
+
+        Args:
+            key: Whose request it is.
+            limit: Requests that may run at the target at once.
+            full: Whether that many run now; a key may then have only what it asked for.
+        """
+        flow = self._flow(key, limit)
+        allotted = min(flow.allotted, self._asked(flow)) if full else flow.allotted
+        return flow.running < allotted
+
+    def begun(self, key: Key) -> None:
+        """Count a request that was admitted."""
+        self._flow(key, 0.0).running += 1
+
+    def ended(self, key: Key, held: float) -> None:
+        """Count the end of a request that was held for some seconds."""
+        self._flow(key, 0.0).running -= 1
+        self._hold = held if self._hold <= 0.0 else self._hold + HOLD_GAIN * (held - self._hold)
+
+    def _flow(self, key: Key, limit: float) -> _Flow:
+        flow = self._flows.get(key)
+        if flow is None:
+            flow = self._flows[key] = _Flow(1.0 + UNKNOWN_PART * limit)
+        return flow
+
+    def _asked(self, flow: _Flow) -> float:
+        return MARGIN * flow.rate * self._hold + 1.0
+
+    def _divide(self, limit: float, elapsed: float) -> None:
+        by_priority: dict[int, dict[Key, float]] = {}
+        for key, flow in list(self._flows.items()):
+            flow.rate += RATE_GAIN * (flow.arrivals / elapsed - flow.rate)
+            flow.arrivals = 0
+            if flow.rate < FORGET_RATE and flow.running == 0:
+                del self._flows[key]
+                continue
+            by_priority.setdefault(key.priority, {})[key] = self._asked(flow)
+        left = limit
+        for priority in sorted(by_priority):
+            parts = water_fill(left, by_priority[priority])
+            left -= sum(parts.values())
+            for key, part in parts.items():
+                self._flows[key].allotted = part
+        if left > 0.0:
+            for flow in self._flows.values():
+                flow.allotted += left
--- /dev/null
+++ b/carawayhub/limits/bucket.py
@@ -0,0 +1,55 @@
+"""A token bucket whose rate and depth may change while it is in use."""
+
+
+class TokenBucket:
+    """Tokens that accrue with time and are spent one for each request.
+
+    Attributes:
+        rate: Tokens a second.
+        depth: Tokens that it holds at most.
+    """
+
+    __slots__ = ("_tokens", "_updated_at", "depth", "rate")
+
+    def __init__(self, rate: float, depth: float, tokens: float, now: float) -> None:
+        self.rate = rate
+        self.depth = depth
+        self._tokens = min(tokens, depth)
+        self._updated_at = now
+
+    def resize(self, rate: float, depth: float, now: float) -> None:
+        """Change rate and depth; tokens that no longer fit are lost, none are added."""
+        self._accrue(now)
+        self.rate = rate
+        self.depth = depth
+        self._tokens = min(self._tokens, depth)
+
+    def available(self, now: float) -> float:
+        """Return the tokens that may be spent now."""
+        self._accrue(now)
+        return self._tokens
+
+    def add(self, tokens: float, now: float) -> None:
+        """Put tokens in besides those that accrue."""
+        self._accrue(now)
+        self._tokens = min(self.depth, self._tokens + tokens)
+
+    def spend(self, tokens: float, now: float) -> bool:
+        """Take tokens out if they are there; return whether they were."""
+        self._accrue(now)
+        if self._tokens < tokens:
+            return False
+        self._tokens -= tokens
+        return True
+
+    def seconds_until(self, tokens: float, now: float) -> float | None:
+        """Return in how many seconds ``tokens`` will be there, None for never at this rate."""
+        missing = tokens - self.available(now)
+        if missing <= 0.0:
+            return 0.0
+        return missing / self.rate if self.rate > 0.0 else None
+
+    def _accrue(self, now: float) -> None:
+        if now > self._updated_at:
+            self._tokens = min(self.depth, self._tokens + self.rate * (now - self._updated_at))
+            self._updated_at = now
--- /dev/null
+++ b/carawayhub/limits/split.py
@@ -0,0 +1,104 @@
+"""One entry's part of one limit of one organisation."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from carawayhub.limits.fill import water_fill
+
+
+@dataclass(slots=True)
+class PeerPart:
+    """What another entry said of its part of a limit.
+
+    Attributes:
+        wanted: How much its callers ask for.
+        claimed: How much it holds.
+        fresh: Whether it was heard within the last few ticks.
+        settled: Whether it has been silent for so long that it is counted with an even part.
+    """
+
+    wanted: float
+    claimed: float
+    fresh: bool
+    settled: bool
+
+
+class Split:
+    """Divides one limit by claims that each entry announces.
+
+    Each entry may use what it claims. All work out the same division of the limit from the wants
+    and claims last heard. An entry above its part lowers its claim at once; one below raises its
+    claim only out of what no entry holds, in proportion with the others that are below. A want
+    counts from the tick after it was announced, when the others have heard it too.
+
+    Guards against a partition: both sides keep running and neither hears the other. A silent
+    entry keeps what it last claimed, and at least an even part, reserved; so each side raises only
+    what the other side would not raise too, and the claims of all sides together stay within the
+    limit. After the reservation time all fall back to even parts by count of entries.
+
+    Attributes:
+        total: The limit that is divided.
+        claimed: What this entry holds.
+        announced: The want that the others were told.
+    """
+
+    __slots__ = ("announced", "claimed", "total")
+
+    def __init__(self, total: float) -> None:
+        self.total = total
+        self.claimed = 0.0
+        self.announced = 0.0
+
+    def tick(self, peers: Mapping[str, PeerPart], wanted: float, in_use: float) -> None:
+        """Move the claim towards this entry's part.
+
+        Args:
+            peers: Every other entry that shares the limit.
+            wanted: What this entry's callers ask for now.
+            in_use: What cannot be given back now, such as requests in flight.
+        """
+        fresh = {name: peer for name, peer in peers.items() if peer.fresh}
+        silent = [peer for peer in peers.values() if not peer.fresh]
+        targets = self._targets(fresh, silent, len(peers) + 1)
+        target = max(targets[None], in_use)
+        if target <= self.claimed:
+            self.claimed = target
+        else:
+            self.claimed += self._raise(fresh, silent, targets, len(peers) + 1)
+        self.announced = wanted
+
+    def _targets(
+        self, fresh: Mapping[str, PeerPart], silent: Iterable[PeerPart], members: int
+    ) -> dict[str | None, float]:
+        """Divide what the silent entries leave; the key None is this entry."""
+        even = self.total / members
+        held = sum(even if peer.settled else peer.claimed for peer in silent)
+        reserved = sum(_reserved(peer, even) for peer in silent)
+        present = self.claimed + sum(peer.claimed for peer in fresh.values())
+        available = max(0.0, min(self.total - held, max(present, self.total - reserved)))
+        wanted: dict[str | None, float] = {name: peer.wanted for name, peer in fresh.items()}
+        wanted[None] = self.announced
+        parts = water_fill(available, wanted)
+        spare = (available - sum(parts.values())) / len(parts)
+        return {name: part + spare for name, part in parts.items()}
+
+    def _raise(
+        self,
+        fresh: Mapping[str, PeerPart],
+        silent: Iterable[PeerPart],
+        targets: Mapping[str | None, float],
+        members: int,
+    ) -> float:
+        """Return by how much the claim may rise now."""
+        even = self.total / members
+        free = self.total - self.claimed - sum(peer.claimed for peer in fresh.values())
+        free -= sum(_reserved(peer, even) for peer in silent)
+        missing = targets[None] - self.claimed
+        if free <= 0.0 or missing <= 0.0:
+            return 0.0
+        others = sum(max(0.0, targets[name] - peer.claimed) for name, peer in fresh.items())
+        return min(missing, free * missing / (missing + others))
+
+
+def _reserved(peer: PeerPart, even: float) -> float:
+    return even if peer.settled else max(peer.claimed, even)
--- /dev/null
+++ b/carawayhub/routing/candidate.py
@@ -0,0 +1,266 @@
+"""What one entry knows of one endpoint: permit, load, pace, health and ramp."""
+
+import math
+
+from carawayhub.config.model import Endpoint, EndpointState
+from carawayhub.peers.messages import EndpointReport, ServingState
+from carawayhub.routing.load import LoadEstimate
+from carawayhub.routing.prefixes import KnownBlocks
+from carawayhub.routing.query import Condition, EndpointRow
+
+MIN_FACTOR = 0.02
+RAMP_FLOOR = 0.05
+PACE_GAIN = 0.1
+STALL_SECONDS = 3.0
+STALL_PACES = 10.0
+FAILURES_TO_EJECT = 3
+EJECT_SECONDS = 1.0
+MAX_EJECT_SECONDS = 30.0
+FLAP_MEMORY_SECONDS = 60.0
+MAX_SETTLE_SECONDS = 32.0
+
+
+class Candidate:
+    """One endpoint as the router sees it.
+
+    Attributes:
+        endpoint: Its configuration.
+        load: Estimated requests at it.
+        blocks: Prefix blocks it is known to hold.
+        weight: Its part of new work against a healthy endpoint of the same size; set by the pool.
+        pace: Recent seconds to the first byte of this entry's own requests, 0 for unknown.
+        failures: Attempts that failed one after the other.
+        leaving: Whether the platform's list of VMs says that it is leaving or gone.
+        permit_until: Reading of the clock until which it may be sent work.
+    """
+
+    __slots__ = (
+        "_ejected_until",
+        "_flaps",
+        "_last_progress",
+        "_lost_at",
+        "_report",
+        "_settled_at",
+        "_settling_from",
+        "blocks",
+        "endpoint",
+        "failures",
+        "leaving",
+        "load",
+        "pace",
+        "permit_until",
+        "weight",
+    )
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.load = LoadEstimate()
+        self.blocks = KnownBlocks()
+        self.weight = 1.0
+        self.pace = 0.0
+        self.failures = 0
+        self.leaving = False
+        self.permit_until = -math.inf
+        self._report: EndpointReport | None = None
+        self._last_progress = -math.inf
+        self._ejected_until = -math.inf
+        self._flaps = 0
+        self._lost_at = -math.inf
+        self._settling_from = -math.inf
+        self._settled_at = -math.inf
+
+    @property
+    def name(self) -> str:
+        """The endpoint's name."""
+        return self.endpoint.name
+
+    @property
+    def capacity(self) -> int:
+        """Requests it can run at once: what it said last, or what the operators declare."""
+        report = self._report
+        return max(1, report.capacity if report is not None else self.endpoint.capacity)
+
+    @property
+    def heard(self) -> bool:
+        """Whether a report of it was ever taken."""
+        return self._report is not None
+
+    @property
+    def step_seconds(self) -> float:
+        """Its last reported step time, 0 for unknown."""
+        return self._report.step_seconds if self._report is not None else 0.0
+
+    def observe(self, report: EndpointReport, asked_at: float, now: float) -> bool:
+        """Take a report; return whether it is the first or changed if the endpoint may be used."""
+        before = self.permitted(now) if self.heard else None
+        last = self._report
+        if last is not None and last.incarnation != report.incarnation:
+            self.blocks.forget()
+        if self._lost_at > -math.inf:
+            self._regained(now)
+        self._report = report
+        self.permit_until = self._permit(report, asked_at, last)
+        self.load.reported(report.running + report.queued, asked_at - report.load_age)
+        self.blocks.observe(report.cache)
+        return before != self.permitted(now)
+
+    def lost(self, now: float) -> None:
+        """Note that its link is gone: the permit ends and cache events were missed."""
+        self.permit_until = -math.inf
+        self.blocks.forget()
+        if self._lost_at == -math.inf:
+            self._lost_at = now
+
+    def permitted(self, now: float) -> bool:
+        """Return whether work may be sent to it."""
+        report = self._report
+        if report is None or report.state is not ServingState.SERVING:
+            return False
+        if self.leaving or self.endpoint.state is EndpointState.LEAVING:
+            return False
+        return now < self.permit_until
+
+    def progressed(self, now: float) -> None:
+        """Note that bytes of an answer arrived."""
+        self._last_progress = now
+
+    def begun(self, cost: float, now: float) -> None:
+        """Count a request that is sent to it."""
+        if self.load.own <= 0.0:
+            self._last_progress = now
+        self.load.begun(cost, now)
+
+    def first_byte(self, seconds: float) -> None:
+        """Take the time to the first byte of one answer into its pace."""
+        self.pace = seconds if self.pace <= 0.0 else self.pace + PACE_GAIN * (seconds - self.pace)
+
+    def ended(self, cost: float, ok: bool, now: float) -> None:
+        """Count the end of a request.
+
+        Guards against an endpoint that refuses at once: it looks idle and would draw all work.
+        After ``FAILURES_TO_EJECT`` failures in a row it gets only a trickle for a time that
+        doubles with each further failure; one success ends that.
+        """
+        self.load.ended(cost, now)
+        self._last_progress = now
+        if ok:
+            self.failures = 0
+            self._ejected_until = -math.inf
+            return
+        self.failures += 1
+        excess = self.failures - FAILURES_TO_EJECT
+        if excess >= 0:
+            seconds = min(MAX_EJECT_SECONDS, EJECT_SECONDS * 2.0 ** min(excess, 10))
+            self._ejected_until = now + seconds
+
+    def stalled(self, now: float) -> bool:
+        """Return whether its engine or this entry's requests at it make no progress.
+
+        Guards against a rank that hangs without failing: its load stays at what it was, its
+        requests never end. It shows as running requests without a token, or as own requests
+        without a byte for much longer than its pace.
+        """
+        if self._engine_silent():
+            return True
+        if self.load.own <= 0.0:
+            return False
+        patience = max(STALL_SECONDS, STALL_PACES * self.pace)
+        return now - self._last_progress > patience
+
+    def ejected(self, now: float) -> bool:
+        """Return whether it is held off after failures in a row."""
+        return now < self._ejected_until
+
+    def ramp(self, now: float, wall: float) -> float:
+        """Return the part of full work it is to get, from the operators' ramp and its own past."""
+        return min(self._declared_ramp(wall), self._settling(now))
+
+    def row(self, now: float, wall: float) -> EndpointRow:
+        """Return its row for the status table."""
+        condition, reason = self._condition(now, wall)
+        return EndpointRow(
+            endpoint=self.name,
+            provider=self.endpoint.provider,
+            failure_domain=self.endpoint.failure_domain,
+            condition=condition,
+            reason=reason,
+            load=self.load.value,
+            own=self.load.own,
+            capacity=self.capacity,
+            weight=self.weight if self.permitted(now) else 0.0,
+            permit_until=self.permit_until,
+            cached_blocks=len(self.blocks),
+        )
+
+    def _engine_silent(self) -> bool:
+        report = self._report
+        if report is None or report.running == 0 or report.step_seconds <= 0.0:
+            return False
+        return report.tokens_rate <= 0.0
+
+    def _permit(
+        self, report: EndpointReport, asked_at: float, last: EndpointReport | None
+    ) -> float:
+        """Return until when the report permits dispatch.
+
+        The permit counts from the moment the heartbeat was sent, so a slow answer makes it
+        shorter and never longer than what the agent granted. A late answer to an older heartbeat
+        does not shorten a permit of the same incarnation.
+        """
+        until = asked_at + report.permit
+        if last is not None and last.incarnation == report.incarnation:
+            return max(until, self.permit_until)
+        return until
+
+    def _regained(self, now: float) -> None:
+        """Hold back an endpoint whose link comes and goes.
+
+        Guards against flapping: each return would draw a burst to an endpoint that is about to go
+        again. The time until full work doubles with each loss within a minute.
+        """
+        if now - self._settled_at > FLAP_MEMORY_SECONDS:
+            self._flaps = 0
+        self._flaps += 1
+        self._settling_from = now
+        self._settled_at = now + min(MAX_SETTLE_SECONDS, 0.5 * 2.0**self._flaps)
+        self._lost_at = -math.inf
+
+    def _settling(self, now: float) -> float:
+        if now >= self._settled_at:
+            return 1.0
+        part = (now - self._settling_from) / (self._settled_at - self._settling_from)
+        return max(RAMP_FLOOR, part)
+
+    def _declared_ramp(self, wall: float) -> float:
+        endpoint = self.endpoint
+        if endpoint.state is not EndpointState.JOINING or endpoint.ramp_until <= endpoint.ramp_from:
+            return 1.0
+        part = (wall - endpoint.ramp_from) / (endpoint.ramp_until - endpoint.ramp_from)
+        return min(1.0, max(RAMP_FLOOR, part))
+
+    def _condition(self, now: float, wall: float) -> tuple[Condition, str]:
+        report = self._report
+        if self.endpoint.state is EndpointState.LEAVING:
+            return Condition.LEAVING, "the configuration says that it is leaving"
+        if self.leaving:
+            return Condition.LEAVING, "the list of VMs says that it is leaving or gone"
+        if report is None:
+            return Condition.UNHEARD, "no report yet"
+        match report.state:
+            case ServingState.LEAVING:
+                return Condition.LEAVING, report.reason or "its agent says that it is leaving"
+            case ServingState.STARTING:
+                return Condition.STARTING, report.reason or "its agent says that it is starting"
+            case ServingState.FAILED:
+                return Condition.FAILED, report.reason or "its agent says that it failed"
+        if now >= self.permit_until:
+            return Condition.EXPIRED, "its link is gone or its permit has run out"
+        if self.ejected(now):
+            return Condition.FAILING, f"{self.failures} attempts failed in a row"
+        if self.stalled(now):
+            return Condition.STALLED, "requests make no progress"
+        if self.ramp(now, wall) < 1.0:
+            return Condition.RAMPING, f"gets {self.ramp(now, wall):.0%} of full work"
+        if self.weight < 0.7:
+            return Condition.SLOW, f"its group is slow, weight {self.weight:.2f}"
+        return Condition.SERVING, ""
--- /dev/null
+++ b/carawayhub/routing/load.py
@@ -0,0 +1,67 @@
+"""How many requests an endpoint has now, from a late report and this entry's own dispatches."""
+
+from collections import deque
+
+MAX_EVENTS = 4096
+
+
+class LoadEstimate:
+    """The load of one endpoint in requests.
+
+    Guards against the herd that a late report causes: all entries see the same endpoint idle, all
+    send to it, and none sees the other's requests until the next report. What this entry itself
+    sent or finished after the report was sampled is added on top, so its own picture never lags.
+
+    Attributes:
+        own: Requests of this entry that are in flight.
+        value: Estimated requests of all entries at the endpoint.
+    """
+
+    __slots__ = ("_events", "_reported", "_sampled_at", "_unseen", "own", "value")
+
+    def __init__(self) -> None:
+        self.own = 0.0
+        self.value = 0.0
+        self._reported = 0.0
+        self._sampled_at = 0.0
+        self._unseen = 0.0
+        self._events: deque[tuple[float, float]] = deque()
+
+    def reported(self, requests: float, sampled_at: float) -> None:
+        """Take the endpoint's own count.
+
+        Args:
+            requests: Requests running and queued there.
+            sampled_at: Reading of this entry's clock before which the count was not taken; what
+                this entry sent later counts as not yet contained.
+        """
+        if sampled_at < self._sampled_at:
+            return
+        self._reported = requests
+        self._sampled_at = sampled_at
+        events = self._events
+        while events and events[0][0] <= sampled_at:
+            self._unseen -= events.popleft()[1]
+        if not events:
+            self._unseen = 0.0
+        self._update()
+
+    def begun(self, cost: float, now: float) -> None:
+        """Count a request that was sent."""
+        self.own += cost
+        self._add(cost, now)
+
+    def ended(self, cost: float, now: float) -> None:
+        """Count a request that came to its end."""
+        self.own = max(0.0, self.own - cost)
+        self._add(-cost, now)
+
+    def _add(self, delta: float, now: float) -> None:
+        if len(self._events) >= MAX_EVENTS:
+            self._events.popleft()
+        self._events.append((now, delta))
+        self._unseen += delta
+        self._update()
+
+    def _update(self) -> None:
+        self.value = max(self.own, self._reported + self._unseen)
