Announce what an entry holds of an organisation's limits

Cause: limits are divided by claims, and the message between entries carried only demand.

Change: OrganisationDemand gains the rate and the slots claimed and the slots wanted, with defaults.

--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -141,11 +141,17 @@
         organisation: Its name.
         rate: Requests a second that its callers ask for.
         running: Its requests in flight.
+        rate_claimed: Part of its rate that the entry holds, in requests a second.
+        slots: Requests in flight that its callers ask for.
+        slots_claimed: Part of its concurrency that the entry holds.
     """
 
     organisation: str
     rate: float
     running: int
+    rate_claimed: float = 0.0
+    slots: float = 0.0
+    slots_claimed: float = 0.0
 
 
 class RunRequest(msgspec.Struct, frozen=True, kw_only=True):
