--- a/carawayhub/config/check.py
+++ b/carawayhub/config/check.py
@@ -5,6 +5,7 @@
 checks only the objects whose text has changed and those related to them, with the same result.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -85,13 +86,13 @@
 
 
 def fold(
-    outlines: dict[str, Outline], key: EntityKey, problems: list[Problem] | None = None
+    held: Iterable[Outline], key: EntityKey, problems: list[Problem] | None = None
 ) -> Node | None:
-    """Return one object merged over all files, or None where there is none or it was removed."""
+    """Return one object merged over files in their order, or None where there is none left."""
     noted: list[Problem] = [] if problems is None else problems
     merged: Node | None = None
-    for held in outlines.values():
-        node = decode(held, key, noted)
+    for each in held:
+        node = decode(each, key, noted)
         if node is None:
             continue
         if finished(node) is None and (merged is None or finished(merged) is None):
@@ -119,8 +120,8 @@
     def run(self) -> Build:
         touched = _touched(self._outlines, {} if self._base is None else self._base.outlines)
         concerned = set(touched)
-        for key in sorted(touched):
-            concerned |= self._replace(key)
+        for key, sources in _sources(self._outlines, touched).items():
+            concerned |= self._replace(key, sources)
         scene = Scene(self._entities, frozenset(self._broken), self._index)
         for key in concerned | self._shares_of(concerned):
             self._problems += [self._located(fault) for fault in faults(scene, key)]
@@ -129,7 +130,7 @@
             self._problems.append(self._located(fault))
         return Build(self._outlines, scene, tuple(sorted(set(self._problems))))
 
-    def _replace(self, key: EntityKey) -> set[EntityKey]:
+    def _replace(self, key: EntityKey, sources: list[Outline]) -> set[EntityKey]:
         """Put one object in its new form and return those that are related to either form."""
         held = self._entities[key.section]
         before = held.pop(key.name, None)
@@ -137,7 +138,7 @@
         if before is not None:
             self._index.remove(key, before)
             concerned |= self._shares_of_models(before)
-        node = fold(self._outlines, key, self._problems)
+        node = fold(sources, key, self._problems)
         if node is None:
             return concerned
         entity = read_entity(key, node, self._problems)
@@ -202,6 +203,22 @@
     return touched
 
 
+def _sources(
+    outlines: dict[str, Outline], wanted: set[EntityKey]
+) -> dict[EntityKey, list[Outline]]:
+    """Return which files name each object, in their order."""
+    names: dict[Section, set[str]] = {section: set() for section in Section}
+    for section, name in wanted:
+        names[section].add(name)
+    found: dict[EntityKey, list[Outline]] = {key: [] for key in sorted(wanted)}
+    for held in outlines.values():
+        for section, spans in held.sections.items():
+            # The intersection walks the smaller side, so a small step stays cheap.
+            for name in spans.keys() & names[section]:
+                found[EntityKey(section, name)].append(held)
+    return found
+
+
 def _keys(held: Outline | None) -> set[EntityKey]:
     if held is None:
         return set()
@@ -214,7 +231,7 @@
 
 def _place(outlines: dict[str, Outline], fault: Fault) -> tuple[str, int]:
     """Return file and line of the value that a fault names, or of the nearest one around it."""
-    node = fold(outlines, fault.key)
+    node = fold(outlines.values(), fault.key)
     if node is None:
         return next(reversed(outlines)), 0
     for part in fault.rest:
--- a/carawayhub/config/model.py
+++ b/carawayhub/config/model.py
@@ -142,6 +142,8 @@
         routes: Its calls; the first that matches decides.
         organisations: Who may use it; empty for all.
         key_ttl: Seconds for which an idempotency key is remembered.
+        key_quarantine: Whether an agent that has just started distrusts keys it has not seen; to
+            be false only while the service is used for the first time.
     """
 
     name: str
@@ -149,6 +151,7 @@
     routes: tuple[ServiceRoute, ...]
     organisations: tuple[str, ...] = ()
     key_ttl: float = 600.0
+    key_quarantine: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -195,6 +198,8 @@
         heartbeat_timeout: Silence after which a link is replaced.
         key_ttl: How long the key of a run-once model call is remembered.
         links_per_agent: Entries that keep a link to one agent.
+        stream_stall: Silence in the middle of a stream after which its connection is given up.
+        join_window: Time for which small parts of one stream are joined, 0 for not at all.
     """
 
     answer_ttl: float = 20.0
@@ -205,6 +210,8 @@
     heartbeat_timeout: float = 2.0
     key_ttl: float = 600.0
     links_per_agent: int = 12
+    stream_stall: float = 3.0
+    join_window: float = 0.02
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
