Add stand-ins for the platform, a model engine and a plain service

Cause: tests, demo, traces, chaos and measurements need something to route to whose every answer and every run can be checked from outside.

Faults are switched at run time: stall, slow, cut, silent, errors, lost replies; stale, down, slow and silent platform.

--- /dev/null
+++ b/carawayhub/standins/faults.py
@@ -0,0 +1,60 @@
+"""What can be made to go wrong at each stand-in while it runs."""
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, kw_only=True)
+class PlatformFault:
+    """What is wrong with the platform at present; the defaults say nothing is.
+
+    Attributes:
+        down: Whether connections are closed without an answer.
+        silent: Whether nothing is answered any more, waiting watches included.
+        stale_version: Version that is served in place of the newest, None for the newest.
+        slow_s: Seconds that each answer takes longer.
+    """
+
+    down: bool = False
+    silent: bool = False
+    stale_version: int | None = None
+    slow_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class EngineFault:
+    """What is wrong with an engine at present; the defaults say nothing is.
+
+    Attributes:
+        stall_s: Seconds from now in which no step is made.
+        slow_factor: Times by which a step takes longer.
+        cut_after: Tokens after which a stream's connection is closed, None for never.
+        cut_count: Streams that are cut.
+        error_count: Requests answered with status 500 before they run.
+        silent: Whether nothing is answered any more, on open and new connections.
+    """
+
+    stall_s: float = 0.0
+    slow_factor: float = 1.0
+    cut_after: int | None = None
+    cut_count: int = 1
+    error_count: int = 0
+    silent: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class ServiceFault:
+    """What is wrong with a service at present; the defaults say nothing is.
+
+    Attributes:
+        lose_reply_count: Calls that are run and whose connection is then closed.
+        delay_s: Seconds that an answer waits after the call was run.
+        slow_factor: Times by which the work takes longer.
+        error_count: Calls answered with status 500 before they run.
+        silent: Whether nothing is answered any more, on open and new connections.
+    """
+
+    lose_reply_count: int = 0
+    delay_s: float = 0.0
+    slow_factor: float = 1.0
+    error_count: int = 0
+    silent: bool = False
