--- a/carawayhub/routing/candidate.py
+++ b/carawayhub/routing/candidate.py
@@ -35,6 +35,7 @@
     """
 
     __slots__ = (
+        "_asked_at",
         "_ejected_until",
         "_flaps",
         "_last_progress",
@@ -62,6 +63,7 @@
         self.leaving = False
         self.permit_until = -math.inf
         self._report: EndpointReport | None = None
+        self._asked_at = -math.inf
         self._last_progress = -math.inf
         self._ejected_until = -math.inf
         self._flaps = 0
@@ -91,7 +93,14 @@
         return self._report.step_seconds if self._report is not None else 0.0
 
     def observe(self, report: EndpointReport, asked_at: float, now: float) -> bool:
-        """Take a report; return whether it is the first or changed if the endpoint may be used."""
+        """Take a report; return whether it is the first or changed if the endpoint may be used.
+
+        An answer to an older heartbeat that comes late is passed over: it would bring back a state
+        that a newer one has ended.
+        """
+        if asked_at < self._asked_at:
+            return False
+        self._asked_at = asked_at
         before = self.permitted(now) if self.heard else None
         last = self._report
         if last is not None and last.incarnation != report.incarnation:
@@ -204,8 +213,8 @@
         """Return until when the report permits dispatch.
 
         The permit counts from the moment the heartbeat was sent, so a slow answer makes it
-        shorter and never longer than what the agent granted. A late answer to an older heartbeat
-        does not shorten a permit of the same incarnation.
+        shorter and never longer than what the agent granted. A new grant does not shorten an
+        earlier one of the same incarnation.
         """
         until = asked_at + report.permit
         if last is not None and last.incarnation == report.incarnation:
