--- /dev/null
+++ b/carawayhub/fleet/contents.py
@@ -0,0 +1,112 @@
+"""File contents by digest: those in force and those being fetched."""
+
+import hashlib
+from collections.abc import Iterable
+
+from carawayhub.codes import Code
+from carawayhub.config.files import MAX_FILE_BYTES
+from carawayhub.errors import PeerError
+from carawayhub.fleet.messages import CONTENT_BYTES, FileChunk, FilesReply, FilesRequest
+
+
+class ContentStore:
+    """Holds contents whose digest was checked, and serves parts of them to peers."""
+
+    __slots__ = ("_contents",)
+
+    def __init__(self) -> None:
+        self._contents: dict[str, bytes] = {}
+
+    def __contains__(self, digest: str) -> bool:
+        return digest in self._contents
+
+    def get(self, digest: str) -> bytes:
+        """Return the content with this digest.
+
+        Raises:
+            KeyError: It is not held.
+        """
+        return self._contents[digest]
+
+    def add(self, digest: str, content: bytes) -> None:
+        """Keep ``content`` after checking it.
+
+        Raises:
+            PeerError: CONFIG_DIGEST_MISMATCH.
+        """
+        if hashlib.sha256(content).hexdigest() != digest:
+            raise PeerError(Code.CONFIG_DIGEST_MISMATCH, f"file {digest}")
+        self._contents[digest] = content
+
+    def add_unnamed(self, content: bytes) -> None:
+        """Keep ``content`` under the digest that it has."""
+        self._contents[hashlib.sha256(content).hexdigest()] = content
+
+    def keep_only(self, digests: Iterable[str]) -> None:
+        """Drop all other contents."""
+        kept = set(digests)
+        self._contents = {key: value for key, value in self._contents.items() if key in kept}
+
+    def small(self, digests: Iterable[str]) -> tuple[bytes, ...]:
+        """Return contents in the order given, as long as they fit one message."""
+        contents: list[bytes] = []
+        room = CONTENT_BYTES
+        for digest in digests:
+            content = self._contents.get(digest)
+            if content is None or len(content) > room:
+                break
+            room -= len(content)
+            contents.append(content)
+        return tuple(contents)
+
+    def serve(self, req: FilesRequest) -> FilesReply:
+        """Return as many of the files asked for as fit one message."""
+        chunks: list[FileChunk] = []
+        room = CONTENT_BYTES
+        offset = req.offset
+        for digest in req.digests:
+            content = self._contents.get(digest)
+            if content is None:
+                offset = 0
+                continue
+            if chunks and len(content) > room:
+                break
+            data = content[offset : offset + room]
+            chunks.append(FileChunk(digest=digest, offset=offset, size=len(content), data=data))
+            room -= len(data)
+            offset = 0
+            if room <= 0:
+                break
+        return FilesReply(chunks=tuple(chunks))
+
+
+class PartialFile:
+    """One file that comes in parts from one peer."""
+
+    __slots__ = ("_data", "digest")
+
+    def __init__(self) -> None:
+        self.digest = ""
+        self._data = bytearray()
+
+    def offset(self, digest: str) -> int:
+        """Return how many bytes of the file with this digest are here."""
+        return len(self._data) if digest == self.digest else 0
+
+    def add(self, chunk: FileChunk) -> bytes | None:
+        """Append a part and return the whole content once it is complete.
+
+        Raises:
+            PeerError: PEER_PROTOCOL when the part does not continue the ones before.
+        """
+        if chunk.size > MAX_FILE_BYTES or chunk.offset != self.offset(chunk.digest):
+            raise PeerError(Code.PEER_PROTOCOL, f"part of file {chunk.digest} does not fit")
+        if chunk.offset == 0:
+            self.digest, self._data = chunk.digest, bytearray()
+        if not chunk.data and chunk.size > chunk.offset:
+            raise PeerError(Code.PEER_PROTOCOL, f"empty part of file {chunk.digest}")
+        self._data += chunk.data
+        if len(self._data) < chunk.size:
+            return None
+        content, self._data, self.digest = bytes(self._data), bytearray(), ""
+        return content
--- /dev/null
+++ b/carawayhub/fleet/deltas.py
@@ -0,0 +1,111 @@
+"""Asking a peer for what changed, and answering one that asks."""
+
+from dataclasses import dataclass
+
+from carawayhub.codes import Code
+from carawayhub.errors import PeerError
+from carawayhub.fleet.contents import ContentStore
+from carawayhub.fleet.manifest import (
+    Delta,
+    History,
+    Manifest,
+    VersionId,
+    manifest_digest,
+    states_digest,
+)
+from carawayhub.fleet.messages import (
+    NAMES_PER_PAGE,
+    Document,
+    ManifestReply,
+    ManifestRequest,
+)
+from carawayhub.fleet.ports import FleetPeers
+
+MAX_PAGES = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Fetched:
+    """A peer's manifest, put together from the changes it sent, and the contents sent along."""
+
+    manifest: Manifest
+    contents: tuple[bytes, ...]
+
+
+def answer(history: History, req: ManifestRequest, contents: ContentStore) -> ManifestReply:
+    """Return one page of what changed since the version that the request names."""
+    current = history.current
+    base = VersionId(req.base_version, req.base_digest)
+    delta = history.since(base)
+    if delta is None:
+        base, delta = VersionId(), Delta(dict(current.files), ())
+    names = sorted(delta.changed)
+    page = names[req.start : req.start + NAMES_PER_PAGE]
+    first = req.start == 0
+    whole = first and base.version > 0 and len(page) == len(names)
+    return ManifestReply(
+        version=current.id.version,
+        digest=current.id.digest,
+        base_version=base.version,
+        changed=tuple((name, delta.changed[name]) for name in page),
+        removed=delta.removed if first else (),
+        total=len(names),
+        contents=contents.small(delta.changed[name] for name in page) if whole else (),
+    )
+
+
+async def fetch(peers: FleetPeers, peer: str, document: Document, base: Manifest) -> Fetched:
+    """Ask ``peer`` for its newest manifest as changes to ``base``.
+
+    Raises:
+        PeerError: The peer did not answer, or its changes do not add up to the digest it names.
+    """
+    fetched = await _pages(peers, peer, document, base)
+    if _matches(document, fetched.manifest):
+        return fetched
+    # The peer's record of our version differs from what we hold: its changes lead elsewhere.
+    # Only a whole manifest is certain then.
+    fetched = await _pages(peers, peer, document, Manifest())
+    if not _matches(document, fetched.manifest):
+        raise PeerError(Code.CONFIG_DIGEST_MISMATCH, f"manifest of {peer}")
+    return fetched
+
+
+async def _pages(peers: FleetPeers, peer: str, document: Document, base: Manifest) -> Fetched:
+    changed: dict[str, str] = {}
+    first: ManifestReply | None = None
+    for _ in range(MAX_PAGES):
+        reply = await peers.manifest(
+            peer,
+            ManifestRequest(
+                document=document,
+                base_version=base.id.version,
+                base_digest=base.id.digest,
+                start=len(changed),
+            ),
+        )
+        first = first or reply
+        if (reply.version, reply.digest) != (first.version, first.digest):
+            raise PeerError(Code.PEER_PROTOCOL, f"{peer} changed its version between two pages")
+        changed.update(reply.changed)
+        if len(changed) >= reply.total:
+            return _assemble(first, changed, base)
+        if not reply.changed:
+            break
+    raise PeerError(Code.PEER_PROTOCOL, f"manifest of {peer} does not end")
+
+
+def _assemble(first: ManifestReply, changed: dict[str, str], base: Manifest) -> Fetched:
+    files = base.files if first.base_version else {}
+    delta = Delta(changed, first.removed)
+    manifest = Manifest(VersionId(first.version, first.digest), delta.apply(files))
+    return Fetched(manifest, first.contents)
+
+
+def _matches(document: Document, manifest: Manifest) -> bool:
+    if document is Document.VM_LIST:
+        return manifest.id.digest == states_digest(manifest.files)
+    try:
+        return manifest.id.digest == manifest_digest(manifest.files)
+    except ValueError:
+        return False
