--- /dev/null
+++ b/tests/test_run_once_ledger.py
@@ -0,0 +1,271 @@
+"""The ledger: one record for each key, never forgotten early, joined with others' knowledge."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from carawayhub.agent.begin import Ask, Refuse, Replay, Run, Wait
+from carawayhub.agent.ledger import ENTRY_BYTES, Ledger, LedgerLimits
+from carawayhub.agent.messages import (
+    Answer,
+    LedgerEntry,
+    Member,
+    NotRun,
+    OutcomeUnknown,
+    RunId,
+    RunKey,
+    RunsElsewhere,
+)
+from carawayhub.clock import ManualClock
+from carawayhub.codes import Code
+
+ALPHA = Member("alpha", "10.0.0.1:7100")
+BETA = Member("beta", "10.0.0.2:7100")
+KEY = RunKey("service/booking", "cafe", "k1")
+KEEP = 100.0
+CUT = OutcomeUnknown(int(Code.ANSWER_CUT))
+
+
+def ledger_of(clock, member=ALPHA, incarnation=1, **limits):
+    return Ledger(clock, member, incarnation, LedgerLimits(**limits))
+
+
+class Case(unittest.TestCase):
+    """One ledger, and how a request is begun at it."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.ledger = ledger_of(self.clock)
+
+    def begin(self, key=KEY, digest=b"d", gate=None, ledger=None):
+        chosen = self.ledger if ledger is None else ledger
+        return chosen.begin(key, digest, self.clock.monotonic() + KEEP, gate)
+
+
+class LedgerTest(Case):
+    """One agent alone."""
+
+    def test_a_retry_after_a_lost_reply_gets_the_first_answer(self):
+        """A visitor books a bench and the reply is lost; the app sends the same key again.
+
+        Without the record the bench would be booked twice.
+        """
+        run = self.begin().run
+        self.ledger.finish(KEY, run, Answer(201, (), b"bench 4"))
+        self.assertEqual(self.begin(), Replay(Answer(201, (), b"bench 4"), KEEP))
+
+    def test_a_duplicate_waits_and_is_woken_by_the_end_of_the_run(self):
+        run = self.begin().run
+        waiting = self.begin()
+        self.assertIsInstance(waiting, Wait)
+        self.assertFalse(waiting.done.is_set())
+        self.ledger.finish(KEY, run, CUT)
+        self.assertTrue(waiting.done.is_set())
+        self.assertEqual(self.begin(), Refuse(Code.ANSWER_CUT))
+
+    def test_a_try_that_sent_nothing_may_be_made_again_but_not_finished_twice(self):
+        first = self.begin().run
+        self.assertTrue(self.ledger.finish(KEY, first, NotRun(int(Code.CONNECT_FAILED))))
+        second = self.begin().run
+        self.assertNotEqual(first, second)
+        self.assertFalse(self.ledger.finish(KEY, first, Answer(200)))
+        self.assertIsInstance(self.begin(), Wait)
+
+    def test_the_same_key_with_another_body_is_refused(self):
+        self.begin()
+        self.assertEqual(self.begin(digest=b"other"), Refuse(Code.RUN_BODY_DIFFERS))
+
+    def test_a_full_ledger_refuses_and_forgets_nothing(self):
+        """A Saturday surge fills the ledger.
+
+        Were the oldest records dropped to make room, a late retry of one of them would book its
+        bench a second time.
+        """
+        small = ledger_of(self.clock, entries=1)
+        run = self.begin(ledger=small).run
+        small.finish(KEY, run, Answer(201))
+        refused = self.begin(RunKey("service/booking", "cafe", "k2"), ledger=small)
+        self.assertEqual((refused.code, refused.retry_after), (Code.OVERLOADED, KEEP))
+        self.assertIsInstance(self.begin(ledger=small), Replay)
+
+    def test_an_answer_beyond_the_bound_is_not_kept_and_the_request_not_run_again(self):
+        run = self.begin().run
+        self.ledger.finish(KEY, run, Answer(200, (), b"x" * (LedgerLimits().answer_bytes + 1)))
+        self.assertEqual(self.begin().code, Code.RUN_ANSWER_NOT_KEPT)
+
+    def test_a_run_that_outlives_its_key_is_not_forgotten(self):
+        run = self.begin().run
+        self.clock.advance(KEEP * 2)
+        self.assertIsInstance(self.begin(), Wait)
+        self.ledger.finish(KEY, run, Answer(200))
+
+    def test_a_key_that_expired_between_check_and_begin_is_refused(self):
+        """An agent checks a ticket, is paused, and begins it after its record was forgotten."""
+        self.assertEqual(
+            self.ledger.begin(KEY, b"d", self.clock.monotonic()), Refuse(Code.RUN_EXPIRED)
+        )
+
+    def test_a_gate_stops_new_requests_and_not_what_is_known(self):
+        shut = Refuse(Code.RUN_QUARANTINE, 5.0)
+        self.assertEqual(self.begin(gate=shut), shut)
+        run = self.begin().run
+        self.ledger.finish(KEY, run, Answer(200))
+        self.assertIsInstance(self.begin(gate=shut), Replay)
+
+    def test_a_ticket_is_never_exported(self):
+        self.begin(RunKey("service/booking", "cafe", "nonce", ticket=True))
+        self.assertEqual(self.ledger.export(lambda key: True), ())
+
+
+class TwoLedgersTest(Case):
+    """An agent that begins keys and one that takes them over."""
+
+    def setUp(self):
+        super().setUp()
+        self.other = ledger_of(self.clock, BETA, incarnation=2)
+
+    def hand_over(self):
+        self.other.absorb(self.ledger.export(lambda key: True))
+
+    def test_a_run_that_goes_on_elsewhere_is_asked_for_and_not_repeated(self):
+        """A bench moves to another agent while its booking still runs at the first one."""
+        run = self.begin().run
+        self.hand_over()
+        asked = self.begin(ledger=self.other)
+        self.assertIsInstance(asked, Ask)
+        self.other.resolve(self.ledger.look_up(asked.look_up))
+        self.assertIsInstance(self.begin(ledger=self.other), Ask)
+        self.ledger.finish(KEY, run, Answer(201))
+        self.other.resolve(self.ledger.look_up(asked.look_up))
+        self.assertIsInstance(self.begin(ledger=self.other), Replay)
+
+    def test_a_run_elsewhere_that_sent_nothing_frees_the_key(self):
+        run = self.begin().run
+        self.hand_over()
+        asked = self.begin(ledger=self.other)
+        self.ledger.finish(KEY, run, NotRun(int(Code.CONNECT_FAILED)))
+        self.other.resolve(self.ledger.look_up(asked.look_up))
+        self.assertIsInstance(self.begin(ledger=self.other), Run)
+
+    def test_an_agent_that_restarted_cannot_free_a_key(self):
+        """The agent that runs a booking crashes and starts again; asked, it knows nothing.
+
+        Taking "I know nothing" for "it did not run" would book the bench twice.
+        """
+        self.begin()
+        self.hand_over()
+        asked = self.begin(ledger=self.other)
+        restarted = ledger_of(self.clock, ALPHA, incarnation=3)
+        self.other.resolve(restarted.look_up(asked.look_up))
+        self.assertEqual(self.begin(ledger=self.other), Refuse(Code.RUN_INCARNATION_GONE))
+
+    def test_a_forgotten_answer_cannot_free_a_key(self):
+        """The home asks about a run a moment after its agent forgot the answer as expired."""
+        run = self.begin().run
+        self.hand_over()
+        asked = self.begin(ledger=self.other)
+        self.ledger.finish(KEY, run, Answer(201))
+        self.clock.advance(KEEP)
+        reply = self.ledger.look_up(asked.look_up)
+        self.assertEqual((reply.not_run, reply.entry), (False, None))
+
+    def test_a_late_message_about_an_older_try_does_not_hide_a_newer_one(self):
+        """Word of try 2 overtakes word of try 1, and try 1 turns out to have sent nothing.
+
+        Had the late word replaced the newer one, the key would be run while try 2 still runs.
+        """
+        older, newer = RunId(ALPHA, 1, 1), RunId(ALPHA, 1, 2)
+        for run in (newer, older):
+            entry = LedgerEntry(KEY, b"d", KEEP, RunsElsewhere((run,)))
+            self.other.absorb((entry,))
+        asked = self.begin(ledger=self.other)
+        self.assertEqual(asked.look_up.run, older)
+        self.ledger.finish(KEY, self.begin().run, NotRun(int(Code.CONNECT_FAILED)))
+        self.begin()
+        self.other.resolve(self.ledger.look_up(asked.look_up))
+        self.assertEqual(self.begin(ledger=self.other).look_up.run, newer)
+
+    def test_a_full_ledger_takes_facts_over_and_gives_up_only_the_answer(self):
+        small = ledger_of(self.clock, BETA, 2, total_bytes=ENTRY_BYTES + 10)
+        self.ledger.finish(KEY, self.begin().run, Answer(201, (), b"x" * 2000))
+        small.absorb(self.ledger.export(lambda key: True))
+        self.assertEqual(self.begin(ledger=small).code, Code.RUN_ANSWER_NOT_KEPT)
+
+
+KEYS = st.sampled_from([RunKey("service/booking", "cafe", name) for name in "abc"])
+RESULTS = st.sampled_from(
+    [Answer(201, (), b"x" * 40), Answer(200, (), b"y" * 400), CUT, NotRun(int(Code.CONNECT_FAILED))]
+)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Any mix of begins, ends, handovers, lookups and waiting at two agents.
+
+    ``sent`` counts the tries of a key that may have sent something since it was first begun. Two
+    agents stand for a home that moves: only ``home`` begins keys, and the move is a handover.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        limits = {"entries": 3, "total_bytes": 3 * ENTRY_BYTES + 300, "answer_bytes": 200}
+        self.ledgers = [
+            ledger_of(self.clock, ALPHA, 1, **limits),
+            ledger_of(self.clock, BETA, 2, **limits),
+        ]
+        self.home = 0
+        self.running = {}
+        self.sent = {}
+        self.begun = {}
+
+    @rule(key=KEYS)
+    def begin(self, key):
+        if key not in self.begun:
+            self.begun[key] = self.clock.monotonic()
+        if self.clock.monotonic() >= self.begun[key] + KEEP:
+            return
+        until = self.clock.monotonic() + KEEP
+        verdict = self.ledgers[self.home].begin(key, b"d", until)
+        if isinstance(verdict, Run):
+            assert self.sent.get(key, 0) == 0, f"{key} runs twice"
+            self.sent[key] = 1
+            self.running[key] = (self.home, verdict.run)
+        if isinstance(verdict, Ask) and key in self.running:
+            reply = self.ledgers[self.running[key][0]].look_up(verdict.look_up)
+            self.ledgers[self.home].resolve(reply)
+
+    @rule(key=KEYS, result=RESULTS)
+    def finish(self, key, result):
+        if key not in self.running:
+            return
+        where, run = self.running.pop(key)
+        assert self.ledgers[where].finish(key, run, result)
+        if isinstance(result, NotRun):
+            self.sent[key] = 0
+
+    @rule()
+    def move_home(self):
+        entries = self.ledgers[self.home].export(lambda key: True)
+        self.home = 1 - self.home
+        self.ledgers[self.home].absorb(entries)
+
+    @rule(seconds=st.sampled_from([1.0, 30.0, 60.0]))
+    def wait(self, seconds):
+        self.clock.advance(seconds)
+
+    @invariant()
+    def memory_is_bounded(self):
+        for ledger in self.ledgers:
+            assert 0 <= ledger.used_bytes <= 2 * (3 * ENTRY_BYTES + 300)
+            assert ledger.conflicts == 0
+
+
+LedgerMachineTest = LedgerMachine.TestCase
+LedgerMachineTest.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None, database=None
+)
+
+if __name__ == "__main__":
+    unittest.main()
