--- a/carawayhub/config/check.py
+++ b/carawayhub/config/check.py
@@ -120,8 +120,8 @@
     def run(self) -> Build:
         touched = _touched(self._outlines, {} if self._base is None else self._base.outlines)
         concerned = set(touched)
-        for key, sources in _sources(self._outlines, touched).items():
-            concerned |= self._replace(key, sources)
+        for key, held in sources(self._outlines, touched).items():
+            concerned |= self._replace(key, held)
         scene = Scene(self._entities, frozenset(self._broken), self._index)
         for key in concerned | self._shares_of(concerned):
             self._problems += [self._located(fault) for fault in faults(scene, key)]
@@ -203,9 +203,7 @@
     return touched
 
 
-def _sources(
-    outlines: dict[str, Outline], wanted: set[EntityKey]
-) -> dict[EntityKey, list[Outline]]:
+def sources(outlines: dict[str, Outline], wanted: set[EntityKey]) -> dict[EntityKey, list[Outline]]:
     """Return which files name each object, in their order."""
     names: dict[Section, set[str]] = {section: set() for section in Section}
     for section, name in wanted:
