Hand the VM list on between processes and test the watchers

The list of VMs would cost one waiting watch for each process: 6,180 reads a second against a budget of 2,000. The processes that watch the configuration read it now, and the others get the changes from peers.

Tests cover a silent watch, a stale service that answers at once, one that is down, a process that hears of no watcher, and starts with a stale and a dead service.

--- /dev/null
+++ b/carawayhub/fleet/vmsync.py
@@ -0,0 +1,166 @@
+"""Hands the platform's list of VMs on between processes, as it does the configuration.
+
+The list is read by the processes that watch the configuration, and reaches the others as changes
+between two lists. Were it read by each process, 6,180 waiting watches would alone be three times
+what the platform answers.
+
+What the owner of a process calls: ``heard(peer, number)`` for each heartbeat, ``forget(peer)``,
+``run()`` and ``watch()`` as tasks, ``manifest(req)`` to answer peers, ``number`` for its own
+heartbeats and ``changed`` to learn of a new list in ``current``.
+"""
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from carawayhub.clock import Clock
+from carawayhub.errors import PeerError, PlatformError
+from carawayhub.fleet.budget import Backoff
+from carawayhub.fleet.contents import ContentStore
+from carawayhub.fleet.deltas import answer, fetch
+from carawayhub.fleet.manifest import History, Manifest, VersionId, states_digest
+from carawayhub.fleet.messages import Document, ManifestReply, ManifestRequest
+from carawayhub.fleet.ports import FleetPeers
+from carawayhub.fleet.watchers import EMPTY_ANSWER_PAUSE, SILENCE_MARGIN, WATCH_WAIT
+from carawayhub.peers.signal import Signal
+from carawayhub.platform.ports import ListedVm, VmDirectory, VmList, VmState
+
+DUTY_CHECK = 2.0
+
+
+class VmListSync:
+    """The newest list of VMs that one process knows of.
+
+    Args:
+        peers: Calls to other processes.
+        directory: The platform's list.
+        on_duty: Returns whether this process is one of those that watch.
+        clock: Source of time.
+        rng: Source of jitter and of the choice among peers.
+    """
+
+    __slots__ = (
+        "_backoff",
+        "_clock",
+        "_directory",
+        "_history",
+        "_learned",
+        "_no_contents",
+        "_on_duty",
+        "_peers",
+        "_rng",
+        "_sources",
+        "changed",
+        "current",
+    )
+
+    def __init__(
+        self,
+        peers: FleetPeers,
+        directory: VmDirectory,
+        on_duty: Callable[[], bool],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._peers = peers
+        self._directory = directory
+        self._on_duty = on_duty
+        self._clock = clock
+        self._rng = rng
+        self._backoff = Backoff(rng)
+        self._history = History()
+        self._no_contents = ContentStore()
+        self._sources: dict[str, int] = {}
+        self._learned = Signal()
+        self.changed = Signal()
+        self.current: VmList | None = None
+
+    @property
+    def number(self) -> int:
+        """Number of the newest list, 0 for none."""
+        return self._history.current.id.version
+
+    def heard(self, peer: str, number: int) -> None:
+        """Take the number of the list that a peer's heartbeat names."""
+        self._sources[peer] = number
+        if number > self.number:
+            self._learned.notify()
+
+    def forget(self, peer: str) -> None:
+        """Drop what is known of a peer whose link is lost."""
+        self._sources.pop(peer, None)
+
+    def manifest(self, req: ManifestRequest) -> ManifestReply:
+        """Answer a peer that asks for what changed since its list."""
+        return answer(self._history, req, self._no_contents)
+
+    def take(self, vms: VmList) -> None:
+        """Take a list unless it is older; the platform may serve an old one for a while."""
+        states = {vm.name: _packed(vm) for vm in vms.vms}
+        self._advance(Manifest(VersionId(vms.number, states_digest(states)), states), vms)
+
+    async def run(self) -> None:
+        """Fetch each newer list that a peer has, until cancelled."""
+        while True:
+            newer = [peer for peer, number in self._sources.items() if number > self.number]
+            if not newer:
+                await self._learned.wait()
+                continue
+            await self._fetch_from(self._rng.choice(newer))
+
+    async def watch(self) -> None:
+        """Watch the platform's list while this process is on duty, until cancelled."""
+        while True:
+            if not self._on_duty():
+                await anyio.sleep(self._rng.uniform(DUTY_CHECK / 2, DUTY_CHECK))
+                continue
+            await anyio.sleep(await self._watch_once())
+
+    async def read(self) -> bool:
+        """Read the list once, as at the start; return whether the platform answered."""
+        try:
+            with anyio.fail_after(SILENCE_MARGIN):
+                self.take(await self._directory.vms(0, 0.0))
+        except (PlatformError, TimeoutError):
+            return False
+        return True
+
+    async def _watch_once(self) -> float:
+        asked_at, before = self._clock.monotonic(), self.number
+        try:
+            # A connection that went silent is given up and a new one used; see BudgetedService.
+            with anyio.fail_after(WATCH_WAIT + SILENCE_MARGIN):
+                self.take(await self._directory.vms(before, WATCH_WAIT))
+        except (PlatformError, TimeoutError):
+            return self._backoff.next()
+        self._backoff.reset()
+        at_once = self._clock.monotonic() - asked_at < WATCH_WAIT / 2
+        return EMPTY_ANSWER_PAUSE if at_once and self.number == before else 0.0
+
+    async def _fetch_from(self, peer: str) -> None:
+        try:
+            fetched = await fetch(self._peers, peer, Document.VM_LIST, self._history.current)
+        except PeerError:
+            self._sources.pop(peer, None)
+            return
+        manifest = fetched.manifest
+        self._sources[peer] = manifest.id.version
+        vms = tuple(_unpacked(name, text) for name, text in manifest.files.items())
+        self._advance(manifest, VmList(number=manifest.id.version, vms=vms))
+
+    def _advance(self, manifest: Manifest, vms: VmList) -> None:
+        if vms.number <= self.number and self.current is not None:
+            return
+        self._history.advance(manifest)
+        self.current = vms
+        self.changed.notify()
+
+
+def _packed(vm: ListedVm) -> str:
+    return f"{vm.state.value} {vm.failure_domain}"
+
+
+def _unpacked(name: str, text: str) -> ListedVm:
+    state, _, failure_domain = text.partition(" ")
+    return ListedVm(name=name, state=VmState(state), failure_domain=failure_domain)
--- /dev/null
+++ b/tests/test_fleet_watchers.py
@@ -0,0 +1,270 @@
+"""Who watches the platform's service, and what becomes of a watch that fails."""
+
+import random
+import unittest
+from collections import Counter
+
+import anyio
+
+from benchmarks.fleet_fakes import FakeNetwork, FakeService, PlainAcceptor
+from benchmarks.virtual_time import LoopClock, run
+from carawayhub.fleet.manifest import Manifest, VersionId
+from carawayhub.fleet.start import Startup
+from carawayhub.fleet.sync import ConfigSync
+from carawayhub.fleet.vmsync import VmListSync
+from carawayhub.fleet.watchers import Candidate, PlatformWatcher, choose_watchers
+from carawayhub.platform.ports import ListedVm, VmList, VmState
+
+ONE = {"10-entries.json": b"{}"}
+
+
+class Process:
+    """One process: its synchronisation, its watcher and its start."""
+
+    def __init__(self, name: str, network: FakeNetwork, service: FakeService) -> None:
+        self.clock = LoopClock()
+        self.sync = ConfigSync(
+            network.calls_of(name), PlainAcceptor(), self.clock, random.Random(name)
+        )
+        network.syncs[name] = self.sync
+        self.watcher = PlatformWatcher(
+            name, self.sync, service.reader(name), self.clock, random.Random(name)
+        )
+
+    def starting(self, *peers: str) -> Startup:
+        return Startup(self.sync, self.watcher, lambda: frozenset(peers), self.clock)
+
+
+class ChoiceTest(unittest.TestCase):
+    """The choice of the processes that watch."""
+
+    def test_a_few_in_each_domain_and_the_next_when_one_is_down(self) -> None:
+        candidates = [Candidate(f"entry-{n}", f"domain-{n % 16}") for n in range(780)]
+        chosen = choose_watchers(candidates)
+        per_domain = Counter(int(name.split("-")[1]) % 16 for name in chosen)
+        self.assertEqual(set(per_domain.values()), {3})
+        down = frozenset(sorted(chosen)[:1])
+        after = choose_watchers(candidates, down)
+        self.assertEqual(len(after), len(chosen))
+        self.assertEqual(len(chosen - after), 1)
+
+
+class WatchTest(unittest.TestCase):
+    """One watching process."""
+
+    def test_a_silent_watch_is_replaced(self) -> None:
+        """Changes stop arriving at a process though the service is well.
+
+        A firewall lost track of the connection of its watch: neither an answer nor an error will
+        ever come. The version published meanwhile must come over a new connection.
+        """
+
+        async def story() -> None:
+            service, process = watching()
+            service.publish(1, ONE)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(process.watcher.run)
+                await anyio.sleep(1)
+                service.silent = 1
+                await anyio.sleep(8)
+                service.publish(2, {"x.json": b"2"})
+                await anyio.sleep(12)
+                self.assertEqual(process.sync.in_force.version, 2)
+                tasks.cancel_scope.cancel()
+
+        run(story)
+
+    def test_a_service_that_answers_with_nothing_new_is_not_hammered(self) -> None:
+        """One reader spends the read budget of the whole fleet.
+
+        A stale service serves version 1 to a process that has 5 in force, and answers each watch at
+        once, since what it has is not what was asked for.
+        """
+
+        async def story() -> None:
+            service, process = watching()
+            service.publish(1, ONE)
+            manifest = Manifest(VersionId(1, "00"), {})
+            process.sync._history.advance(Manifest(VersionId(5, "05"), {}))
+            self.assertFalse(process.sync.note_published(manifest))
+            reader = process.watcher.service
+
+            class AnswersAtOnce:
+                async def manifest(self, after: int, wait: float) -> object:
+                    return await service.manifest("a", 0, 0)
+
+                file = reader.file
+
+            reader._service = AnswersAtOnce()  # type: ignore[assignment]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(process.watcher.run)
+                await anyio.sleep(60)
+                tasks.cancel_scope.cancel()
+            self.assertLess(service.calls["a"], 61)
+            self.assertEqual(process.sync.in_force.version, 5)
+
+        run(story)
+
+    def test_a_service_that_is_down_is_asked_ever_more_seldom(self) -> None:
+        async def story() -> None:
+            service, process = watching()
+            service.down = True
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(process.watcher.run)
+                await anyio.sleep(300)
+                self.assertLess(service.calls["a"], 60)
+                service.down = False
+                service.publish(1, ONE)
+                await anyio.sleep(31)
+                self.assertEqual(process.sync.in_force.version, 1)
+                tasks.cancel_scope.cancel()
+
+        run(story)
+
+    def test_one_that_hears_of_no_watcher_reads_for_itself(self) -> None:
+        """Processes in a cut-off rack stay at an old version although the service is in reach.
+
+        None of those chosen to watch is in the rack, so no change ever comes from a peer.
+        """
+
+        async def story() -> None:
+            service, process = watching(chosen=False)
+            service.publish(1, ONE)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(process.watcher.run)
+                process.sync.service_heard()
+                await anyio.sleep(15)
+                self.assertEqual(service.calls["a"], 0)
+                await anyio.sleep(75)
+                self.assertEqual(process.sync.in_force.version, 1)
+                tasks.cancel_scope.cancel()
+
+        run(story)
+
+
+class StartTest(unittest.TestCase):
+    """What a starting process waits for."""
+
+    def test_it_is_ready_with_the_newest_of_peers_and_service(self) -> None:
+        """A replaced entry serves callers by an old configuration for its first seconds.
+
+        The service is stale. The peer that has the newer version answers only after the service.
+        """
+
+        async def story() -> None:
+            service, old = watching()
+            service.publish(1, ONE)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(old.watcher.run)
+                await anyio.sleep(1)
+                before = dict(service.files)
+                service.publish(2, {"x.json": b"2"})
+                await anyio.sleep(1)
+                service.serve(1, before)
+                new = Process("b", NETWORKS[-1], service)
+                new.watcher.update([Candidate("b", "x")])
+                tasks.start_soon(new.sync.run)
+                tasks.start_soon(new.watcher.run)
+                tasks.start_soon(self._tell_later, new, old)
+                report = await new.starting("a", "c").run()
+                self.assertEqual(report.in_force.version, 2)
+                self.assertEqual(report.answered, ("a",))
+                self.assertEqual(report.unreached, ("c",))
+                tasks.cancel_scope.cancel()
+
+        run(story)
+
+    def test_it_is_not_ready_before_any_peer_answered(self) -> None:
+        async def story() -> None:
+            service, process = watching()
+            service.publish(1, ONE)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(process.watcher.run)
+                start = process.starting("b")
+                with anyio.move_on_after(120) as scope:
+                    await start.run()
+                self.assertTrue(scope.cancelled_caught)
+                self.assertEqual(start.report().unreached, ("b",))
+                process.sync.heard("b", VersionId())
+                await start.run()
+                tasks.cancel_scope.cancel()
+
+        run(story)
+
+    def test_with_the_service_down_peers_suffice(self) -> None:
+        async def story() -> None:
+            service, old = watching()
+            service.publish(1, ONE)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(old.watcher.run)
+                await anyio.sleep(1)
+                service.down = True
+                new = Process("b", NETWORKS[-1], service)
+                tasks.start_soon(new.sync.run)
+                new.sync.heard("a", old.sync.in_force)
+                report = await new.starting("a").run()
+                self.assertEqual(report.in_force.version, 1)
+                self.assertFalse(report.service_answered)
+                tasks.cancel_scope.cancel()
+
+        run(story)
+
+    async def _tell_later(self, new: Process, old: Process) -> None:
+        await anyio.sleep(3)
+        new.sync.heard("a", old.sync.in_force)
+
+
+class VmListTest(unittest.TestCase):
+    """The list of VMs on its way between two processes."""
+
+    def test_a_change_reaches_a_peer_and_an_old_list_does_not(self) -> None:
+        async def story() -> None:
+            network = FakeNetwork(LoopClock())
+            syncs = {name: self._sync(network, name) for name in "ab"}
+            network.syncs = syncs  # type: ignore[assignment]
+            syncs["a"].take(listing(1, "vm-1", "vm-2"))
+            syncs["a"].take(listing(3, "vm-1", "vm-3", leaving="vm-1"))
+            syncs["a"].take(listing(2, "vm-2"))
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(syncs["b"].run)
+                syncs["b"].take(listing(1, "vm-1", "vm-2"))
+                syncs["b"].heard("a", syncs["a"].number)
+                await syncs["b"].changed.wait()
+                tasks.cancel_scope.cancel()
+            current = syncs["b"].current
+            assert current is not None
+            states = {vm.name: vm.state for vm in current.vms}
+            self.assertEqual(states, {"vm-1": VmState.LEAVING, "vm-3": VmState.LIVE})
+
+        run(story)
+
+    def _sync(self, network: FakeNetwork, name: str) -> VmListSync:
+        class NoDirectory:
+            async def vms(self, after: int, wait: float) -> VmList:
+                raise AssertionError("nothing here reads the platform")
+
+        return VmListSync(
+            network.calls_of(name), NoDirectory(), lambda: False, LoopClock(), random.Random(1)
+        )
+
+
+NETWORKS: list[FakeNetwork] = []
+
+
+def watching(chosen: bool = True) -> tuple[FakeService, Process]:
+    clock = LoopClock()
+    NETWORKS[:] = [FakeNetwork(clock)]
+    service = FakeService(clock)
+    process = Process("a", NETWORKS[-1], service)
+    process.watcher.update([Candidate("a" if chosen else "other", "x")])
+    return service, process
+
+
+def listing(number: int, *names: str, leaving: str = "") -> VmList:
+    states = {True: VmState.LEAVING, False: VmState.LIVE}
+    return VmList(
+        number=number,
+        vms=tuple(
+            ListedVm(name=name, state=states[name == leaving], failure_domain="x") for name in names
+        ),
+    )
