Number the result of a run whose answer was not kept

Cause: an answer beyond the ledger's bound is not kept, yet its request did run to its end; none of the codes said so. Change: 3017, completed, HTTP 410.

--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -76,6 +76,7 @@
     RUN_REPLY_LOST = 3014
     RUN_QUARANTINE = 3015
     RUN_BODY_DIFFERS = 3016
+    RUN_ANSWER_NOT_KEPT = 3017
 
     PEER_UNAUTHENTICATED = 4001
     PEER_SILENT = 4002
@@ -307,6 +308,12 @@
     Code.RUN_BODY_DIFFERS: Meaning(
         _NOT_RUN, 422, "the key was used before with another request", "use a new key"
     ),
+    Code.RUN_ANSWER_NOT_KEPT: Meaning(
+        Outcome.COMPLETED,
+        410,
+        "the request ran to its end and its answer was not kept",
+        "look for the effect; do not send it again",
+    ),
     Code.PEER_UNAUTHENTICATED: Meaning(
         _NONE, 0, "a call between processes carries no valid proof", "give all one system key"
     ),
