Add a fault-injecting TCP proxy

Cause: failures between two processes have to be produced at will: silence for good, one-way silence, resets, crossed and doubled answers, delay, refusal.

Change: links of a proxy are switched in process or over HTTP.

--- a/carawayhub/standins/__main__.py
+++ b/carawayhub/standins/__main__.py
@@ -12,6 +12,7 @@
 
 from carawayhub.standins.engine import Engine, EngineOptions
 from carawayhub.standins.platform import Platform, PlatformOptions, Vm, VmState
+from carawayhub.standins.proxy import Proxy
 from carawayhub.standins.service import Service, ServiceOptions
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help=__doc__)
@@ -97,5 +98,19 @@
     _serve(Service(ServiceOptions(work_ms=work_ms), journal).serving(listen))
 
 
+@app.command()
+def proxy(
+    link: Annotated[list[str], typer.Option(help="NAME=LISTEN=TARGET; may be repeated.")],
+    listen: Listen = "127.0.0.1:0",
+    seed: int = 0,
+) -> None:
+    """Run the fault-injecting proxy; ``--listen`` is its control interface."""
+    stand_in = Proxy(seed)
+    for text in link:
+        name, _, addresses = text.partition("=")
+        stand_in.add(name, *addresses.split("=", 1))
+    _serve(stand_in.serving(listen))
+
+
 if __name__ == "__main__":
     app()
--- a/carawayhub/standins/faults.py
+++ b/carawayhub/standins/faults.py
@@ -58,3 +58,32 @@
     slow_factor: float = 1.0
     error_count: int = 0
     silent: bool = False
+
+
+@dataclass(slots=True, kw_only=True)
+class LinkFault:
+    """What is wrong with a link of the proxy at present; the defaults say nothing is.
+
+    Attributes:
+        delay_ms: Time that each piece of data takes longer, in milliseconds.
+        jitter_ms: Most that chance adds to the delay; the order of the pieces is kept.
+        bytes_per_second: Rate of each direction of a connection, 0 for no bound.
+        refuse: Whether new connections are refused.
+        silent_to_target: Whether nothing passes towards the target.
+        silent_to_client: Whether nothing passes towards the client.
+        cut_after: Bytes towards the client after which a connection is reset, None for never.
+        cut_count: Connections that are reset so.
+        duplicate_count: Pieces of answers that are delivered twice.
+        cross_count: Pairs of pieces of answers that two connections get from each other.
+    """
+
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0
+    bytes_per_second: float = 0.0
+    refuse: bool = False
+    silent_to_target: bool = False
+    silent_to_client: bool = False
+    cut_after: int | None = None
+    cut_count: int = 1
+    duplicate_count: int = 0
+    cross_count: int = 0
