--- /dev/null
+++ b/carawayhub/agent/gate.py
@@ -0,0 +1,303 @@
+"""The gate of run-once requests: the only way by which they reach the endpoint."""
+
+import hashlib
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from carawayhub.agent.begin import Ask, Refuse, Replay, Run, Wait
+from carawayhub.agent.ledger import Ledger
+from carawayhub.agent.messages import (
+    Answer,
+    LookUp,
+    LookUpReply,
+    NotRun,
+    OutcomeUnknown,
+    RunId,
+    RunKey,
+    RunResult,
+)
+from carawayhub.agent.reporter import Reporter
+from carawayhub.agent.tickets import Epochs, TicketOffice
+from carawayhub.clock import Clock
+from carawayhub.codes import Code, Outcome
+from carawayhub.config.model import Configuration
+from carawayhub.constants import (
+    DEADLINE_HEADER,
+    HOP_BY_HOP_HEADERS,
+    MAX_BODY_BYTES,
+    REQUEST_ID_HEADER,
+)
+from carawayhub.endpoints.upstream import Upstream, UpstreamRequest, UpstreamTimeouts
+from carawayhub.errors import PeerError, RequestError
+from carawayhub.peers.messages import RunReply, RunRequest, ServingState
+
+GRACE = 30.0
+"""Seconds past its deadline for which a run may go on, so that a repeated key finds its answer."""
+
+LOOK_UPS = 4
+RETRY_AFTER = 1.0
+_DROPPED_HEADERS = {name.decode() for name in HOP_BY_HOP_HEADERS} | {
+    "content-length",
+    REQUEST_ID_HEADER.decode(),
+    DEADLINE_HEADER.decode(),
+}
+
+
+class KeyRules(Protocol):
+    """What decides whether a key without a record may be begun at this agent."""
+
+    def admit(self, key: RunKey) -> Refuse | None:
+        """Return why the key may not be begun here, None where it may."""
+
+    def keep_until(self, key: RunKey) -> float:
+        """Return the clock reading until which a key that is begun now is remembered."""
+
+    async def ask(self, question: LookUp) -> LookUpReply:
+        """Ask the agent that made a try how it ended.
+
+        Raises:
+            PeerError: It does not answer.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class _Claim:
+    """A request as the ledger knows it.
+
+    Attributes:
+        key: Its name in the ledger.
+        digest: SHA-256 of method, path and body.
+        keep_until: Clock reading until which it is remembered.
+        ticket: Whether it came with a ticket.
+        stamp: This agent's epoch as the entry last heard it.
+    """
+
+    key: RunKey
+    digest: bytes
+    keep_until: float
+    ticket: bool
+    stamp: int
+
+
+class Gate:
+    """Runs each run-once request at most once.
+
+    Args:
+        clock: Source of time.
+        endpoint: Name of the endpoint.
+        ledger: Remembers what ran.
+        epochs: This incarnation's ticket epochs.
+        office: Reads tickets.
+        rules: Decides about idempotency keys.
+        reporter: Says whether the endpoint takes new work.
+        upstream: Connections to the endpoint.
+        tasks: Where runs go on after their caller has left.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        endpoint: str,
+        ledger: Ledger,
+        epochs: Epochs,
+        office: TicketOffice,
+        rules: KeyRules,
+        reporter: Reporter,
+        upstream: Upstream,
+        tasks: TaskGroup,
+    ) -> None:
+        self._clock = clock
+        self._endpoint = endpoint
+        self._ledger = ledger
+        self._epochs = epochs
+        self._office = office
+        self._rules = rules
+        self._reporter = reporter
+        self._upstream = upstream
+        self._tasks = tasks
+        self._cfg: Configuration | None = None
+
+    def configured(self, cfg: Configuration) -> None:
+        """Take a version into force."""
+        self._cfg = cfg
+
+    async def run(self, sender: str, req: RunRequest) -> RunReply:
+        """Answer an entry that sends a run-once request."""
+        deadline = self._clock.monotonic() + req.remaining
+        try:
+            claim = self._claim(req)
+            if isinstance(claim, Refuse):
+                return _refused(req, claim)
+            return await self._settle(req, claim, deadline)
+        except RequestError as exc:
+            return RunReply(request_id=req.request_id, code=int(exc.code), detail=exc.detail)
+
+    def _claim(self, req: RunRequest) -> _Claim | Refuse:
+        digest = hashlib.sha256(f"{req.method}\n{req.path}\n".encode() + req.body).digest()
+        if not req.ticket:
+            key = RunKey(req.target, req.organisation, req.key)
+            return _Claim(key, digest, self._rules.keep_until(key), False, req.stamp)
+        ticket = self._office.read(req.ticket)
+        if ticket.organisation != req.organisation or ticket.scope != req.target:
+            return Refuse(Code.TICKET_MALFORMED, detail="it was issued for something else")
+        admitted = self._epochs.admit(ticket)
+        if isinstance(admitted, Refuse):
+            return admitted
+        return _Claim(ticket.run_key, digest, admitted.keep_until, True, req.stamp)
+
+    async def _settle(self, req: RunRequest, claim: _Claim, deadline: float) -> RunReply:
+        """Bring a request to an answer: run it, wait for its run, or give what is remembered."""
+        begun = False
+        look_ups = 0
+        while True:
+            match self._ledger.begin(
+                claim.key, claim.digest, claim.keep_until, self._refusal(claim, deadline)
+            ):
+                case Run(run=run):
+                    if begun:
+                        self._ledger.finish(claim.key, run, NotRun(int(Code.CONNECT_FAILED)))
+                        return _refused(req, Refuse(Code.CONNECT_FAILED, RETRY_AFTER))
+                    begun = True
+                    self._tasks.start_soon(self._execute, req, claim, run, deadline)
+                case Replay(answer=answer):
+                    return _answered(req, answer, replayed=not begun)
+                case Wait(done=done):
+                    if not await self._wait(done, deadline):
+                        return _refused(req, Refuse(Code.RUN_STILL_RUNNING, RETRY_AFTER))
+                case Ask(look_up=question):
+                    look_ups += 1
+                    if look_ups > LOOK_UPS or not await self._look_up(question):
+                        return _refused(req, Refuse(Code.RUN_HOME_UNREACHABLE, RETRY_AFTER))
+                case Refuse() as refusal:
+                    return _refused(req, refusal)
+
+    def _refusal(self, claim: _Claim, deadline: float) -> Refuse | None:
+        """Return why a request without a record may not be begun now.
+
+        What the rules for keys say comes first. The other reasons are told as "not run", which is
+        true only where no other agent can have run the key.
+        """
+        if not claim.ticket:
+            refusal = self._epochs.stamp_refusal(claim.stamp) or self._rules.admit(claim.key)
+            if refusal is not None:
+                return refusal
+        if self._clock.monotonic() >= deadline:
+            return Refuse(Code.DEADLINE_PASSED)
+        if self._reporter.state is ServingState.LEAVING:
+            return Refuse(Code.ENDPOINT_LEAVING, RETRY_AFTER)
+        if self._reporter.state is not ServingState.SERVING:
+            return Refuse(Code.NO_ENDPOINT, RETRY_AFTER, self._reporter.reason)
+        return None
+
+    async def _wait(self, done: anyio.Event, deadline: float) -> bool:
+        with anyio.move_on_after(max(0.0, deadline - self._clock.monotonic())):
+            await done.wait()
+            return True
+        return False
+
+    async def _look_up(self, question: LookUp) -> bool:
+        try:
+            reply = await self._rules.ask(question)
+        except PeerError:
+            return False
+        self._ledger.resolve(reply)
+        return True
+
+    async def _execute(self, req: RunRequest, claim: _Claim, run: RunId, deadline: float) -> None:
+        """Run a request to its end, whether or not its caller still waits.
+
+        The request is not cancelled with its caller: the result must be known to the ledger, or
+        the key would stay unknown although the endpoint finished.
+        """
+        self._reporter.gate_running += 1
+        result: RunResult = OutcomeUnknown(int(Code.ANSWER_CUT))
+        try:
+            result = await self._exchange(req, deadline)
+        finally:
+            self._reporter.gate_running -= 1
+            self._ledger.finish(claim.key, run, result)
+
+    async def _exchange(self, req: RunRequest, deadline: float) -> RunResult:
+        limit = max(0.0, deadline - self._clock.monotonic()) + GRACE
+        try:
+            with anyio.fail_after(limit):
+                return await self._send(req, limit, deadline)
+        except TimeoutError:
+            return OutcomeUnknown(int(Code.ANSWER_TIMEOUT))
+        except RequestError as exc:
+            logger.bind(request=req.request_id, code=int(exc.code)).info("run failed: {}", exc)
+            if exc.outcome is Outcome.NOT_RUN:
+                return NotRun(int(exc.code))
+            return OutcomeUnknown(int(exc.code))
+
+    async def _send(self, req: RunRequest, limit: float, deadline: float) -> RunResult:
+        async with self._upstream.open(self._request(req, limit, deadline)) as response:
+            headers = tuple(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in response.headers
+                if name.lower() not in HOP_BY_HOP_HEADERS and name.lower() != b"content-length"
+            )
+            body = b""
+            async for part in response.aiter_stream():
+                body += part
+                if len(body) > MAX_BODY_BYTES:
+                    return OutcomeUnknown(int(Code.ENDPOINT_ERROR))
+        _check_id(req, headers)
+        return Answer(response.status, headers, body)
+
+    def _request(self, req: RunRequest, limit: float, deadline: float) -> UpstreamRequest:
+        endpoint = None if self._cfg is None else self._cfg.endpoints.get(self._endpoint)
+        if endpoint is None:
+            raise RequestError(Code.ENDPOINT_LEAVING, self._endpoint)
+        left = max(0.0, deadline - self._clock.monotonic())
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in req.headers
+            if name not in _DROPPED_HEADERS
+        ]
+        headers.append((b"host", endpoint.url.split("//", 1)[-1].encode()))
+        headers.append((b"content-length", b"%d" % len(req.body)))
+        headers.append((REQUEST_ID_HEADER, req.request_id.encode()))
+        headers.append((DEADLINE_HEADER, b"%d" % (left * 1000)))
+        return UpstreamRequest(
+            endpoint=self._endpoint,
+            url=endpoint.url + req.path,
+            method=req.method,
+            headers=headers,
+            body=req.body,
+            timeouts=UpstreamTimeouts.waiting(limit),
+            still_allowed=lambda: (
+                self._reporter.state is ServingState.SERVING and self._clock.monotonic() < deadline
+            ),
+        )
+
+
+def _check_id(req: RunRequest, headers: tuple[tuple[str, str], ...]) -> None:
+    """Refuse the answer of another request, as the relay does for requests that may be repeated."""
+    for name, value in headers:
+        if name.lower() == REQUEST_ID_HEADER.decode() and value != req.request_id:
+            raise RequestError(Code.ANSWER_MIXED, "the answer's header names another request")
+
+
+def _answered(req: RunRequest, answer: Answer, replayed: bool) -> RunReply:
+    return RunReply(
+        request_id=req.request_id,
+        code=int(Code.OK),
+        replayed=replayed,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
+
+
+def _refused(req: RunRequest, refusal: Refuse) -> RunReply:
+    return RunReply(
+        request_id=req.request_id,
+        code=int(refusal.code),
+        detail=refusal.detail,
+        retry_after=refusal.retry_after,
+    )
--- /dev/null
+++ b/carawayhub/agent/keys.py
@@ -0,0 +1,205 @@
+"""Carries the messages of idempotency keys between agents; the rules are in ``homes``."""
+
+import random
+from typing import Any
+
+import anyio
+from loguru import logger
+
+from carawayhub.addresses import Address
+from carawayhub.agent.begin import Refuse
+from carawayhub.agent.evidence import VmWatch
+from carawayhub.agent.fence import Missing
+from carawayhub.agent.handover import Departure
+from carawayhub.agent.homes import Homes
+from carawayhub.agent.ledger import Ledger
+from carawayhub.agent.messages import (
+    FenceReply,
+    FenceRequest,
+    Handover,
+    HandoverTaken,
+    LookUp,
+    LookUpReply,
+    Member,
+    RunKey,
+)
+from carawayhub.clock import Clock
+from carawayhub.config.model import Configuration
+from carawayhub.errors import PeerError
+from carawayhub.output.audit import AuditTrail, Subject
+from carawayhub.peers.calls import CallClient
+from carawayhub.peers.methods import FENCE, HANDOVER, LOOK_UP, Method
+from carawayhub.peers.server import UnaryCall
+from carawayhub.peers.signal import Signal
+from carawayhub.platform.ports import VmList
+
+CALL_TIMEOUT = 2.0
+RETRY_INTERVAL = 1.0
+HANDOVER_PAUSE = 0.2
+
+
+class KeyKeeper:
+    """One agent's part in the agreement on idempotency keys.
+
+    Args:
+        homes: The rules.
+        ledger: What this agent knows of keys.
+        client: Calls other agents.
+        clock: Source of time.
+        rng: Source of jitter.
+        audit: Takes changes.
+    """
+
+    __slots__ = (
+        "_audit",
+        "_client",
+        "_clock",
+        "_homes",
+        "_ledger",
+        "_moved",
+        "_rng",
+        "_vms",
+        "_whole",
+    )
+
+    def __init__(
+        self,
+        homes: Homes,
+        ledger: Ledger,
+        client: CallClient,
+        clock: Clock,
+        rng: random.Random,
+        audit: AuditTrail,
+    ) -> None:
+        self._homes = homes
+        self._ledger = ledger
+        self._client = client
+        self._clock = clock
+        self._rng = rng
+        self._audit = audit
+        self._vms = VmWatch(clock)
+        self._moved = Signal()
+        self._whole: dict[str, bool] = {}
+
+    def calls(self) -> tuple[UnaryCall, ...]:
+        """Return the calls that this agent answers."""
+        return (
+            UnaryCall(FENCE, self._answer_fence),
+            UnaryCall(LOOK_UP, self._answer_look_up),
+            UnaryCall(HANDOVER, self._take_handover),
+        )
+
+    def configured(self, cfg: Configuration) -> None:
+        """Stand at a configuration that came into force."""
+        self._homes.configure(cfg)
+        self._moved.notify()
+
+    def listed(self, vms: VmList) -> None:
+        """Take in the platform's list."""
+        gone = self._vms.observe(vm.name for vm in vms.vms)
+        if gone:
+            self._homes.note_gone(gone)
+
+    def admit(self, key: RunKey) -> Refuse | None:
+        """Return why a key without a record may not be run here, None where it may."""
+        return self._homes.admit(key)
+
+    def keep_until(self, key: RunKey) -> float:
+        """Return the clock reading until which a key that is begun now is remembered."""
+        return self._homes.keep_until(key)
+
+    async def ask(self, question: LookUp) -> LookUpReply:
+        """Ask the agent that made a try how it ended.
+
+        Raises:
+            PeerError: It does not answer.
+        """
+        address = Address.parse(question.run.member.agent)
+        reply: LookUpReply = await self._client.call(address, LOOK_UP, question, CALL_TIMEOUT)
+        return reply
+
+    async def run(self) -> None:
+        """Seek and renew the other agents' promises until cancelled."""
+        while True:
+            wait = RETRY_INTERVAL
+            async with anyio.create_task_group() as tasks:
+                for scope in self._homes.scopes():
+                    tasks.start_soon(self._round, scope)
+            waits = [self._next_round(scope) for scope in self._homes.scopes()]
+            wait = min(waits, default=RETRY_INTERVAL)
+            with anyio.move_on_after(self._rng.uniform(wait / 2, wait)):
+                await self._moved.wait()
+
+    async def hand_over(self, until: float) -> bool:
+        """Hand the ledger to the other agents; return whether all of it was taken.
+
+        Args:
+            until: Clock reading at which it is given up.
+        """
+        departure = Departure(self._homes, self._ledger)
+        while not departure.finished and self._clock.monotonic() < until:
+            async with anyio.create_task_group() as tasks:
+                for receiver, part in departure.pending():
+                    tasks.start_soon(self._hand_part, departure, receiver, part)
+            if not departure.finished:
+                await anyio.sleep(HANDOVER_PAUSE)
+        return departure.finished
+
+    def close(self) -> None:
+        """Begin no key that has no record from here on."""
+        self._homes.close()
+
+    async def _round(self, scope: str) -> None:
+        async with anyio.create_task_group() as tasks:
+            for member, request in self._homes.requests(scope):
+                tasks.start_soon(self._request, member, request)
+        self._note_change(scope)
+
+    async def _request(self, member: Member, request: FenceRequest) -> None:
+        reply = await self._call(member, FENCE, request)
+        if reply is not None:
+            self._homes.take(reply, self._ledger)
+
+    async def _hand_part(self, departure: Departure, receiver: Member, part: Handover) -> None:
+        reply = await self._call(receiver, HANDOVER, part)
+        if reply is not None:
+            departure.taken(reply)
+
+    async def _call(
+        self, member: Member, method: Method, message: FenceRequest | Handover
+    ) -> Any:
+        try:
+            return await self._client.call(
+                Address.parse(member.agent), method, message, CALL_TIMEOUT
+            )
+        except PeerError as exc:
+            logger.bind(peer=member.endpoint).debug("{} got no reply: {}", method.path, exc)
+            return None
+
+    def _next_round(self, scope: str) -> float:
+        if isinstance(self._homes.status(scope), Missing):
+            return RETRY_INTERVAL
+        return self._homes.renewal(scope)
+
+    def _note_change(self, scope: str) -> None:
+        status = self._homes.status(scope)
+        missing = status.members if isinstance(status, Missing) else ()
+        whole = not isinstance(status, Missing)
+        if whole == self._whole.get(scope, False):
+            return
+        self._whole[scope] = whole
+        after = "established" if whole else "not established"
+        before = "not established" if whole else "established"
+        reason = "all have promised"
+        if not whole:
+            reason = f"not heard: {', '.join(member.endpoint for member in missing)}"
+        self._audit.record(Subject.MEMBER, scope, before, after, reason)
+
+    async def _answer_fence(self, sender: str, request: FenceRequest) -> FenceReply:
+        return self._homes.answer(request, self._ledger)
+
+    async def _answer_look_up(self, sender: str, question: LookUp) -> LookUpReply:
+        return self._ledger.look_up(question)
+
+    async def _take_handover(self, sender: str, handover: Handover) -> HandoverTaken:
+        return self._homes.take_handover(handover, self._ledger)
--- /dev/null
+++ b/carawayhub/agent/reporter.py
@@ -0,0 +1,236 @@
+"""What an agent knows of its endpoint and reports to entries."""
+
+from dataclasses import dataclass, field
+
+import anyio
+from loguru import logger
+
+from carawayhub.clock import Clock
+from carawayhub.config.model import Configuration, Endpoint, EndpointState, FleetOptions
+from carawayhub.endpoints.ports import CacheChange, EndpointWatch, Load
+from carawayhub.errors import PlatformError
+from carawayhub.output.audit import AuditTrail, Subject
+from carawayhub.peers.messages import CacheEvents, EndpointReport, Hello, ServingState
+from carawayhub.peers.signal import Signal
+from carawayhub.platform.ports import VmList, VmState
+
+POLL_INTERVAL = 0.25
+FAILURES_UNTIL_FAILED = 3
+EVENTS_KEPT = 2048
+
+
+@dataclass(slots=True)
+class Standing:
+    """Whether new work may go to the endpoint, and why not."""
+
+    state: ServingState
+    reason: str
+
+
+@dataclass(slots=True)
+class _LeavingSources:
+    """Who says that the endpoint is leaving; any one of them is enough."""
+
+    configuration: bool = False
+    vm_list: bool = False
+    stop: bool = False
+
+    def reason(self) -> str:
+        named = (
+            (self.configuration, "the configuration says so"),
+            (self.vm_list, "the VM list says so"),
+            (self.stop, "its agent is stopping"),
+        )
+        return ", ".join(text for said, text in named if said)
+
+
+@dataclass(slots=True)
+class _Heard:
+    """The latest load and when it was heard."""
+
+    load: Load = field(default_factory=Load)
+    at: float = 0.0
+    failures: int = FAILURES_UNTIL_FAILED
+
+
+class Reporter:
+    """Polls the endpoint and makes reports.
+
+    Args:
+        endpoint: Name of the endpoint.
+        vm: Name of its VM.
+        incarnation: The agent's.
+        clock: Source of time.
+        audit: Takes changes of state.
+        changed: Notified when entries must hear of a change at once.
+    """
+
+    def __init__(
+        self,
+        endpoint: str,
+        vm: str,
+        incarnation: int,
+        clock: Clock,
+        audit: AuditTrail,
+        changed: Signal,
+    ) -> None:
+        self._endpoint = endpoint
+        self._vm = vm
+        self._incarnation = incarnation
+        self._clock = clock
+        self._audit = audit
+        self._changed = changed
+        self._leaving = _LeavingSources()
+        self._heard = _Heard()
+        self._cfg: Configuration | None = None
+        self._events: list[CacheChange] = []
+        self._standing = Standing(ServingState.STARTING, "it has not been heard yet")
+        self._sent: dict[str, int] = {}
+        self.map_number = 0
+        self.skew = 1.0
+        self.out_of_step = ""
+        self.gate_running = 0
+
+    @property
+    def state(self) -> ServingState:
+        """Whether new work may go to the endpoint."""
+        return self._standing.state
+
+    @property
+    def reason(self) -> str:
+        """Why it is not serving, empty where it is."""
+        return self._standing.reason
+
+    @property
+    def load(self) -> Load:
+        """The load that was heard last."""
+        return self._heard.load
+
+    def configured(self, cfg: Configuration) -> None:
+        """Take a version into force; an endpoint that it does not name is leaving."""
+        self._cfg = cfg
+        found = cfg.endpoints.get(self._endpoint)
+        self._leaving.configuration = found is None or found.state is EndpointState.LEAVING
+        self._settle()
+
+    def listed(self, vms: VmList) -> None:
+        """Take the platform's list; a VM that it does not have may just be too new."""
+        states = {vm.name: vm.state for vm in vms.vms}
+        self._leaving.vm_list = states.get(self._vm) is VmState.LEAVING
+        self._settle()
+
+    def stopping(self) -> None:
+        """Note that the agent was asked to stop."""
+        self._leaving.stop = True
+        self._settle()
+
+    def set_out_of_step(self, reason: str) -> None:
+        """Take the endpoint out of routing while its group cannot step, with the reason."""
+        self.out_of_step = reason
+        self._settle()
+
+    async def poll(self, watch: EndpointWatch) -> None:
+        """Ask the endpoint for load and cache events until cancelled."""
+        after = 0
+        while True:
+            try:
+                load = await watch.load()
+                changes = await watch.cache_changes(after)
+            except PlatformError as exc:
+                self._failed(exc)
+            else:
+                self._heard = _Heard(load, self._clock.monotonic(), 0)
+                self._events = [*self._events, *changes][-EVENTS_KEPT:]
+                after = changes[-1].number if changes else after
+                self._settle()
+            await anyio.sleep(POLL_INTERVAL)
+
+    def report(self, peer: Hello, epoch: int) -> EndpointReport:
+        """Return the report for one entry."""
+        fleet = FleetOptions() if self._cfg is None else self._cfg.fleet
+        serving = self._standing.state is ServingState.SERVING
+        load = self._heard.load
+        return EndpointReport(
+            endpoint=self._endpoint,
+            incarnation=self._incarnation,
+            state=self._standing.state,
+            permit=fleet.permit_ttl if serving else 0.0,
+            running=max(load.running, self.gate_running),
+            queued=load.queued,
+            capacity=max(load.capacity, 1),
+            load_age=self._clock.monotonic() - self._heard.at,
+            step_seconds=load.step_seconds,
+            tokens_rate=load.tokens_rate,
+            ticket_epoch=epoch,
+            map_number=self.map_number,
+            skew=self.skew,
+            reason=self._standing.reason,
+            cache=self._news(peer),
+        )
+
+    def _news(self, peer: Hello) -> CacheEvents:
+        """Return the cache events that this peer was not sent yet, as far as they are in order.
+
+        Events are sent once: the link keeps order and loses none while it stands, and a peer that
+        opens a new link gets all that is kept. A gap shows by the number of the first.
+        """
+        key = f"{peer.name}:{peer.incarnation}"
+        sent = self._sent.get(key, 0)
+        fresh = [event for event in self._events if event.number > sent]
+        run = _without_gap(fresh)
+        if not run:
+            return CacheEvents(first=sent + 1)
+        self._sent[key] = run[-1].number
+        return CacheEvents(
+            first=run[0].number,
+            added=tuple(event.block for event in run if event.added),
+            removed=tuple(event.block for event in run if not event.added),
+        )
+
+    def _failed(self, exc: PlatformError) -> None:
+        self._heard.failures += 1
+        if self._heard.failures == FAILURES_UNTIL_FAILED:
+            logger.bind(endpoint=self._endpoint).warning("the endpoint does not answer: {}", exc)
+        self._settle()
+
+    def _settle(self) -> None:
+        standing = self._judge()
+        before = self._standing
+        if standing == before:
+            return
+        self._standing = standing
+        if standing.state is not before.state:
+            self._audit.record(
+                Subject.ENDPOINT,
+                self._endpoint,
+                before.state.value,
+                standing.state.value,
+                standing.reason or "it answers",
+            )
+            self._changed.notify()
+
+    def _judge(self) -> Standing:
+        leaving = self._leaving.reason()
+        if leaving:
+            return Standing(ServingState.LEAVING, leaving)
+        if self._cfg is None:
+            return Standing(ServingState.STARTING, "no configuration is in force yet")
+        if self._heard.failures >= FAILURES_UNTIL_FAILED:
+            return Standing(ServingState.FAILED, "it does not answer")
+        if self.out_of_step:
+            return Standing(ServingState.FAILED, self.out_of_step)
+        return Standing(ServingState.SERVING, "")
+
+
+def _without_gap(events: list[CacheChange]) -> list[CacheChange]:
+    run: list[CacheChange] = []
+    for event in events:
+        if run and event.number != run[-1].number + 1:
+            break
+        run.append(event)
+    return run
+
+
+def is_engine(cfg: Configuration, endpoint: Endpoint) -> bool:
+    """Return whether an endpoint is a model engine and not a plain service."""
+    return any(endpoint.name in group.endpoints for group in cfg.groups.values())
--- a/carawayhub/config/schema.py
+++ b/carawayhub/config/schema.py
@@ -52,6 +52,8 @@
     Field("heartbeat_timeout_s", Number(0.1, 60), "heartbeat_timeout"),
     Field("key_ttl_s", Number(1, 86_400), "key_ttl"),
     Field("links_per_agent", Number(1, 64, whole=True)),
+    Field("stream_stall_s", Number(0.1, 600), "stream_stall"),
+    Field("join_window_s", Number(0, 1), "join_window"),
 )
 ENTRY = (
     Field("vm", Text()),
@@ -112,6 +114,7 @@
     Field("routes", Many(Part(ROUTE), least=1, distinct=False), required=True),
     Field("organisations", _NAMES),
     Field("key_ttl_s", Number(1, 86_400), "key_ttl"),
+    Field("key_quarantine", Flag()),
 )
 SHARE = Number(0, 100)
 
--- /dev/null
+++ b/carawayhub/core.py
@@ -0,0 +1,55 @@
+"""The command's entry point: every exit status is decided here."""
+
+import sys
+from collections.abc import Sequence
+
+import click
+from typer.main import get_command
+
+from carawayhub.cli.definition import app
+from carawayhub.codes import Code
+from carawayhub.context import Environment
+from carawayhub.errors import CarawayhubError, ConfigError
+from carawayhub.status import ExitStatus
+
+_STATUS_OF = {
+    Code.PORT_IN_USE: ExitStatus.PORT_IN_USE,
+    Code.INTERRUPTED: ExitStatus.INTERRUPTED,
+    Code.TARGET_UNREACHABLE: ExitStatus.TARGET_UNREACHABLE,
+    Code.USAGE: ExitStatus.USAGE,
+    Code.SETTINGS_INVALID: ExitStatus.USAGE,
+}
+
+
+def main(args: Sequence[str] | None = None, env: Environment | None = None) -> ExitStatus:
+    """Run one command and return its exit status.
+
+    Args:
+        args: Words after the command's name; those of this process if None.
+        env: The streams of the run; those of this process if None.
+    """
+    env = env or Environment()
+    words = list(sys.argv[1:] if args is None else args)
+    try:
+        result = get_command(app).main(
+            words, prog_name="carawayhub", standalone_mode=False, obj=env
+        )
+    except click.exceptions.Exit as exc:
+        return ExitStatus(exc.exit_code)
+    except click.ClickException as exc:
+        exc.show(file=env.stderr)
+        return ExitStatus.USAGE
+    except (click.Abort, KeyboardInterrupt):
+        env.stderr.write("carawayhub: interrupted\n")
+        return ExitStatus.INTERRUPTED
+    except ConfigError as exc:
+        env.stderr.write(f"carawayhub: {exc}\n")
+        return ExitStatus.CONFIG_REFUSED
+    except CarawayhubError as exc:
+        env.stderr.write(f"carawayhub: {exc}\nWhat to do: {exc.meaning.action}.\n")
+        return _STATUS_OF.get(exc.code, ExitStatus.FAILURE)
+    except BrokenPipeError:
+        # The reader of the output has gone, as in `carawayhub codes | head`.
+        sys.stderr.close()
+        return ExitStatus.SUCCESS
+    return result if isinstance(result, ExitStatus) else ExitStatus.SUCCESS
--- /dev/null
+++ b/carawayhub/entry/answer.py
@@ -0,0 +1,95 @@
+"""The answer of one request as the caller receives it."""
+
+from collections.abc import Callable
+
+from carawayhub.clock import Clock
+from carawayhub.codes import Code
+from carawayhub.constants import CODE_HEADER, HOP_BY_HOP_HEADERS, REQUEST_ID_HEADER
+from carawayhub.entry.calls import Send
+
+_REPLACED_HEADERS = HOP_BY_HOP_HEADERS | {REQUEST_ID_HEADER, CODE_HEADER, b"content-length"}
+
+
+class Answer:
+    """Sends one answer and keeps track of how far it got.
+
+    Args:
+        send: The ASGI channel to the caller.
+        caller_id: Id by which the caller knows the request.
+        clock: Source of time.
+
+    Attributes:
+        started: Whether the caller has seen the first byte; from then on nothing can be retried.
+        first_byte_at: Clock reading at that moment.
+        last_part_at: Clock reading when the latest part went out.
+        on_start: Called at the first byte.
+    """
+
+    __slots__ = (
+        "_caller_id",
+        "_clock",
+        "_send",
+        "first_byte_at",
+        "last_part_at",
+        "on_start",
+        "started",
+    )
+
+    def __init__(self, send: Send, caller_id: str, clock: Clock) -> None:
+        self._send = send
+        self._caller_id = caller_id
+        self._clock = clock
+        self.started = False
+        self.on_start: Callable[[], None] = _nothing
+        self.first_byte_at = 0.0
+        self.last_part_at = 0.0
+
+    async def start(self, status: int, headers: list[tuple[bytes, bytes]], code: Code) -> None:
+        """Send the head of a streamed answer."""
+        self._begin()
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": self._headers(headers, code),
+            }
+        )
+
+    async def part(self, data: bytes) -> None:
+        """Send a part of a streamed answer."""
+        self.last_part_at = self._clock.monotonic()
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def end(self) -> None:
+        """Send the explicit end of a streamed answer."""
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def whole(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes, code: Code
+    ) -> None:
+        """Send a whole answer with its length."""
+        self._begin()
+        length = (b"content-length", b"%d" % len(body))
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [*self._headers(headers, code), length],
+            }
+        )
+        await self._send({"type": "http.response.body", "body": body})
+
+    def _begin(self) -> None:
+        self.started = True
+        self.first_byte_at = self.last_part_at = self._clock.monotonic()
+        self.on_start()
+
+    def _headers(self, headers: list[tuple[bytes, bytes]], code: Code) -> list[tuple[bytes, bytes]]:
+        kept = [(name, value) for name, value in headers if name.lower() not in _REPLACED_HEADERS]
+        kept.append((REQUEST_ID_HEADER, self._caller_id.encode()))
+        kept.append((CODE_HEADER, b"%d" % code))
+        return kept
+
+
+def _nothing() -> None:
+    return
--- /dev/null
+++ b/carawayhub/entry/calls.py
@@ -0,0 +1,245 @@
+"""A caller's request, read and checked."""
+
+import re
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from carawayhub.clock import Clock
+from carawayhub.codes import Code
+from carawayhub.config.model import Configuration, Organisation, Service, ServiceRoute
+from carawayhub.constants import (
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    MAX_BODY_BYTES,
+    MAX_DEADLINE_SECONDS,
+    MAX_KEY_LENGTH,
+    REQUEST_ID_HEADER,
+    TICKET_HEADER,
+)
+from carawayhub.errors import RequestError
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+MODEL_PATHS = frozenset({CHAT_PATH, COMPLETIONS_PATH})
+
+_ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,64}\Z")
+
+
+@dataclass(frozen=True, slots=True)
+class ModelTarget:
+    """A call of a model, which any group that serves it may answer."""
+
+    model: str
+    streamed: bool
+    max_tokens: int
+
+    @property
+    def name(self) -> str:
+        """Name of the model."""
+        return self.model
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceTarget:
+    """A call of a plain service."""
+
+    service: Service
+    route: ServiceRoute
+
+    @property
+    def name(self) -> str:
+        """Name of the service."""
+        return self.service.name
+
+
+Target = ModelTarget | ServiceTarget
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """One request of a caller.
+
+    Attributes:
+        request_id: Unique id of this request within the system; goes to the endpoint and the logs.
+        caller_id: The id the caller gave, or the same as ``request_id``.
+        organisation: Who sends it.
+        target: What it asks for.
+        method: HTTP method.
+        path: Path with query.
+        headers: Lower-case headers as they came.
+        body: The whole body.
+        deadline: Reading of the clock after which nothing more is done.
+        key: Idempotency key, empty for none.
+        ticket: Ticket, empty for none.
+    """
+
+    request_id: str
+    caller_id: str
+    organisation: Organisation
+    target: Target
+    method: str
+    path: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    deadline: float
+    key: str
+    ticket: str
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once.
+
+        A caller that sends a key or a ticket wants one run, also of a call that could be repeated.
+        """
+        if self.key or self.ticket:
+            return False
+        match self.target:
+            case ServiceTarget(route=route):
+                return route.repeatable
+            case ModelTarget():
+                return True
+
+
+class ModelBody(msgspec.Struct):
+    """The fields of a model call's body that the system reads."""
+
+    model: str
+    stream: bool = False
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+
+    @property
+    def tokens(self) -> int:
+        """Most tokens that the answer may have, 256 where the caller does not say."""
+        return self.max_completion_tokens or self.max_tokens or 256
+
+
+@dataclass(frozen=True, slots=True)
+class Headers:
+    """The headers of a request by lower-case name; of a repeated name the last one counts."""
+
+    values: dict[bytes, bytes]
+
+    @classmethod
+    def of(cls, scope: Scope) -> "Headers":
+        """Read the headers of an ASGI scope."""
+        return cls(dict(scope["headers"]))
+
+    def text(self, name: bytes) -> str:
+        """Return a header as text, empty where it is missing."""
+        return self.values.get(name, b"").decode("latin-1").strip()
+
+
+def new_request_id() -> str:
+    """Return a fresh id; it is random, so that entries need not agree on one."""
+    return secrets.token_hex(10)
+
+
+def caller_id(headers: Headers, request_id: str) -> str:
+    """Return the id that the caller knows its request by."""
+    given = headers.text(REQUEST_ID_HEADER)
+    return given if _ID_PATTERN.match(given) else request_id
+
+
+def deadline(headers: Headers, cfg: Configuration, clock: Clock) -> float:
+    """Return the request's deadline on this process's clock.
+
+    The header carries the time that is left in milliseconds: the caller's clock is not ours.
+
+    Raises:
+        RequestError: DEADLINE_MALFORMED, or DEADLINE_PASSED where no time is left.
+    """
+    text = headers.text(DEADLINE_HEADER)
+    if not text:
+        return clock.monotonic() + cfg.fleet.request_deadline
+    try:
+        left = float(text) / 1000
+    except ValueError as exc:
+        raise RequestError(Code.DEADLINE_MALFORMED, repr(text)) from exc
+    if not left < float("inf"):
+        raise RequestError(Code.DEADLINE_MALFORMED, repr(text))
+    if left <= 0:
+        raise RequestError(Code.DEADLINE_PASSED, "no time was left when it came")
+    return clock.monotonic() + min(left, MAX_DEADLINE_SECONDS)
+
+
+def run_once_key(headers: Headers) -> str:
+    """Return the idempotency key, empty for none.
+
+    Raises:
+        RequestError: BODY_MALFORMED where the key is too long.
+    """
+    key = headers.text(KEY_HEADER)
+    if len(key) > MAX_KEY_LENGTH:
+        raise RequestError(Code.BODY_MALFORMED, f"idempotency-key is over {MAX_KEY_LENGTH} long")
+    return key
+
+
+def ticket(headers: Headers) -> str:
+    """Return the ticket, empty for none."""
+    return headers.text(TICKET_HEADER)
+
+
+async def read_body(headers: Headers, receive: Receive) -> bytes:
+    """Return the whole body.
+
+    Raises:
+        RequestError: BODY_TOO_LARGE, or BODY_MALFORMED where the caller left before its end.
+    """
+    declared = headers.text(b"content-length")
+    if declared.isdigit() and int(declared) > MAX_BODY_BYTES:
+        raise RequestError(Code.BODY_TOO_LARGE, f"{declared} bytes, at most {MAX_BODY_BYTES}")
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise RequestError(Code.BODY_MALFORMED, "the body broke off")
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if size > MAX_BODY_BYTES:
+            raise RequestError(Code.BODY_TOO_LARGE, f"at most {MAX_BODY_BYTES} bytes")
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+def model_target(body: bytes) -> ModelTarget:
+    """Return what a model call asks for.
+
+    Raises:
+        RequestError: BODY_MALFORMED where the body is no JSON or names no model.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=ModelBody)
+    except msgspec.DecodeError as exc:
+        raise RequestError(Code.BODY_MALFORMED, str(exc)) from exc
+    return ModelTarget(fields.model, fields.stream, fields.tokens)
+
+
+def service_target(cfg: Configuration, method: str, path: str) -> ServiceTarget:
+    """Return the plain service and the rule that cover a call.
+
+    Raises:
+        RequestError: NOT_SERVED where no rule matches.
+    """
+    for service in cfg.services.values():
+        for route in service.routes:
+            if _matches(route, method, path):
+                return ServiceTarget(service, route)
+    raise RequestError(Code.NOT_SERVED, f"{method} {path}")
+
+
+def _matches(route: ServiceRoute, method: str, path: str) -> bool:
+    if route.method not in ("*", method):
+        return False
+    if route.path.endswith("*"):
+        return path.startswith(route.path[:-1])
+    return path == route.path
--- /dev/null
+++ b/carawayhub/entry/process.py
@@ -0,0 +1,269 @@
+"""The entry process: its parts joined, from start to planned stop."""
+
+from collections.abc import Iterable
+
+import anyio
+import msgspec
+from loguru import logger
+
+from carawayhub.addresses import Address
+from carawayhub.agent.tickets import TicketOffice
+from carawayhub.config.model import Configuration
+from carawayhub.endpoints.upstream import Upstream
+from carawayhub.entry.app import EntryApp, EntryParts
+from carawayhub.entry.relay import Relay
+from carawayhub.entry.reports import Reports
+from carawayhub.entry.runonce import RunOnce
+from carawayhub.fleet.linkplan import agents_of_entry, plan_key
+from carawayhub.fleet.neighbours import entry_nodes, gossip_neighbours
+from carawayhub.http import HttpServer, bind
+from carawayhub.limits.admission import Admission
+from carawayhub.limits.retries import RetryBudget
+from carawayhub.output.audit import Subject
+from carawayhub.peers.links import Peer
+from carawayhub.peers.messages import (
+    EndpointReport,
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    OrganisationDemand,
+    ProcessRole,
+)
+from carawayhub.platform.ports import VmList, VmState
+from carawayhub.process.operators import Operators
+from carawayhub.process.runtime import Runtime
+from carawayhub.process.status import EndpointStatus, ProcessStatus
+from carawayhub.process.stop import watch_signals
+from carawayhub.routing.directory import EntryDirectory
+from carawayhub.routing.query import EndpointRow
+from carawayhub.routing.router import Router
+from carawayhub.settings import EntrySettings
+
+DRAIN_POLL = 0.05
+
+
+class EntryProcess:
+    """One entry; see ``MemberRole`` for the part it plays in the fleet.
+
+    Args:
+        runtime: Its surroundings.
+        settings: Its settings.
+    """
+
+    def __init__(self, runtime: Runtime, settings: EntrySettings) -> None:
+        clock, rng, identity = runtime.clock, runtime.rng, runtime.identity
+        self.runtime = runtime
+        self._listen = bind(Address.parse(settings.listen))
+        self._router = Router(clock, rng, identity.failure_domain, identity.region)
+        self._admission = Admission(clock, rng, identity.name)
+        self._retries = RetryBudget(clock, rng)
+        self._directory = EntryDirectory(clock, rng)
+        self._reports = Reports()
+        self._upstream = Upstream()
+        metrics = runtime.metrics
+        self._relay = Relay(clock, rng, self._router, self._retries, self._upstream, metrics)
+        office = TicketOffice(settings.system_key)
+        calls = runtime.member.calls
+        self._run_once = RunOnce(clock, rng, self._reports, office, calls)
+        self._app = EntryApp(
+            EntryParts(
+                clock,
+                self._admission,
+                self._retries,
+                self._relay,
+                self._run_once,
+                self._directory,
+                metrics,
+            )
+        )
+        self._away: set[str] = set()
+        self._listed_leaving: set[str] = set()
+        self._demand: tuple[OrganisationDemand, ...] = ()
+        self._agents: tuple[str, ...] = ()
+        self._plan_key = 0
+        self._rows: dict[str, str] = {}
+
+    async def run(self) -> None:
+        """Serve until a planned stop has come to its end."""
+        callers = HttpServer(self._app, self._listen)
+        operators = HttpServer(self._operators(), self.runtime.operator_socket)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch_signals, self.runtime.stop)
+            tasks.start_soon(self._run_member)
+            tasks.start_soon(self._tick)
+            tasks.start_soon(operators.run)
+            tasks.start_soon(self._stop_in_order, callers, operators)
+            await callers.run()
+            await self._upstream.close()
+            tasks.cancel_scope.cancel()
+
+    async def _run_member(self) -> None:
+        await self.runtime.member.run(self, self.runtime.peer_socket, ())
+
+    async def _stop_in_order(self, callers: HttpServer, operators: HttpServer) -> None:
+        """End the process so that no caller notices.
+
+        Callers keep the answer to which entries they should use. An entry that closed at once
+        would refuse those that still hold its address. So it first leaves the answers of all
+        entries, serves on until the last kept answer has run out, and then lets the requests in
+        flight end.
+        """
+        runtime = self.runtime
+        await runtime.stop.wait()
+        member = runtime.member
+        member.leaving = True
+        member.changed.notify()
+        self._update_away()
+        deadline = self._directory.kept_until(runtime.clock.monotonic())
+        runtime.audit.record(
+            Subject.PROCESS, runtime.identity.key, "serving", "leaving", runtime.stop.reason
+        )
+        await anyio.sleep(max(0.0, deadline - runtime.clock.monotonic()))
+        self._app.accepting = False
+        while self._app.running:
+            await anyio.sleep(DRAIN_POLL)
+        runtime.audit.record(
+            Subject.PROCESS, runtime.identity.key, "leaving", "stopped", "all requests have ended"
+        )
+        callers.stop()
+        operators.stop()
+
+    async def _tick(self) -> None:
+        """Move the shares of limits and watch for changes worth an audit entry."""
+        while True:
+            await anyio.sleep(self.runtime.member.intervals().heartbeat)
+            self._app.ready = self.runtime.member.ready
+            self._demand = self._admission.tick()
+            self._audit_endpoints()
+
+    def _audit_endpoints(self) -> None:
+        for row in self._router.states():
+            before = self._rows.get(row.endpoint)
+            condition = row.condition.value
+            if before is not None and before != condition:
+                self.runtime.audit.record(
+                    Subject.ENDPOINT, row.endpoint, before, condition, row.reason or "heard again"
+                )
+            self._rows[row.endpoint] = condition
+
+    # The entry as a member of the fleet.
+
+    def configured(self, cfg: Configuration) -> None:
+        """Take a version that came into force."""
+        self._router.configure(cfg)
+        self._admission.configure(cfg)
+        self._retries.configure(cfg)
+        self._directory.configure(cfg)
+        self._relay.configure(cfg)
+        self._run_once.configure(cfg)
+        self._app.configure(cfg)
+        self._update_away()
+
+    def peers(self, cfg: Configuration, vms: VmList | None) -> Iterable[Peer]:
+        """Return the entries and agents to open links to."""
+        name = self.runtime.identity.name
+        nodes = entry_nodes(cfg, vms, name)
+        for neighbour in gossip_neighbours(name, nodes):
+            address = Address.parse(cfg.entries[neighbour].peer_address)
+            yield Peer(neighbour, ProcessRole.ENTRY, address)
+        key = plan_key(cfg, vms, name)
+        if key != self._plan_key:
+            self._agents, self._plan_key = agents_of_entry(cfg, vms, name), key
+        for endpoint in self._agents:
+            address = Address.parse(cfg.endpoints[endpoint].agent)
+            yield Peer(endpoint, ProcessRole.AGENT, address)
+
+    def listed(self, vms: VmList) -> None:
+        """Take a VM list."""
+        cfg = self.runtime.member.configuration
+        if cfg is None:
+            return
+        states = {vm.name: vm.state for vm in vms.vms}
+        self._listed_leaving = {
+            entry.name for entry in cfg.entries.values() if states.get(entry.vm) is VmState.LEAVING
+        }
+        self._update_away()
+
+    def replied(self, peer: Peer, reply: HeartbeatReply, asked_at: float) -> None:
+        """Take what a peer reports."""
+        if reply.report is not None:
+            self._router.observe(reply.report, asked_at)
+            self._reports.observe(reply.report, asked_at)
+            return
+        self._set_away(peer.name, reply.leaving)
+
+    def lost(self, peer: Peer) -> None:
+        """Note that a peer cannot be reached."""
+        if peer.role is ProcessRole.AGENT:
+            self._router.lost(peer.name)
+            self._reports.lost(peer.name)
+            return
+        self._set_away(peer.name, True)
+
+    def heard(self, peer: Hello, heartbeat: Heartbeat) -> None:
+        """Take a heartbeat of another entry."""
+        if peer.role is ProcessRole.ENTRY:
+            self._admission.hear(peer.name, peer.incarnation, heartbeat.demand)
+            self._set_away(peer.name, heartbeat.leaving)
+
+    def report(self, peer: Hello) -> EndpointReport | None:
+        """Return None: an entry has no endpoint."""
+        return None
+
+    def demand(self, peer: Peer) -> tuple[OrganisationDemand, ...]:
+        """Return what this entry's callers ask for."""
+        if peer.role is not ProcessRole.ENTRY:
+            return ()
+        return self._admission.shares.for_peer(peer.name, self._demand)
+
+    def _set_away(self, entry: str, away: bool) -> None:
+        changed = away != (entry in self._away)
+        if not changed:
+            return
+        if away:
+            self._away.add(entry)
+        else:
+            self._away.discard(entry)
+        self._update_away()
+
+    def _update_away(self) -> None:
+        away = self._away | self._listed_leaving
+        if self.runtime.member.leaving:
+            away = away | {self.runtime.identity.name}
+        self._directory.set_away(away)
+
+    # What operators see.
+
+    def _operators(self) -> Operators:
+        return Operators(
+            self.runtime.audit, self.runtime.metrics, self.runtime.health, self._status
+        )
+
+    def _status(self) -> ProcessStatus:
+        status = self.runtime.status()
+        rows = tuple(_row(row) for row in self._router.states())
+        return msgspec.structs.replace(status, running=self._app.running, endpoints=rows)
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Run an entry until it was asked to stop and its work is done.
+
+    Raises:
+        CommandError: PORT_IN_USE.
+    """
+    runtime = Runtime.start(settings, ProcessRole.ENTRY)
+    await EntryProcess(runtime, settings).run()
+    logger.info("stopped")
+
+
+def _row(row: EndpointRow) -> EndpointStatus:
+    return EndpointStatus(
+        name=row.endpoint,
+        provider=row.provider,
+        failure_domain=row.failure_domain,
+        condition=row.condition.value,
+        reason=row.reason,
+        load=row.load,
+        capacity=row.capacity,
+        weight=row.weight,
+    )
--- /dev/null
+++ b/carawayhub/entry/prompts.py
@@ -0,0 +1,58 @@
+"""The prefix blocks of a prompt, hashed as engines number the blocks of their caches.
+
+The published form: the prompt's text in blocks of 64 characters, messages written as ``role: text``
+and joined by line ends; each block's hash is BLAKE2b (8 bytes) over the hash before it and the
+block, so that a hash stands for all of the text up to its end. An engine with another form needs
+another function here and nothing else.
+"""
+
+import hashlib
+
+import msgspec
+
+BLOCK_CHARS = 64
+HASH_BYTES = 8
+MAX_BLOCKS = 64
+
+
+class _Message(msgspec.Struct):
+    role: str = ""
+    content: str | list[msgspec.Raw] | None = None
+
+
+class _Prompt(msgspec.Struct):
+    messages: list[_Message] | None = None
+    prompt: str | list[msgspec.Raw] | None = None
+
+
+def prompt_blocks(body: bytes) -> tuple[int, ...]:
+    """Return the hashes of the leading full blocks of a model call's prompt, at most 64.
+
+    A prompt that is no plain text, for example one with images, has none.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=_Prompt)
+    except msgspec.DecodeError:
+        return ()
+    return _hashes(_text(fields))
+
+
+def _text(fields: _Prompt) -> str:
+    if fields.messages is None:
+        return fields.prompt if isinstance(fields.prompt, str) else ""
+    lines: list[str] = []
+    for message in fields.messages:
+        if not isinstance(message.content, str):
+            break
+        lines.append(f"{message.role}: {message.content}")
+    return "\n".join(lines)
+
+
+def _hashes(text: str) -> tuple[int, ...]:
+    blocks: list[int] = []
+    before = b""
+    for start in range(0, min(len(text), MAX_BLOCKS * BLOCK_CHARS) - BLOCK_CHARS + 1, BLOCK_CHARS):
+        block = text[start : start + BLOCK_CHARS].encode("utf-8", "replace")
+        before = hashlib.blake2b(before + block, digest_size=HASH_BYTES).digest()
+        blocks.append(int.from_bytes(before, "big"))
+    return tuple(blocks)
--- a/carawayhub/errors.py
+++ b/carawayhub/errors.py
@@ -31,14 +31,28 @@
 
 
 class RequestError(CarawayhubError):
-    """A caller's request ends with a code instead of an endpoint's answer."""
+    """A caller's request ends with a code instead of an endpoint's answer.
 
-    __slots__ = ()
+    Attributes:
+        outcome: The answer class the caller is told, that of the code unless it was lowered.
+    """
 
-    @property
-    def outcome(self) -> Outcome:
-        """The answer class the caller is told."""
-        return self.meaning.outcome
+    __slots__ = ("outcome",)
+
+    def __init__(self, code: Code, detail: str = "", retry_after: float | None = None) -> None:
+        super().__init__(code, detail, retry_after)
+        self.outcome = meaning(code).outcome
+
+    def unvouched(self) -> "RequestError":
+        """Return the same error without the claim that the request was not run.
+
+        For a request that may run once, "not run" speaks of its key or ticket. An entry that
+        refuses one knows nothing of an attempt that the caller made through another entry.
+        """
+        lowered = RequestError(self.code, self.detail, self.retry_after)
+        if lowered.outcome is Outcome.NOT_RUN:
+            lowered.outcome = Outcome.UNKNOWN
+        return lowered
 
 
 class ConfigError(CarawayhubError):
--- /dev/null
+++ b/carawayhub/output/metrics.py
@@ -0,0 +1,146 @@
+"""Latencies and counts of one process, for operators.
+
+Latencies are kept in ``hdrhistogram`` histograms in milliseconds with two significant digits. There
+is a set for each organisation and one for each model or service, not for each pair: at 380
+organisations and 19 models the pairs would need more memory than a process may use.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MS = 1
+HIGHEST_MS = 600_000
+DIGITS = 2
+PERCENTILES = (50.0, 95.0, 99.0)
+MS = 1000.0
+
+
+class Latency(Enum):
+    """What is measured of a request, in the order in which it happens."""
+
+    QUEUE = "queue"
+    FIRST_TOKEN = "first_token"
+    BETWEEN_TOKENS = "between_tokens"
+    WHOLE = "whole"
+
+
+class Dimension(Enum):
+    """By what latencies are told apart."""
+
+    ORGANISATION = "organisation"
+    TARGET = "target"
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """Names one histogram."""
+
+    dimension: Dimension
+    name: str
+    latency: Latency
+
+
+class LatencyRow(msgspec.Struct, kw_only=True):
+    """One histogram in numbers; times are milliseconds."""
+
+    dimension: str
+    name: str
+    latency: str
+    count: int
+    p50: float
+    p95: float
+    p99: float
+    max: float
+
+
+class CountRow(msgspec.Struct, kw_only=True):
+    """How many requests of an organisation ended with a code."""
+
+    organisation: str
+    code: int
+    count: int
+
+
+class MetricsPage(msgspec.Struct, kw_only=True):
+    """All that a process measured since it started."""
+
+    latencies: list[LatencyRow]
+    requests: list[CountRow]
+    tokens: int
+
+
+class Metrics:
+    """Collects what the process measures."""
+
+    __slots__ = ("_codes", "_histograms", "tokens")
+
+    def __init__(self) -> None:
+        self._histograms: dict[Series, HdrHistogram] = {}
+        self._codes: Counter[tuple[str, int]] = Counter()
+        self.tokens = 0
+
+    def latency(self, latency: Latency, seconds: float, organisation: str, target: str) -> None:
+        """Add one measurement to the organisation's and the target's histogram."""
+        self._record(Series(Dimension.ORGANISATION, organisation, latency), seconds)
+        self._record(Series(Dimension.TARGET, target, latency), seconds)
+
+    def target_latency(self, latency: Latency, seconds: float, target: str) -> None:
+        """Add one measurement to the target's histogram alone, where it comes for each token."""
+        self._record(Series(Dimension.TARGET, target, latency), seconds)
+
+    def ended(self, organisation: str, code: int) -> None:
+        """Count a request that ended with ``code``."""
+        self._codes[(organisation, code)] += 1
+
+    def page(self) -> MetricsPage:
+        """Return all measurements in numbers."""
+        rows = [_row(series, histogram) for series, histogram in self._histograms.items()]
+        counts = [
+            CountRow(organisation=organisation, code=code, count=count)
+            for (organisation, code), count in sorted(self._codes.items())
+        ]
+        return MetricsPage(latencies=rows, requests=counts, tokens=self.tokens)
+
+    def _record(self, series: Series, seconds: float) -> None:
+        histogram = self._histograms.get(series)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+            self._histograms[series] = histogram
+        histogram.record_value(max(LOWEST_MS, min(HIGHEST_MS, round(seconds * MS))))
+
+
+def _row(series: Series, histogram: HdrHistogram) -> LatencyRow:
+    p50, p95, p99 = (histogram.get_value_at_percentile(each) for each in PERCENTILES)
+    return LatencyRow(
+        dimension=series.dimension.value,
+        name=series.name,
+        latency=series.latency.value,
+        count=histogram.get_total_count(),
+        p50=p50,
+        p95=p95,
+        p99=p99,
+        max=histogram.get_max_value(),
+    )
+
+
+def as_text(page: MetricsPage) -> str:
+    """Return the page in the text format that metric collectors read."""
+    lines = ["# TYPE carawayhub_latency_milliseconds summary"]
+    for row in page.latencies:
+        labels = f'{row.dimension}="{row.name}",latency="{row.latency}"'
+        for quantile, value in (("0.5", row.p50), ("0.95", row.p95), ("0.99", row.p99)):
+            lines.append(
+                f'carawayhub_latency_milliseconds{{{labels},quantile="{quantile}"}} {value}'
+            )
+        lines.append(f"carawayhub_latency_milliseconds_count{{{labels}}} {row.count}")
+    lines.append("# TYPE carawayhub_requests_total counter")
+    for count in page.requests:
+        labels = f'organisation="{count.organisation}",code="{count.code}"'
+        lines.append(f"carawayhub_requests_total{{{labels}}} {count.count}")
+    lines.append("# TYPE carawayhub_tokens_total counter")
+    lines.append(f"carawayhub_tokens_total {page.tokens}")
+    return "\n".join(lines) + "\n"
--- a/carawayhub/peers/links.py
+++ b/carawayhub/peers/links.py
@@ -44,6 +44,21 @@
     role: ProcessRole
     address: Address
 
+    @property
+    def key(self) -> str:
+        """Name that is unique over both kinds of process."""
+        return peer_key(self.role, self.name)
+
+
+def peer_key(role: ProcessRole, name: str) -> str:
+    """Return the name of a process that is unique over both kinds.
+
+    Example:
+        >>> peer_key(ProcessRole.ENTRY, "brest-1")
+        'entry:brest-1'
+    """
+    return f"{role.value}:{name}"
+
 
 class LinkOwner(Protocol):
     """What the process that opens links provides."""
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 
 import msgspec
 
@@ -90,12 +91,14 @@
         role: Its kind.
         incarnation: Random number drawn when it started.
         failure_domain: Where it stands.
+        address: ``ip:port`` at which it takes calls.
     """
 
     name: str
     role: ProcessRole
     incarnation: int
     failure_domain: str
+    address: str
 
 
 class Heartbeat(msgspec.Struct, tag=True, frozen=True, kw_only=True):
@@ -105,6 +108,7 @@
         sequence: Number of this heartbeat on this link, from 1.
         version: Configuration version in force at the sender.
         digest: Its digest.
+        service_age: Seconds since the platform's service was last heard, as the sender knows.
         leaving: Whether the sender is stopping.
         demand: What the sender's callers ask for, by organisation; only between entries.
     """
@@ -112,6 +116,7 @@
     sequence: int
     version: int
     digest: str
+    service_age: float = inf
     leaving: bool = False
     demand: tuple["OrganisationDemand", ...] = ()
 
@@ -123,6 +128,7 @@
         sequence: Number of the heartbeat that it answers, 0 for none.
         version: Configuration version in force at the sender.
         digest: Its digest.
+        service_age: Seconds since the platform's service was last heard, as the sender knows.
         leaving: Whether the sender is stopping.
         report: State of the sender's endpoint; none from an entry.
     """
@@ -130,6 +136,7 @@
     sequence: int
     version: int
     digest: str
+    service_age: float = inf
     leaving: bool = False
     report: EndpointReport | None = None
 
@@ -164,6 +171,7 @@
         key: The caller's idempotency key, empty where a ticket is used.
         ticket: The ticket, empty where a key is used.
         version: Configuration version under which the entry chose this agent.
+        stamp: The agent's ticket epoch as last heard when the whole request had been read.
         method: HTTP method.
         path: Path with query.
         headers: Headers for the endpoint.
@@ -177,6 +185,7 @@
     key: str
     ticket: str
     version: int
+    stamp: int
     method: str
     path: str
     headers: tuple[tuple[str, str], ...]
--- a/carawayhub/peers/methods.py
+++ b/carawayhub/peers/methods.py
@@ -3,6 +3,15 @@
 from dataclasses import dataclass
 from typing import Any
 
+from carawayhub.agent.messages import (
+    FenceReply,
+    FenceRequest,
+    Handover,
+    HandoverTaken,
+    LookUp,
+    LookUpReply,
+)
+from carawayhub.fleet.messages import FilesReply, FilesRequest, ManifestReply, ManifestRequest
 from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello, RunReply, RunRequest
 
 SERVICE = "/carawayhub.Peers/"
@@ -22,3 +31,8 @@
 
 LINK = Method(SERVICE + "Link", LinkUp, LinkDown)
 RUN = Method(SERVICE + "Run", RunRequest, RunReply)
+MANIFEST = Method(SERVICE + "Manifest", ManifestRequest, ManifestReply)
+FILES = Method(SERVICE + "Files", FilesRequest, FilesReply)
+FENCE = Method(SERVICE + "Fence", FenceRequest, FenceReply)
+LOOK_UP = Method(SERVICE + "LookUp", LookUp, LookUpReply)
+HANDOVER = Method(SERVICE + "Handover", Handover, HandoverTaken)
--- /dev/null
+++ b/carawayhub/process/operators.py
@@ -0,0 +1,102 @@
+"""The operators' HTTP endpoints, on an address of their own."""
+
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from carawayhub.codes import Code
+from carawayhub.constants import JSON_TYPE
+from carawayhub.output.audit import AuditTrail
+from carawayhub.output.metrics import Metrics, as_text
+
+Scope = dict[str, Any]
+
+TEXT_TYPE = b"text/plain; charset=utf-8"
+
+
+class HealthBody(msgspec.Struct, kw_only=True):
+    """Whether a process lives and whether it may serve.
+
+    Attributes:
+        name: Name of the process.
+        ready: Whether it may serve.
+        reason: Why it may not, empty where it may.
+    """
+
+    name: str
+    ready: bool
+    reason: str
+
+
+class Operators:
+    """The ASGI application for operators.
+
+    ``/healthz`` says that the process lives, ``/readyz`` whether it may serve (200 or 503),
+    ``/metrics`` gives measurements as text and with ``?format=json`` as JSON, ``/status`` and
+    ``/audit?since=N`` what ``carawayhub status`` and ``carawayhub audit`` show.
+
+    Args:
+        audit: The trail to show.
+        metrics: The measurements to show.
+        health: Gives the state of the process.
+        status: Gives the status page of the process.
+    """
+
+    __slots__ = ("_audit", "_health", "_metrics", "_status")
+
+    def __init__(
+        self,
+        audit: AuditTrail,
+        metrics: Metrics,
+        health: Callable[[], HealthBody],
+        status: Callable[[], Any],
+    ) -> None:
+        self._audit = audit
+        self._metrics = metrics
+        self._health = health
+        self._status = status
+
+    async def __call__(self, scope: Scope, receive: Any, send: Any) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        match scope["path"]:
+            case "/healthz":
+                await _send_json(send, self._health())
+            case "/readyz":
+                health = self._health()
+                await _send_json(send, health, 200 if health.ready else 503)
+            case "/metrics":
+                await self._send_metrics(send, query)
+            case "/status":
+                await _send_json(send, self._status())
+            case "/audit":
+                since = query.get("since", ["0"])[0]
+                await _send_json(send, self._audit.since(int(since) if since.isdigit() else 0))
+            case _:
+                await _send_json(send, _Unknown(int(Code.USAGE), "no such page"), 404)
+
+    async def _send_metrics(self, send: Any, query: dict[str, list[str]]) -> None:
+        page = self._metrics.page()
+        if query.get("format") == ["json"]:
+            await _send_json(send, page)
+            return
+        await _send(send, 200, TEXT_TYPE, as_text(page).encode())
+
+
+class _Unknown(msgspec.Struct):
+    code: int
+    message: str
+
+
+async def _send_json(send: Any, value: Any, status: int = 200) -> None:
+    await _send(send, status, JSON_TYPE, msgspec.json.encode(value))
+
+
+async def _send(send: Any, status: int, kind: bytes, body: bytes) -> None:
+    headers = [(b"content-type", kind), (b"content-length", b"%d" % len(body))]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
--- a/carawayhub/routing/load.py
+++ b/carawayhub/routing/load.py
@@ -3,6 +3,9 @@
 from collections import deque
 
 MAX_EVENTS = 4096
+GAIN = 0.2
+MIN_OWN = 0.1
+MAX_ENTRIES = 32.0
 
 
 class LoadEstimate:
@@ -10,18 +13,30 @@
 
     Guards against the herd that a late report causes: all entries see the same endpoint idle, all
     send to it, and none sees the other's requests until the next report. What this entry itself
-    sent or finished after the report was sampled is added on top, so its own picture never lags.
+    sent or finished after the report was sampled is added on top, times the number of entries that
+    seem to share the endpoint: all see the same reports, so the others have done much the same.
 
     Attributes:
         own: Requests of this entry that are in flight.
         value: Estimated requests of all entries at the endpoint.
     """
 
-    __slots__ = ("_events", "_reported", "_sampled_at", "_unseen", "own", "value")
+    __slots__ = (
+        "_events",
+        "_mean_own",
+        "_mean_reported",
+        "_reported",
+        "_sampled_at",
+        "_unseen",
+        "own",
+        "value",
+    )
 
     def __init__(self) -> None:
         self.own = 0.0
         self.value = 0.0
+        self._mean_own = 0.0
+        self._mean_reported = 0.0
         self._reported = 0.0
         self._sampled_at = 0.0
         self._unseen = 0.0
@@ -44,6 +59,9 @@
             self._unseen -= events.popleft()[1]
         if not events:
             self._unseen = 0.0
+        own_then = self.own - self._unseen
+        self._mean_own += GAIN * (own_then - self._mean_own)
+        self._mean_reported += GAIN * (requests - self._mean_reported)
         self._update()
 
     def begun(self, cost: float, now: float) -> None:
@@ -64,4 +82,9 @@
         self._update()
 
     def _update(self) -> None:
-        self.value = max(self.own, self._reported + self._unseen)
+        self.value = max(self.own, self._reported + self._unseen * self._entries())
+
+    def _entries(self) -> float:
+        """Return how many entries like this one seem to send to the endpoint."""
+        ratio = self._mean_reported / max(self._mean_own, MIN_OWN)
+        return min(MAX_ENTRIES, max(1.0, ratio))
--- a/carawayhub/routing/pool.py
+++ b/carawayhub/routing/pool.py
@@ -41,9 +41,10 @@
 
     Attributes:
         tiers: For each provider with a usable endpoint its tiers, the nearest first.
+        nearby: For each such provider its endpoints in the nearest region, as one tier.
     """
 
-    __slots__ = ("_domain", "_groups", "_heard", "_refreshed_at", "_region", "tiers")
+    __slots__ = ("_domain", "_groups", "_heard", "_refreshed_at", "_region", "nearby", "tiers")
 
     def __init__(
         self, groups: Sequence[Sequence[Candidate]], failure_domain: str, region: str
@@ -61,6 +62,7 @@
         self._heard: list[list[Candidate]] | None = None
         self._refreshed_at: float | None = None
         self.tiers: Mapping[str, list[Tier]] = {}
+        self.nearby: Mapping[str, Tier] = {}
 
     def invalidate(self) -> None:
         """Have the next refresh work everything out again."""
@@ -115,6 +117,10 @@
             provider: [Tier(by_distance[distance]) for distance in sorted(by_distance)]
             for provider, by_distance in sorted_out.items()
         }
+        self.nearby = {
+            provider: Tier(by_distance.get(0, []) + by_distance.get(1, []) or by_distance[2])
+            for provider, by_distance in sorted_out.items()
+        }
 
     def _distance(self, candidate: Candidate) -> int:
         if candidate.endpoint.failure_domain == self._domain:
--- a/carawayhub/routing/router.py
+++ b/carawayhub/routing/router.py
@@ -135,7 +135,9 @@
         shares = self._shares.get(query.target.name)
         providers = shares.order(pool.tiers) if shares is not None else list(pool.tiers)
         for provider in providers or list(pool.tiers):
-            found = self._search(pool.tiers[provider], query, exclude, limit, now)
+            found = self._holder(pool.nearby[provider], query)
+            if found is None or not _open(found[0], exclude, limit, now):
+                found = self._search(pool.tiers[provider], exclude, limit, now)
             if found is None:
                 continue
             if shares is not None:
@@ -244,17 +246,12 @@
         return {endpoint: (endpoint,) for endpoint in service.endpoints}
 
     def _search(
-        self,
-        tiers: list[Tier],
-        query: RouteQuery,
-        exclude: frozenset[str],
-        limit: float,
-        now: float,
+        self, tiers: list[Tier], exclude: frozenset[str], limit: float, now: float
     ) -> tuple[Candidate, Reason] | None:
         """Return an endpoint of one provider, from the nearest tier that has room."""
         first = self._first_tier(tiers)
         for tier in tiers[first:] + tiers[:first]:
-            found = self._pick(tier, query, exclude, limit, now)
+            found = self._pick(tier, exclude, limit, now)
             if found is not None:
                 return found
         return None
@@ -272,11 +269,8 @@
         return len(tiers) - 1
 
     def _pick(
-        self, tier: Tier, query: RouteQuery, exclude: frozenset[str], limit: float, now: float
+        self, tier: Tier, exclude: frozenset[str], limit: float, now: float
     ) -> tuple[Candidate, Reason] | None:
-        holder = self._holder(tier, query)
-        if holder is not None and _open(holder[0], exclude, limit, now):
-            return holder
         drawn = [
             candidate
             for candidate in (tier.draw(self._rng), tier.draw(self._rng))
