Spend less on each file that a step leaves alone

With thousands of step files in the folder the cost of a step lies in the files that did not change: each was hashed into the digest, compared and asked for the objects touched.

Files now keep their part of the digest ready, files that are the same object are not compared, sections hash as plain strings, and only sections that were touched are asked.

--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -28,6 +28,7 @@
 DOMAINS = 16
 PER_FILE = 1_000
 EARLIER_STEPS = 300
+MANY_STEPS = 3_000
 STEPS = 200
 STEP_INTERVAL = 3.2
 PERCENT = 100
@@ -72,10 +73,10 @@
     rows.append(Row("first load, resident memory gained", _status("VmRSS") - before, "MB"))
     rows.append(Row("first load, peak above what was before", _status("VmHWM") - before, "MB"))
     rows += _step_rows(held, files, steps)
-    return [*rows, *_parse_rows(), *_memory_rows(files)]
+    return [*rows, *_many_rows(steps), *_parse_rows(), *_memory_rows(files)]
 
 
-def full_size_files() -> tuple[ConfigFile, ...]:
+def full_size_files(earlier_steps: int = EARLIER_STEPS) -> tuple[ConfigFile, ...]:
     """Return a folder at the planned size, with a few hundred earlier steps in it."""
     names = [f"ep-{number:04d}" for number in range(ENDPOINTS)]
     endpoints = {name: _endpoint(number) for number, name in enumerate(names)}
@@ -88,7 +89,7 @@
     shares = {f"model-{number}": {"old": 60, "new": 40} for number in range(MODELS)}
     files.append(_file("04-shares", {"shares": shares}))
     rng = Random(SEED)
-    files += [_step_file(number, rng) for number in range(EARLIER_STEPS)]
+    files += [_step_file(number, rng) for number in range(earlier_steps)]
     return tuple(files)
 
 
@@ -145,6 +146,18 @@
     ]
 
 
+def _many_rows(steps: int) -> list[Row]:
+    rng = Random(SEED + 2)
+    files = full_size_files(MANY_STEPS)
+    held = HighWater()
+    _offer(held, 1, files)
+    spent: list[float] = []
+    for number in range(steps):
+        files = (*files, _step_file(MANY_STEPS + number, rng))
+        spent.append(_offer(held, number + 2, files))
+    return _spread(f"one new step file after {MANY_STEPS} others", spent)
+
+
 def _spread(name: str, seconds: list[float]) -> list[Row]:
     cuts = quantiles(seconds, n=100)
     return [
--- a/carawayhub/config/check.py
+++ b/carawayhub/config/check.py
@@ -5,8 +5,10 @@
 checks only the objects whose text has changed and those related to them, with the same result.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Any
 
 from carawayhub.codes import Code
@@ -170,33 +172,30 @@
 def _outlines(files: tuple[ConfigFile, ...], base: Build | None) -> dict[str, Outline]:
     known = {} if base is None else base.outlines
     found: dict[str, Outline] = {}
-    for file in sorted(files, key=lambda each: each.name):
+    for file in sorted(files, key=attrgetter("name")):
         held = known.get(file.name)
-        same = held is not None and held.file.digest == file.digest
-        found[file.name] = held if held is not None and same else outline(file)
+        if held is None or not (held.file is file or held.file.mark == file.mark):
+            held = outline(file)
+        found[file.name] = held
     return found
 
 
 def _file_problems(files: tuple[ConfigFile, ...]) -> list[Problem]:
     if not files:
         return [Problem("", 0, "", Code.CONFIG_NO_FILES, "the version has no files")]
-    seen: set[str] = set()
-    problems: list[Problem] = []
-    for file in files:
-        if file.name in seen:
-            detail = "two files have this name"
-            problems.append(Problem(file.name, 0, "", Code.CONFIG_FILE_UNREADABLE, detail))
-        seen.add(file.name)
-    return problems
+    counts = Counter(file.name for file in files)
+    if len(counts) == len(files):
+        return []
+    code, detail = Code.CONFIG_FILE_UNREADABLE, "two files have this name"
+    return [Problem(name, 0, "", code, detail) for name, count in counts.items() if count > 1]
 
 
 def _touched(new: dict[str, Outline], old: dict[str, Outline]) -> set[EntityKey]:
     """Return the objects whose text differs in any file."""
     touched: set[EntityKey] = set()
-    for name in new.keys() | old.keys():
+    changed = [name for name, held in new.items() if old.get(name) is not held]
+    for name in (*changed, *(old.keys() - new.keys())):
         held, before = new.get(name), old.get(name)
-        if held is before:
-            continue
         for key in _keys(held) | _keys(before):
             if _text(held, key) != _text(before, key):
                 touched.add(key)
@@ -205,14 +204,17 @@
 
 def sources(outlines: dict[str, Outline], wanted: set[EntityKey]) -> dict[EntityKey, list[Outline]]:
     """Return which files name each object, in their order."""
-    names: dict[Section, set[str]] = {section: set() for section in Section}
+    names: dict[Section, set[str]] = {}
     for section, name in wanted:
-        names[section].add(name)
+        names.setdefault(section, set()).add(name)
     found: dict[EntityKey, list[Outline]] = {key: [] for key in sorted(wanted)}
     for held in outlines.values():
-        for section, spans in held.sections.items():
+        for section, sought in names.items():
+            spans = held.sections.get(section)
+            if spans is None:
+                continue
             # The intersection walks the smaller side, so a small step stays cheap.
-            for name in spans.keys() & names[section]:
+            for name in spans.keys() & sought:
                 found[EntityKey(section, name)].append(held)
     return found
 
--- a/carawayhub/config/files.py
+++ b/carawayhub/config/files.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from dataclasses import dataclass, field
+from operator import attrgetter
 from pathlib import Path
 
 from carawayhub.codes import Code
@@ -9,6 +10,8 @@
 
 MAX_FILE_BYTES = 1_000_000
 PATTERN = "*.json"
+LENGTH_BYTES = 8
+DIGEST_BYTES = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,14 +25,21 @@
 
     name: str
     content: bytes
-    _digest: list[str] = field(default_factory=list, init=False, repr=False, compare=False)
+    _marks: list[bytes] = field(default_factory=list, init=False, repr=False, compare=False)
 
     @property
     def digest(self) -> str:
-        """SHA-256 of the content as lower-case hex, worked out once."""
-        if not self._digest:
-            self._digest.append(hashlib.sha256(self.content).hexdigest())
-        return self._digest[0]
+        """SHA-256 of the content as lower-case hex."""
+        return self.mark[-DIGEST_BYTES:].hex()
+
+    @property
+    def mark(self) -> bytes:
+        """Length of the name, name and SHA-256 of the content, worked out once."""
+        if not self._marks:
+            name = self.name.encode("utf-8", "surrogatepass")
+            size = len(name).to_bytes(LENGTH_BYTES, "big")
+            self._marks.append(size + name + hashlib.sha256(self.content).digest())
+        return self._marks[0]
 
 
 def digest(files: tuple[ConfigFile, ...]) -> str:
@@ -39,13 +49,8 @@
     of its content, in the order of the names. Hashing the contents' digests in place of the
     contents keeps a version that changes one file cheap, and peers can compare file by file.
     """
-    total = hashlib.sha256()
-    for file in sorted(files, key=lambda each: each.name):
-        name = file.name.encode("utf-8", "surrogatepass")
-        total.update(len(name).to_bytes(8, "big"))
-        total.update(name)
-        total.update(bytes.fromhex(file.digest))
-    return total.hexdigest()
+    marks = [file.mark for file in sorted(files, key=attrgetter("name"))]
+    return hashlib.sha256(b"".join(marks)).hexdigest()
 
 
 def read_folder(path: Path | str) -> tuple[ConfigFile, ...]:
--- a/carawayhub/config/syntax.py
+++ b/carawayhub/config/syntax.py
@@ -37,6 +37,9 @@
     SERVICES = "services"
     SHARES = "shares"
 
+    # That of Enum runs Python code at each look-up, which shows at thousands of files.
+    __hash__ = str.__hash__
+
 
 class EntityKey(NamedTuple):
     """Names one object of the configuration; the fleet's own object has the name ``WHOLE``."""
--- a/carawayhub/config/version.py
+++ b/carawayhub/config/version.py
@@ -128,8 +128,8 @@
 
     def is_costly(self, files: tuple[ConfigFile, ...]) -> bool:
         """Return whether much of an offer has to be read anew."""
-        known = {file.digest for file in self.files}
-        fresh = sum(len(file.content) for file in files if file.digest not in known)
+        known = {file.name: file for file in self.files}
+        fresh = sum(len(file.content) for file in files if known.get(file.name) != file)
         return fresh > COSTLY_BYTES
 
     def offer(self, version: int, files: tuple[ConfigFile, ...]) -> Verdict:
