Connect from the own IP number and host processes on threads

Cause: peers and firewalls tell processes apart by their IP number, but connections went out from whichever number the system chose; and a trace or demo needs entries that it can pause and kill. Change: links, calls, platform and endpoint connections are bound to the host of peer_listen; a process may be known to its peers by another address than it binds; each entry or agent can run on a thread with its own loop, whose pause blocks that loop alone. Errors of a called peer no longer print a traceback, and library lines are JSON too.

--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -33,10 +33,10 @@
 from carawayhub.peers.methods import RUN
 from carawayhub.peers.server import UnaryCall
 from carawayhub.platform.ports import VmList
+from carawayhub.process.host import Host
 from carawayhub.process.operators import Operators
 from carawayhub.process.runtime import Runtime
 from carawayhub.process.status import EndpointStatus, ProcessStatus
-from carawayhub.process.stop import watch_signals
 from carawayhub.settings import AgentSettings
 
 DRAIN_POLL = 0.05
@@ -83,7 +83,7 @@
         """Serve until a planned stop has come to its end."""
         operators = HttpServer(self._operators(), self.runtime.operator_socket)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(watch_signals, self.runtime.stop)
+            tasks.start_soon(self.runtime.host.watch_stop, self.runtime.stop)
             tasks.start_soon(self._run_member)
             tasks.start_soon(self._keys.run)
             tasks.start_soon(operators.run)
@@ -208,13 +208,17 @@
         return msgspec.structs.replace(self.runtime.status(), running=running, endpoints=(row,))
 
 
-async def run_agent(settings: AgentSettings) -> None:
+async def run_agent(settings: AgentSettings, host: Host | None = None) -> None:
     """Run an agent until it was asked to stop and its work is done.
 
+    Args:
+        settings: Its settings.
+        host: What it runs in; the process itself if None.
+
     Raises:
         CommandError: PORT_IN_USE.
     """
-    runtime = Runtime.start(settings, ProcessRole.AGENT)
+    runtime = Runtime.start(settings, ProcessRole.AGENT, host)
     async with anyio.create_task_group() as tasks:
         await AgentProcess(runtime, settings, tasks).run()
         tasks.cancel_scope.cancel()
--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -65,11 +65,16 @@
 
 
 class Upstream:
-    """The pools of one process, one for each endpoint."""
+    """The pools of one process, one for each endpoint.
 
-    __slots__ = ("_pools",)
+    Args:
+        source: IP number to connect from, empty for any.
+    """
+
+    __slots__ = ("_pools", "_source")
 
-    def __init__(self) -> None:
+    def __init__(self, source: str = "") -> None:
+        self._source = source
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     @asynccontextmanager
@@ -115,6 +120,7 @@
                 max_connections=None,
                 max_keepalive_connections=32,
                 keepalive_expiry=KEEPALIVE_EXPIRY,
+                local_address=self._source or None,
             )
             self._pools[endpoint] = pool
         return pool
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -30,10 +30,10 @@
     ProcessRole,
 )
 from carawayhub.platform.ports import VmList, VmState
+from carawayhub.process.host import Host
 from carawayhub.process.operators import Operators
 from carawayhub.process.runtime import Runtime
 from carawayhub.process.status import EndpointStatus, ProcessStatus
-from carawayhub.process.stop import watch_signals
 from carawayhub.routing.directory import EntryDirectory
 from carawayhub.routing.query import EndpointRow
 from carawayhub.routing.router import Router
@@ -59,7 +59,7 @@
         self._retries = RetryBudget(clock, rng)
         self._directory = EntryDirectory(clock, rng)
         self._reports = Reports()
-        self._upstream = Upstream()
+        self._upstream = Upstream(Address.parse(settings.peer_listen).host)
         metrics = runtime.metrics
         self._relay = Relay(clock, rng, self._router, self._retries, self._upstream, metrics)
         office = TicketOffice(settings.system_key)
@@ -88,7 +88,7 @@
         callers = HttpServer(self._app, self._listen)
         operators = HttpServer(self._operators(), self.runtime.operator_socket)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(watch_signals, self.runtime.stop)
+            tasks.start_soon(self.runtime.host.watch_stop, self.runtime.stop)
             tasks.start_soon(self._run_member)
             tasks.start_soon(self._tick)
             tasks.start_soon(operators.run)
@@ -245,13 +245,17 @@
         return msgspec.structs.replace(status, running=self._app.running, endpoints=rows)
 
 
-async def run_entry(settings: EntrySettings) -> None:
+async def run_entry(settings: EntrySettings, host: Host | None = None) -> None:
     """Run an entry until it was asked to stop and its work is done.
 
+    Args:
+        settings: Its settings.
+        host: What it runs in; the process itself if None.
+
     Raises:
         CommandError: PORT_IN_USE.
     """
-    runtime = Runtime.start(settings, ProcessRole.ENTRY)
+    runtime = Runtime.start(settings, ProcessRole.ENTRY, host)
     await EntryProcess(runtime, settings).run()
     logger.info("stopped")
 
--- a/carawayhub/output/logs.py
+++ b/carawayhub/output/logs.py
@@ -1,5 +1,6 @@
 """Logs: one JSON object a line, with the request's id where a line concerns a request."""
 
+import logging
 import sys
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING, TextIO
@@ -26,6 +27,17 @@
 
     logger.remove()
     logger.add(write, level=level.upper(), format="{message}", backtrace=False, diagnose=False)
+    logging.basicConfig(handlers=[_LibraryLines()], level=logging.WARNING, force=True)
+
+
+class _LibraryLines(logging.Handler):
+    """Sends what libraries log the same way, so that each line stays one JSON object."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        exc = record.exc_info[1] if record.exc_info else None
+        logger.opt(exception=exc).bind(library=record.name).log(
+            record.levelname, record.getMessage()
+        )
 
 
 def _line(message: "Message", process: str) -> str:
--- a/carawayhub/peers/calls.py
+++ b/carawayhub/peers/calls.py
@@ -3,13 +3,14 @@
 from typing import Any
 
 import anyio
-from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.client import UnaryUnaryMethod
 from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from carawayhub.addresses import Address
 from carawayhub.codes import Code
 from carawayhub.errors import PeerError
+from carawayhub.peers.channels import PeerChannel
 from carawayhub.peers.codec import MessagePackCodec
 from carawayhub.peers.methods import Method
 from carawayhub.peers.proofs import Prover
@@ -37,15 +38,20 @@
 class CallClient:
     """Calls peers by address.
 
+    Args:
+        prover: Proves this process to its peers.
+        source: IP number to connect from, empty for any.
+
     Calls of one peer share a channel. After a failure the channel takes no new calls: what
     failed may be the connection and not the peer. Calls still in flight on it end by themselves,
     since HTTP/2 keeps their streams apart, and then it is closed.
     """
 
-    __slots__ = ("_channels", "_codec", "_prover")
+    __slots__ = ("_channels", "_codec", "_prover", "_source")
 
-    def __init__(self, prover: Prover) -> None:
+    def __init__(self, prover: Prover, source: str = "") -> None:
         self._prover = prover
+        self._source = source
         self._codec = MessagePackCodec()
         self._channels: dict[Address, _SharedChannel] = {}
 
@@ -84,7 +90,7 @@
     def _shared(self, address: Address) -> "_SharedChannel":
         shared = self._channels.get(address)
         if shared is None:
-            channel = Channel(address.host, address.port, codec=self._codec, config=KEEPALIVE)
+            channel = PeerChannel(address, self._source, self._codec, KEEPALIVE)
             shared = self._channels[address] = _SharedChannel(channel)
         return shared
 
@@ -107,7 +113,7 @@
 
     __slots__ = ("_users", "channel", "retired")
 
-    def __init__(self, channel: Channel) -> None:
+    def __init__(self, channel: PeerChannel) -> None:
         self.channel = channel
         self.retired = False
         self._users = 0
--- a/carawayhub/peers/links.py
+++ b/carawayhub/peers/links.py
@@ -10,7 +10,7 @@
 from typing import Any, Protocol
 
 import anyio
-from grpclib.client import Channel, Stream, StreamStreamMethod
+from grpclib.client import Stream, StreamStreamMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from loguru import logger
 
@@ -18,6 +18,7 @@
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
 from carawayhub.errors import PeerError
+from carawayhub.peers.channels import PeerChannel
 from carawayhub.peers.codec import MessagePackCodec
 from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello, ProcessRole
 from carawayhub.peers.methods import LINK
@@ -91,14 +92,30 @@
 
 
 class Link:
-    """Keeps a stream to one peer up until cancelled."""
+    """Keeps a stream to one peer up until cancelled.
+
+    Args:
+        peer: The peer.
+        owner: Takes what the link brings.
+        prover: Proves this process to the peer.
+        clock: Source of time.
+        rng: Source of jitter.
+        source: IP number to connect from, empty for any.
+    """
 
-    __slots__ = ("_clock", "_codec", "_owner", "_prover", "_rng", "_sent", "peer")
+    __slots__ = ("_clock", "_codec", "_owner", "_prover", "_rng", "_sent", "_source", "peer")
 
     def __init__(
-        self, peer: Peer, owner: LinkOwner, prover: Prover, clock: Clock, rng: random.Random
+        self,
+        peer: Peer,
+        owner: LinkOwner,
+        prover: Prover,
+        clock: Clock,
+        rng: random.Random,
+        source: str = "",
     ) -> None:
         self.peer = peer
+        self._source = source
         self._owner = owner
         self._prover = prover
         self._clock = clock
@@ -127,7 +144,7 @@
             await anyio.sleep(self._rng.uniform(FIRST_BACKOFF, ceiling))
 
     async def _session(self) -> tuple[bool, str]:
-        channel = Channel(self.peer.address.host, self.peer.address.port, codec=self._codec)
+        channel = PeerChannel(self.peer.address, self._source, self._codec)
         reached = False
         try:
             method = StreamStreamMethod(channel, LINK.path, LINK.request, LINK.reply)
--- a/carawayhub/peers/server.py
+++ b/carawayhub/peers/server.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from carawayhub.codes import Code
-from carawayhub.errors import PeerError
+from carawayhub.errors import CarawayhubError, PeerError
 from carawayhub.peers.codec import MessagePackCodec
 from carawayhub.peers.links import Intervals
 from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello
@@ -89,7 +89,11 @@
             request = await stream.recv_message()
             if request is None:
                 raise GRPCError(Status.INVALID_ARGUMENT, "no request")
-            await stream.send_message(await call.handle(sender, request))
+            try:
+                reply = await call.handle(sender, request)
+            except CarawayhubError as exc:
+                raise GRPCError(Status.FAILED_PRECONDITION, str(exc)) from exc
+            await stream.send_message(reply)
 
         return handle
 
--- a/carawayhub/platform/client.py
+++ b/carawayhub/platform/client.py
@@ -24,13 +24,16 @@
 
     Args:
         url: Base of the address, for example ``http://10.0.0.9:7000``.
+        source: IP number to connect from, empty for any.
     """
 
     __slots__ = ("_pool", "_url")
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, source: str = "") -> None:
         self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(max_connections=8, keepalive_expiry=60)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=8, keepalive_expiry=60, local_address=source or None
+        )
 
     async def manifest(self, after: int, wait: float) -> PublishedManifest:
         """Return the published version; see ``ConfigurationService``."""
--- a/carawayhub/process/identity.py
+++ b/carawayhub/process/identity.py
@@ -42,7 +42,7 @@
             vm=settings.vm,
             failure_domain=settings.failure_domain,
             region=settings.region,
-            address=settings.peer_listen,
+            address=settings.peer_address or settings.peer_listen,
         )
 
     @property
--- a/carawayhub/process/linkset.py
+++ b/carawayhub/process/linkset.py
@@ -20,13 +20,21 @@
         clock: Source of time.
         rng: Source of jitter.
         tasks: Where the links run.
+        source: IP number to connect from, empty for any.
     """
 
-    __slots__ = ("_clock", "_owner", "_prover", "_rng", "_scopes", "_tasks")
+    __slots__ = ("_clock", "_owner", "_prover", "_rng", "_scopes", "_source", "_tasks")
 
     def __init__(
-        self, owner: LinkOwner, prover: Prover, clock: Clock, rng: random.Random, tasks: TaskGroup
+        self,
+        owner: LinkOwner,
+        prover: Prover,
+        clock: Clock,
+        rng: random.Random,
+        tasks: TaskGroup,
+        source: str = "",
     ) -> None:
+        self._source = source
         self._owner = owner
         self._prover = prover
         self._clock = clock
@@ -47,5 +55,5 @@
 
     async def _keep(self, peer: Peer, scope: anyio.CancelScope) -> None:
         with scope:
-            link = Link(peer, self._owner, self._prover, self._clock, self._rng)
+            link = Link(peer, self._owner, self._prover, self._clock, self._rng, self._source)
             await link.run()
--- a/carawayhub/process/member.py
+++ b/carawayhub/process/member.py
@@ -125,9 +125,10 @@
         self.start_report: StartReport | None = None
         self.audit = audit
         self.prover = Prover(settings.system_key, identity.key)
-        self.calls = CallClient(self.prover)
+        self._source = Address.parse(settings.peer_listen).host
+        self.calls = CallClient(self.prover, self._source)
         self.acceptance = Acceptance(audit)
-        self.platform = PlatformClient(settings.platform)
+        self.platform = PlatformClient(settings.platform, self._source)
         self.pauses = PauseDetector(clock)
         self.vms: VmList | None = None
         self._settings = settings
@@ -176,7 +177,9 @@
         await self._server.start(sock)
         try:
             async with anyio.create_task_group() as tasks:
-                self._links = LinkSet(self, self.prover, self._clock, self._rng, tasks)
+                self._links = LinkSet(
+                    self, self.prover, self._clock, self._rng, tasks, self._source
+                )
                 self._start_tasks(tasks)
                 await anyio.sleep_forever()
         finally:
--- a/carawayhub/process/runtime.py
+++ b/carawayhub/process/runtime.py
@@ -12,6 +12,7 @@
 from carawayhub.output.audit import AuditTrail, Subject
 from carawayhub.output.metrics import Metrics
 from carawayhub.peers.messages import ProcessRole
+from carawayhub.process.host import Host, OwnProcess
 from carawayhub.process.identity import Identity
 from carawayhub.process.member import Member
 from carawayhub.process.operators import HealthBody
@@ -32,6 +33,7 @@
         audit: Its audit trail.
         metrics: Its measurements.
         member: It as a member of the fleet.
+        host: What it runs in.
         stop: Whether it was asked to stop.
         peer_socket: Listening socket for links and calls.
         operator_socket: Listening socket for operators.
@@ -46,10 +48,11 @@
     member: Member
     peer_socket: socket.socket
     operator_socket: socket.socket
+    host: Host
     stop: StopRequest = field(default_factory=StopRequest)
 
     @classmethod
-    def start(cls, settings: Settings, role: ProcessRole) -> "Runtime":
+    def start(cls, settings: Settings, role: ProcessRole, host: Host | None = None) -> "Runtime":
         """Bind the sockets and make the parts.
 
         Raises:
@@ -69,6 +72,7 @@
             member=Member(identity, settings, clock, rng, audit),
             peer_socket=bind(Address.parse(settings.peer_listen)),
             operator_socket=bind(Address.parse(settings.operator_listen)),
+            host=host or OwnProcess(),
         )
         audit.record(Subject.PROCESS, identity.key, "stopped", "started", "the process started")
         logger.bind(incarnation=identity.incarnation).info("started")
--- a/carawayhub/settings.py
+++ b/carawayhub/settings.py
@@ -22,7 +22,9 @@
         vm: Name of its VM in the platform's list.
         failure_domain: Where it stands.
         region: The region of that failure domain.
-        peer_listen: ``ip:port`` for the links between processes.
+        peer_listen: ``ip:port`` for the links between processes; connections go out from its IP
+            number.
+        peer_address: ``ip:port`` at which peers find it, where that is not ``peer_listen``.
         operator_listen: ``ip:port`` of the operators' HTTP endpoints.
         platform: Base address of the platform's services.
         system_key: The secret that all processes of the system share.
@@ -38,6 +40,7 @@
     operator_listen: str
     platform: str
     system_key: str
+    peer_address: str = ""
     seeds: tuple[str, ...] = ()
     log_level: str = "INFO"
 
@@ -88,6 +91,8 @@
         detail = f"{name}: system_key: write at least {LEAST_KEY_LENGTH} characters"
         raise CommandError(Code.SETTINGS_INVALID, detail)
     addresses = [settings.peer_listen, settings.operator_listen, *settings.seeds]
+    if settings.peer_address:
+        addresses.append(settings.peer_address)
     if isinstance(settings, EntrySettings):
         addresses.append(settings.listen)
     for text in addresses:
