Check what a paused process knows before it dispatches

Cause: a process that was stopped and continued went on with its old view until the next heartbeat. Change: an entry waits for one exchange that began after the pause, an agent refuses new work until it has heard an entry, both again right before the first byte; entries of a small fleet keep links to all others, which answers and limits need.

--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -33,6 +33,7 @@
 )
 from carawayhub.endpoints.upstream import Upstream, UpstreamRequest, UpstreamTimeouts
 from carawayhub.errors import PeerError, RequestError
+from carawayhub.fleet.pauses import PauseDetector
 from carawayhub.peers.messages import RunReply, RunRequest, ServingState
 
 GRACE = 30.0
@@ -94,6 +95,7 @@
         office: Reads tickets.
         rules: Decides about idempotency keys.
         reporter: Says whether the endpoint takes new work.
+        pauses: Says whether this process was paused and has not checked what it knows since.
         upstream: Connections to the endpoint.
         tasks: Where runs go on after their caller has left.
     """
@@ -107,6 +109,7 @@
         office: TicketOffice,
         rules: KeyRules,
         reporter: Reporter,
+        pauses: PauseDetector,
         upstream: Upstream,
         tasks: TaskGroup,
     ) -> None:
@@ -117,6 +120,7 @@
         self._office = office
         self._rules = rules
         self._reporter = reporter
+        self._pauses = pauses
         self._upstream = upstream
         self._tasks = tasks
         self._cfg: Configuration | None = None
@@ -181,10 +185,15 @@
         What the rules for keys say comes first. The other reasons are told as "not run", which is
         true only where no other agent can have run the key.
         """
+        paused = self._pauses.check()
         if not claim.ticket:
+            if paused:
+                return Refuse(Code.RUN_HOME_UNREACHABLE, RETRY_AFTER, "the agent was paused")
             refusal = self._epochs.stamp_refusal(claim.stamp) or self._rules.admit(claim.key)
             if refusal is not None:
                 return refusal
+        if paused:
+            return Refuse(Code.PAUSED, RETRY_AFTER)
         if self._clock.monotonic() >= deadline:
             return Refuse(Code.DEADLINE_PASSED)
         if self._reporter.state is ServingState.LEAVING:
@@ -271,7 +280,9 @@
             body=req.body,
             timeouts=UpstreamTimeouts.waiting(limit),
             still_allowed=lambda: (
-                self._reporter.state is ServingState.SERVING and self._clock.monotonic() < deadline
+                self._reporter.state is ServingState.SERVING
+                and not self._pauses.check()
+                and self._clock.monotonic() < deadline
             ),
         )
 
--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -73,6 +73,7 @@
             TicketOffice(settings.system_key),
             self._keys,
             self._reporter,
+            member.pauses,
             self._upstream,
             tasks,
         )
--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -63,6 +63,7 @@
     NOT_READY = 2028
     RETRY_BUDGET_SPENT = 2029
     CONNECT_FAILED = 2030
+    PAUSED = 2031
 
     ANSWER_CUT = 3001
     ANSWER_TIMEOUT = 3002
@@ -167,7 +168,7 @@
         _NONE, 0, "two organisations have one key", "give each organisation keys of its own"
     ),
     Code.CONFIG_ENDPOINT_USED_TWICE: Meaning(
-        _NONE, 0, "an endpoint belongs to two groups", "name it in one group only"
+        _NONE, 0, "an endpoint of a group is used elsewhere too", "name it in that group only"
     ),
     Code.CONFIG_DUPLICATE_ROUTE: Meaning(
         _NONE, 0, "two services have one route", "give each method and path to one service"
@@ -254,6 +255,12 @@
     Code.CONNECT_FAILED: Meaning(
         _NOT_RUN, 503, "no connection to an endpoint could be opened", "try again"
     ),
+    Code.PAUSED: Meaning(
+        _NOT_RUN,
+        503,
+        "the process was paused and checks what it knows",
+        "try again or use another address",
+    ),
     Code.ANSWER_CUT: Meaning(
         _UNKNOWN, 502, "the answer broke off before its end", "repeat it if it may be repeated"
     ),
--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -1,6 +1,7 @@
 """The HTTP interface towards callers."""
 
 import hashlib
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from urllib.parse import parse_qs
 
@@ -29,6 +30,7 @@
 TICKETS_PATH = "/v1/tickets"
 MODELS_PATH = "/v1/models"
 STOPPING_RETRY_AFTER = 0.5
+CONFIRM_WAIT = 1.0
 USUAL_TOKENS = 256.0
 
 
@@ -76,7 +78,11 @@
 
 @dataclass(slots=True)
 class EntryParts:
-    """The parts that a request passes through."""
+    """The parts that a request passes through.
+
+    ``confirmed`` waits for at most the seconds given until nothing that a pause of this process put
+    in doubt is unchecked, and says whether that is so.
+    """
 
     clock: Clock
     admission: Admission
@@ -85,6 +91,7 @@
     run_once: RunOnce
     directory: EntryDirectory
     metrics: Metrics
+    confirmed: Callable[[float], Awaitable[bool]]
 
 
 class EntryApp:
@@ -146,6 +153,8 @@
         if path == ENTRIES_PATH and scope["method"] == "GET":
             await send_reply(send, self._entries(scope), caller_id)
             return
+        if not await self._parts.confirmed(CONFIRM_WAIT):
+            raise RequestError(Code.PAUSED, retry_after=STOPPING_RETRY_AFTER)
         organisation = self._organisation(headers)
         if path == MODELS_PATH and scope["method"] == "GET":
             await send_reply(send, _models(cfg, organisation), caller_id)
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -40,6 +40,8 @@
 from carawayhub.settings import EntrySettings
 
 DRAIN_POLL = 0.05
+FULL_MESH = 16
+"""Entries up to which each has a link to each other, which limits and answers profit from."""
 
 
 class EntryProcess:
@@ -74,6 +76,7 @@
                 self._run_once,
                 self._directory,
                 metrics,
+                runtime.member.confirmed,
             )
         )
         self._away: set[str] = set()
@@ -162,8 +165,7 @@
     def peers(self, cfg: Configuration, vms: VmList | None) -> Iterable[Peer]:
         """Return the entries and agents to open links to."""
         name = self.runtime.identity.name
-        nodes = entry_nodes(cfg, vms, name)
-        for neighbour in gossip_neighbours(name, nodes):
+        for neighbour in _entry_peers(cfg, vms, name):
             address = Address.parse(cfg.entries[neighbour].peer_address)
             yield Peer(neighbour, ProcessRole.ENTRY, address)
         key = plan_key(cfg, vms, name)
@@ -260,6 +262,13 @@
     logger.info("stopped")
 
 
+def _entry_peers(cfg: Configuration, vms: VmList | None, own: str) -> tuple[str, ...]:
+    """Return the entries to link with: all of a small fleet, chosen neighbours of a large one."""
+    if len(cfg.entries) <= FULL_MESH:
+        return tuple(sorted(name for name in cfg.entries if name != own))
+    return gossip_neighbours(own, entry_nodes(cfg, vms, own))
+
+
 def _row(row: EndpointRow) -> EndpointStatus:
     return EndpointStatus(
         name=row.endpoint,
--- a/carawayhub/process/member.py
+++ b/carawayhub/process/member.py
@@ -129,7 +129,8 @@
         self.calls = CallClient(self.prover, self._source)
         self.acceptance = Acceptance(audit)
         self.platform = PlatformClient(settings.platform, self._source)
-        self.pauses = PauseDetector(clock)
+        self.pauses = PauseDetector(clock, _beliefs(identity.role))
+        self._confirmed = Signal()
         self.vms: VmList | None = None
         self._settings = settings
         self._clock = clock
@@ -357,12 +358,28 @@
         if self._role is not None:
             self._role.lost(peer)
 
+    async def confirmed(self, timeout: float) -> bool:
+        """Return whether nothing that a pause put in doubt is unchecked.
+
+        A process that was stopped goes on with what it knew before: it would dispatch to endpoints
+        that have left and under limits and keys that were changed. Waiting for one exchange with a
+        peer that began after the pause shows whether anything newer exists.
+
+        Args:
+            timeout: Seconds to wait for the check.
+        """
+        with anyio.move_on_after(timeout):
+            while self.pauses.check():
+                await self._confirmed.wait()
+        return not self.pauses.check()
+
     def _confirm(self, peer: Peer, reply: HeartbeatReply) -> None:
         """Take an exchange that began after the last pause as a check of what was believed."""
         count = self._pauses_at_send.get(peer.key, -1)
         self.pauses.confirm(Belief.MEMBERSHIP, count)
         if reply.version <= self.sync.in_force.version:
             self.pauses.confirm(Belief.CONFIGURATION, count)
+        self._confirmed.notify()
 
     # The accepting end of links.
 
@@ -388,6 +405,7 @@
         self.sync.heard(key, VersionId(heartbeat.version, heartbeat.digest), heartbeat.service_age)
         if heartbeat.version <= self.sync.in_force.version:
             self.pauses.confirm(Belief.CONFIGURATION, self.pauses.count)
+            self._confirmed.notify()
         if self._role is not None:
             self._role.heard(peer, heartbeat)
 
@@ -404,3 +422,10 @@
         return [
             each.hello for each in self._inbound.values() if each.hello.role is ProcessRole.ENTRY
         ]
+
+
+def _beliefs(role: ProcessRole) -> frozenset[Belief]:
+    """Return what a pause puts in doubt; an agent knows of no other members."""
+    if role is ProcessRole.AGENT:
+        return frozenset({Belief.CONFIGURATION})
+    return frozenset({Belief.CONFIGURATION, Belief.MEMBERSHIP})
