--- a/carawayhub/standins/forward.py
+++ b/carawayhub/standins/forward.py
@@ -16,7 +16,14 @@
 PIECES_IN_FLIGHT = 256
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
-Broken = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+# uvloop reports work on a stream that is closed already as RuntimeError or ValueError.
+Broken = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+    RuntimeError,
+    ValueError,
+)
 
 
 class Direction(Enum):
@@ -89,7 +96,7 @@
         self, direction: Direction, reader: SocketStream, writer: SocketStream
     ) -> None:
         send, receive = anyio.create_memory_object_stream[_Piece](PIECES_IN_FLIGHT)
-        async with anyio.create_task_group() as tg, send, receive:
+        async with send, receive, anyio.create_task_group() as tg:
             tg.start_soon(self._read, direction, reader, send)
             await self._write(direction, receive, writer)
         self.open_directions -= 1
