Measure the dissemination of the configuration on virtual time

python -m benchmarks.dissemination runs the product's synchronisation, watchers and starts over fakes of links and service, 10 to 400 nodes.

--- a/benchmarks/fleet_fakes.py
+++ b/benchmarks/fleet_fakes.py
@@ -57,6 +57,7 @@
 
     Attributes:
         down: Whether reads fail at once.
+        stale: Whether reads give the version published before the newest.
         silent: Reads to come that are never answered, as on a connection that went silent.
         unreachable: Names of processes that cannot reach it.
         reads: Reads counted by second of the clock; a waiting watch counts as one each second.
@@ -70,6 +71,8 @@
         self.files: dict[str, str] = {}
         self.contents: dict[str, bytes] = {}
         self.down = False
+        self.stale = False
+        self._previous: tuple[int, dict[str, str]] = (0, {})
         self.silent = 0
         self.unreachable: set[str] = set()
         self.reads: Counter[int] = Counter()
@@ -88,10 +91,21 @@
 
     def serve(self, version: int, files: dict[str, str]) -> None:
         """Serve a version, which may be an old one."""
+        self._previous = (self.version, self.files)
         self.version, self.files = version, files
         event, self._published = self._published, anyio.Event()
         event.set()
 
+    def peak(self) -> int:
+        """Return the reads in the busiest second."""
+        return max(self.reads.values(), default=0)
+
+    def forget_reads(self) -> None:
+        """Begin to count anew."""
+        self.reads.clear()
+        self.calls.clear()
+        self.file_calls.clear()
+
     def reader(self, name: str) -> "ServiceReader":
         """Return the service as the process ``name`` sees it."""
         return ServiceReader(self, name)
@@ -101,12 +115,13 @@
         self.calls[reader] += 1
         started = self._clock.monotonic()
         await self._answerable(reader)
-        if self.version <= after:
+        if self.stale or self.version <= after:
             with anyio.move_on_after(wait):
                 await self._published.wait()
         self._count(started)
         self._check_up(reader)
-        return PublishedManifest(version=self.version, files=dict(self.files))
+        version, files = self._previous if self.stale else (self.version, self.files)
+        return PublishedManifest(version=version, files=dict(files))
 
     async def file(self, reader: str, digest: str) -> bytes:
         """Answer a read of a content."""
@@ -202,6 +217,16 @@
             traffic.bytes += len(data)
         return msgspec.msgpack.decode(data, type=kind)
 
+    def reached(self, name: str) -> ConfigSync:
+        """Return the process that a message has reached.
+
+        Raises:
+            PeerError: It ended while the message was on its way.
+        """
+        if name not in self.syncs:
+            raise PeerError(Code.PEER_SILENT, name)
+        return self.syncs[name]
+
     async def travel(self, sender: str, receiver: str) -> None:
         """Wait as long as a message takes.
 
@@ -228,7 +253,7 @@
         """Ask a peer for what changed."""
         req = self._network.carry(self._name, peer, req, ManifestRequest)
         await self._network.travel(self._name, peer)
-        reply = self._network.syncs[peer].manifest(req)
+        reply = self._network.reached(peer).manifest(req)
         await self._network.travel(peer, self._name)
         decoded: ManifestReply = self._network.carry(peer, self._name, reply, ManifestReply)
         return decoded
@@ -237,7 +262,7 @@
         """Ask a peer for contents."""
         req = self._network.carry(self._name, peer, req, FilesRequest)
         await self._network.travel(self._name, peer)
-        reply = self._network.syncs[peer].files(req)
+        reply = self._network.reached(peer).files(req)
         await self._network.travel(peer, self._name)
         decoded: FilesReply = self._network.carry(peer, self._name, reply, FilesReply)
         return decoded
--- a/benchmarks/virtual_time.py
+++ b/benchmarks/virtual_time.py
@@ -5,23 +5,44 @@
 
 import asyncio
 import selectors
+import time
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
+from contextvars import Context, ContextVar
 from typing import Any
 
 import anyio
 
+OWNER: ContextVar[str] = ContextVar("owner", default="")
+
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop on virtual time."""
+    """An event loop on virtual time.
+
+    Attributes:
+        spent: Processor time in seconds by the ``OWNER`` of the tasks that spent it.
+    """
 
     def __init__(self) -> None:
         self._virtual_now = 0.0
+        self.spent: defaultdict[str, float] = defaultdict(float)
         super().__init__(_JumpingSelector(self))
 
     def time(self) -> float:
         """Return virtual seconds."""
         return self._virtual_now
 
+    def call_soon(  # type: ignore[override]
+        self, callback: Callable[..., Any], *args: Any, context: Context | None = None
+    ) -> asyncio.Handle:
+        """Schedule a callback whose processor time is put down to its owner."""
+        return super().call_soon(self._timed, callback, args, context=context)
+
+    def _timed(self, callback: Callable[..., Any], args: tuple[Any, ...]) -> None:
+        started = time.thread_time()
+        callback(*args)
+        self.spent[OWNER.get()] += time.thread_time() - started
+
     def jump(self, seconds: float) -> None:
         """Move the clock forward."""
         self._virtual_now += seconds
@@ -46,9 +67,7 @@
         super().__init__()
         self._loop = loop
 
-    def select(
-        self, timeout: float | None = None
-    ) -> list[tuple[selectors.SelectorKey, int]]:
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         if timeout is None:
             raise RuntimeError("every task waits and no timer is set")
         if timeout > 0:
@@ -56,6 +75,13 @@
         return []
 
 
+def spent() -> defaultdict[str, float]:
+    """Return the processor time of the running loop by owner."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualTimeLoop)
+    return loop.spent
+
+
 def run(function: Callable[..., Awaitable[Any]], *args: Any) -> Any:
     """Run an async function on virtual time and return its result."""
     return anyio.run(function, *args, backend_options={"loop_factory": VirtualTimeLoop})
--- a/carawayhub/fleet/sync.py
+++ b/carawayhub/fleet/sync.py
@@ -254,14 +254,12 @@
     async def _fetch_missing(self, manifest: Manifest, service: ServiceFiles) -> int:
         # The read budget may stretch this over a long time, so peers may bring the version, or a
         # later one, meanwhile; the lock is left to them.
-        fetched = 0
-        while self._wanted(manifest.id):
-            missing = self._missing(manifest)
-            if not missing:
+        missing = self._missing(manifest)
+        for digest in missing:
+            if not self._wanted(manifest.id):
                 break
-            self._contents.add(missing[0], await service.file(missing[0]))
-            fetched += 1
-        return fetched
+            self._contents.add(digest, await service.file(digest))
+        return len(missing)
 
     def _missing(self, manifest: Manifest) -> list[str]:
         wanted = dict.fromkeys(manifest.files.values())
