Compress contents between peers, recheck after a pause, let agents watch

An entry at full size spends about 20 of its 30 KB/s on heartbeats, and a watcher reads the whole manifest with each version, so agents, which have bytes to spare, are chosen to watch before entries. Contents cross links compressed, with a bound on what they may swell to.

recheck asks peers anew after a pause: heartbeats from the time of the pause wait in a socket's buffer and would confirm what is old.

--- a/carawayhub/fleet/contents.py
+++ b/carawayhub/fleet/contents.py
@@ -6,16 +6,18 @@
 from carawayhub.codes import Code
 from carawayhub.config.files import MAX_FILE_BYTES
 from carawayhub.errors import PeerError
+from carawayhub.fleet.compression import pack, unpack
 from carawayhub.fleet.messages import CONTENT_BYTES, FileChunk, FilesReply, FilesRequest
 
 
 class ContentStore:
     """Holds contents whose digest was checked, and serves parts of them to peers."""
 
-    __slots__ = ("_contents",)
+    __slots__ = ("_contents", "_packed")
 
     def __init__(self) -> None:
         self._contents: dict[str, bytes] = {}
+        self._packed: dict[str, bytes] = {}
 
     def __contains__(self, digest: str) -> bool:
         return digest in self._contents
@@ -38,17 +40,25 @@
             raise PeerError(Code.CONFIG_DIGEST_MISMATCH, f"file {digest}")
         self._contents[digest] = content
 
-    def add_unnamed(self, content: bytes) -> None:
-        """Keep ``content`` under the digest that it has."""
-        self._contents[hashlib.sha256(content).hexdigest()] = content
+    def add_packed(self, packed: bytes) -> None:
+        """Keep a compressed content under the digest that it has.
+
+        Raises:
+            PeerError: PEER_PROTOCOL when it cannot be read.
+        """
+        content = unpack(packed, CONTENT_BYTES)
+        digest = hashlib.sha256(content).hexdigest()
+        self._contents[digest] = content
+        self._packed[digest] = packed
 
     def keep_only(self, digests: Iterable[str]) -> None:
         """Drop all other contents."""
         kept = set(digests)
         self._contents = {key: value for key, value in self._contents.items() if key in kept}
+        self._packed = {key: value for key, value in self._packed.items() if key in kept}
 
     def small(self, digests: Iterable[str]) -> tuple[bytes, ...]:
-        """Return contents in the order given, as long as they fit one message."""
+        """Return compressed contents in the order given, as long as they fit one message."""
         contents: list[bytes] = []
         room = CONTENT_BYTES
         for digest in digests:
@@ -56,7 +66,7 @@
             if content is None or len(content) > room:
                 break
             room -= len(content)
-            contents.append(content)
+            contents.append(self._pack(digest))
         return tuple(contents)
 
     def serve(self, req: FilesRequest) -> FilesReply:
@@ -72,13 +82,22 @@
             if chunks and len(content) > room:
                 break
             data = content[offset : offset + room]
-            chunks.append(FileChunk(digest=digest, offset=offset, size=len(content), data=data))
+            chunks.append(
+                FileChunk(digest=digest, offset=offset, size=len(content), data=pack(data))
+            )
             room -= len(data)
             offset = 0
             if room <= 0:
                 break
         return FilesReply(chunks=tuple(chunks))
 
+    def _pack(self, digest: str) -> bytes:
+        # The same change goes to several peers within a second.
+        packed = self._packed.get(digest)
+        if packed is None:
+            packed = self._packed[digest] = pack(self._contents[digest])
+        return packed
+
 
 class PartialFile:
     """One file that comes in parts from one peer."""
@@ -103,9 +122,10 @@
             raise PeerError(Code.PEER_PROTOCOL, f"part of file {chunk.digest} does not fit")
         if chunk.offset == 0:
             self.digest, self._data = chunk.digest, bytearray()
-        if not chunk.data and chunk.size > chunk.offset:
+        data = unpack(chunk.data, CONTENT_BYTES)
+        if not data and chunk.size > chunk.offset:
             raise PeerError(Code.PEER_PROTOCOL, f"empty part of file {chunk.digest}")
-        self._data += chunk.data
+        self._data += data
         if len(self._data) < chunk.size:
             return None
         content, self._data, self.digest = bytes(self._data), bytearray(), ""
--- a/carawayhub/fleet/deltas.py
+++ b/carawayhub/fleet/deltas.py
@@ -4,7 +4,7 @@
 
 from carawayhub.codes import Code
 from carawayhub.errors import PeerError
-from carawayhub.fleet.contents import ContentStore
+from carawayhub.fleet.contents import ContentStore, PartialFile
 from carawayhub.fleet.manifest import (
     Delta,
     History,
@@ -14,8 +14,10 @@
     states_digest,
 )
 from carawayhub.fleet.messages import (
+    DIGESTS_PER_REQUEST,
     NAMES_PER_PAGE,
     Document,
+    FilesRequest,
     ManifestReply,
     ManifestRequest,
 )
@@ -71,6 +73,29 @@
     return fetched
 
 
+async def fetch_files(
+    peers: FleetPeers, peer: str, missing: list[str], contents: ContentStore
+) -> None:
+    """Ask ``peer`` for the contents with the digests in ``missing`` and keep them.
+
+    Raises:
+        PeerError: The peer did not answer, does not hold one, or sent another content.
+    """
+    partial = PartialFile()
+    while missing:
+        asked = tuple(missing[:DIGESTS_PER_REQUEST])
+        reply = await peers.files(
+            peer, FilesRequest(digests=asked, offset=partial.offset(asked[0]))
+        )
+        if not reply.chunks:
+            raise PeerError(Code.PEER_PROTOCOL, f"{peer} does not hold the files it offers")
+        for chunk in reply.chunks:
+            content = partial.add(chunk)
+            if content is not None:
+                contents.add(chunk.digest, content)
+        missing = [digest for digest in missing if digest not in contents]
+
+
 async def _pages(peers: FleetPeers, peer: str, document: Document, base: Manifest) -> Fetched:
     changed: dict[str, str] = {}
     first: ManifestReply | None = None
--- a/carawayhub/fleet/messages.py
+++ b/carawayhub/fleet/messages.py
@@ -48,7 +48,7 @@
         changed: New and changed names with their digests, one page of them.
         removed: Names that are gone; on the first page only.
         total: Number of changed names over all pages.
-        contents: Contents of changed files, where they are small.
+        contents: Compressed contents of changed files, where they are small.
     """
 
     version: int
@@ -77,9 +77,9 @@
 
     Attributes:
         digest: SHA-256 of the whole file.
-        offset: Place of the part within it, in bytes.
+        offset: Place of the part within it, in bytes before compression.
         size: Size of the whole file in bytes.
-        data: The part.
+        data: The part, compressed.
     """
 
     digest: str
--- a/carawayhub/fleet/start.py
+++ b/carawayhub/fleet/start.py
@@ -105,7 +105,7 @@
         # each file as many times as it has processes.
         await anyio.sleep(max(0.0, deadline - self._clock.monotonic()))
         while self._behind():
-            await anyio.sleep(self._watcher.start_jitter())
+            await anyio.sleep(self._watcher.fallback_jitter())
             if self._behind():
                 await self._watcher.read()
             await anyio.sleep(self._watcher.retry_pause())
--- a/carawayhub/fleet/sync.py
+++ b/carawayhub/fleet/sync.py
@@ -11,20 +11,22 @@
 * ``forget(peer)`` when a link to it is lost,
 * ``run()`` as a task: fetches what peers have,
 * ``published(manifest, service)`` from the watcher: fetches what the service has,
+* ``recheck(peers)`` after a pause of the process,
 * ``manifest(req)`` and ``files(req)`` to answer peers,
 * ``in_force``, ``service_age()`` for its own heartbeats, and ``changed`` to send them at once.
 """
 
+import contextlib
 import random
+from collections.abc import Iterable
 
 import anyio
 
 from carawayhub.clock import Clock
-from carawayhub.codes import Code
 from carawayhub.config.files import ConfigFile
 from carawayhub.errors import CarawayhubError, ConfigError, PeerError
-from carawayhub.fleet.contents import ContentStore, PartialFile
-from carawayhub.fleet.deltas import answer, fetch
+from carawayhub.fleet.contents import ContentStore
+from carawayhub.fleet.deltas import answer, fetch, fetch_files
 from carawayhub.fleet.events import (
     FetchFailed,
     Report,
@@ -37,7 +39,6 @@
 )
 from carawayhub.fleet.manifest import NOTHING, History, Manifest, VersionId
 from carawayhub.fleet.messages import (
-    DIGESTS_PER_REQUEST,
     Document,
     FilesReply,
     FilesRequest,
@@ -51,6 +52,7 @@
 NEVER = float("inf")
 REFUSALS_KEPT = 64
 NOTES_KEPT = 256
+PEERS_RECHECKED = 3
 
 
 class ConfigSync:
@@ -163,6 +165,36 @@
         """Answer a peer that asks for contents."""
         return self._contents.serve(req)
 
+    async def recheck(self, peers: Iterable[str]) -> bool:
+        """Ask some peers what they have in force; call after a pause of this process.
+
+        Heartbeats that came in during a pause wait in the socket's buffer and are read after it,
+        although they tell of the time before. Only an exchange that begins after the pause shows
+        what holds now.
+
+        Returns:
+            Whether a peer answered and nothing newer is known than what is in force.
+        """
+        answers: list[VersionId] = []
+
+        async def ask(peer: str) -> None:
+            held = self.in_force
+            req = ManifestRequest(
+                document=Document.CONFIGURATION,
+                base_version=held.version,
+                base_digest=held.digest,
+            )
+            with contextlib.suppress(PeerError):
+                reply = await self._peers.manifest(peer, req)
+                answers.append(VersionId(reply.version, reply.digest))
+                self.heard(peer, answers[-1])
+
+        known = sorted(peers)
+        async with anyio.create_task_group() as tasks:
+            for peer in self._rng.sample(known, min(PEERS_RECHECKED, len(known))):
+                tasks.start_soon(ask, peer)
+        return bool(answers) and not any(self._wanted(id) for id in answers)
+
     async def run(self) -> None:
         """Fetch each newer version that a peer has, until cancelled."""
         while True:
@@ -231,26 +263,12 @@
         self._sources[peer] = manifest.id
         if not self._wanted(manifest.id):
             return
-        for content in reply.contents:
-            self._contents.add_unnamed(content)
+        for packed in reply.contents:
+            self._contents.add_packed(packed)
         missing = self._missing(manifest)
-        await self._fetch_files(peer, missing)
+        await fetch_files(self._peers, peer, missing, self._contents)
         await self._settle(manifest, peer, len(missing) + len(reply.contents))
 
-    async def _fetch_files(self, peer: str, missing: list[str]) -> None:
-        partial = PartialFile()
-        while missing:
-            asked = tuple(missing[:DIGESTS_PER_REQUEST])
-            req = FilesRequest(digests=asked, offset=partial.offset(asked[0]))
-            reply = await self._peers.files(peer, req)
-            if not reply.chunks:
-                raise PeerError(Code.PEER_PROTOCOL, f"{peer} does not hold the files it offers")
-            for chunk in reply.chunks:
-                content = partial.add(chunk)
-                if content is not None:
-                    self._contents.add(chunk.digest, content)
-            missing = [digest for digest in missing if digest not in self._contents]
-
     async def _fetch_missing(self, manifest: Manifest, service: ServiceFiles) -> int:
         # The read budget may stretch this over a long time, so peers may bring the version, or a
         # later one, meanwhile; the lock is left to them.
--- a/carawayhub/fleet/watchers.py
+++ b/carawayhub/fleet/watchers.py
@@ -29,10 +29,12 @@
 SILENCE_MARGIN = 4.0
 SERVICE_UNHEARD = 20.0
 STAND_BY_CHECK = 5.0
-FLEET_READS_PER_SECOND = 1_000.0
+FLEET_READS_PER_SECOND = 800.0
 STEP_IN_READS_PER_SECOND = 100.0
 LARGEST_RATE = 100.0
+FALLBACKS_PER_SECOND = 50.0
 SMALLEST_BURST = 5.0
+BURST_SECONDS = 0.25
 EMPTY_ANSWER_PAUSE = 1.0
 
 
@@ -43,10 +45,13 @@
     Attributes:
         name: Its name.
         failure_domain: Where it stands.
+        light: Whether it has bytes and processor time to spare. At full size an entry spends most
+            of its budget on its links, and a watcher reads the whole manifest with each version.
     """
 
     name: str
     failure_domain: str
+    light: bool = False
 
 
 def choose_watchers(
@@ -61,13 +66,15 @@
         down: Those that the caller holds for suspect or gone; the next in order take their place.
         per_failure_domain: How many watch in each failure domain.
     """
-    domains: dict[str, list[str]] = defaultdict(list)
+    domains: dict[str, list[Candidate]] = defaultdict(list)
     for each in candidates:
         if each.name not in down:
-            domains[each.failure_domain].append(each.name)
+            domains[each.failure_domain].append(each)
     chosen: set[str] = set()
-    for domain, names in domains.items():
-        chosen.update(ranked(f"watch {domain}", names)[:per_failure_domain])
+    for domain, able in domains.items():
+        light = ranked(f"watch {domain}", (each.name for each in able if each.light))
+        others = ranked(f"watch {domain}", (each.name for each in able if not each.light))
+        chosen.update([*light, *others][:per_failure_domain])
     return frozenset(chosen)
 
 
@@ -179,9 +186,13 @@
         self._fleet_size = max(1, fleet_size)
         readers = len(self._watchers) if self.on_duty else self._fleet_size
         rate = min(LARGEST_RATE, FLEET_READS_PER_SECOND / max(1, readers))
-        self._budget.resize(rate, max(SMALLEST_BURST, rate))
+        self._budget.resize(rate, max(SMALLEST_BURST, BURST_SECONDS * rate))
         self._updated.notify()
 
+    def fallback_jitter(self) -> float:
+        """Return seconds to wait before files are read that peers should have brought."""
+        return self._rng.uniform(0, self._fleet_size / FALLBACKS_PER_SECOND)
+
     def start_jitter(self) -> float:
         """Return seconds to wait before a first read, so that a mass restart stays in budget."""
         return self._rng.uniform(0, self._fleet_size / FLEET_READS_PER_SECOND)
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -10,6 +10,8 @@
 
 from benchmarks.fleet_fakes import BAD, FakeNetwork, FakeService, PlainAcceptor, digest_of
 from benchmarks.virtual_time import LoopClock, run
+from carawayhub.errors import PeerError
+from carawayhub.fleet.compression import pack, unpack
 from carawayhub.fleet.events import (
     FetchFailed,
     ServiceStale,
@@ -99,7 +101,7 @@
     def test_a_file_of_a_megabyte_crosses_in_bounded_messages(self) -> None:
         async def story() -> None:
             fleet = Fleet("a", "b")
-            await fleet.publish_at("a", 1, {"x.json": b"x" * 1_000_000, "y.json": b"y" * 90_000})
+            await fleet.publish_at("a", 1, {"x.json": noise(1_000_000), "y.json": noise(90_000)})
 
             async def steps() -> None:
                 fleet.tell("a", "b")
@@ -108,6 +110,7 @@
             await fleet.running("b", then=steps)
             self.assertEqual(fleet["b"].in_force, fleet["a"].in_force)
             self.assertGreater(fleet.network.largest, CONTENT_BYTES)
+            self.assertGreater(fleet.network.traffic["b"].bytes, 1_090_000)
             self.assertLess(fleet.network.largest, MAX_MESSAGE_BYTES)
 
         run(story)
@@ -277,6 +280,43 @@
 
         run(story)
 
+    def test_after_a_pause_only_an_exchange_begun_after_it_counts(self) -> None:
+        """An entry that was stopped for 20 s goes on by keys that were withdrawn meanwhile.
+
+        Heartbeats from the time of the pause wait in its sockets and name the version it has in
+        force, which looks as if nothing had changed. Asked now, a peer names the newer one.
+        """
+
+        async def story() -> None:
+            fleet = Fleet("a", "b")
+            await fleet.publish_at("a", 1, ONE)
+            await fleet.publish_at("b", 1, ONE)
+            waiting = fleet["a"].in_force
+            await fleet.publish_at("a", 2, {"30-new.json": b"{}"})
+
+            fleet["b"].heard("a", waiting)
+            self.assertFalse(await fleet["b"].recheck({"a"}))
+
+            async def steps() -> None:
+                await until(lambda: fleet["b"].in_force.version == 2)
+                self.assertTrue(await fleet["b"].recheck({"a"}))
+                fleet.network.unreachable.add("a")
+                self.assertFalse(await fleet["b"].recheck({"a"}))
+
+            await fleet.running("b", then=steps)
+
+        run(story)
+
+
+class CompressionTest(unittest.TestCase):
+    """What a damaged or hostile content may cost."""
+
+    def test_a_content_that_swells_is_refused(self) -> None:
+        self.assertEqual(unpack(pack(bytes(CONTENT_BYTES)), CONTENT_BYTES), bytes(CONTENT_BYTES))
+        for packed in (pack(bytes(CONTENT_BYTES + 1)), pack(b"abc")[:-5], b"plain"):
+            with self.assertRaises(PeerError):
+                unpack(packed, CONTENT_BYTES)
+
 
 class HistoryTest(unittest.TestCase):
     """Deltas between remembered versions."""
@@ -311,6 +351,10 @@
         run(story)
 
 
+def noise(size: int) -> bytes:
+    return random.Random(size).randbytes(size)
+
+
 async def until(condition: Callable[[], bool]) -> None:
     with anyio.fail_after(600):
         while not condition():
