Say what to look for where a file cannot be read

A lone opening bracket was refused with the remark that no comma may stand before a closing one, which sent the reader to look for the wrong thing. The refusal now shows the text that cannot be read and tells a missing bracket from a comma too many; a misspelt key to be explained gets the nearest one named.

--- a/carawayhub/config/explain.py
+++ b/carawayhub/config/explain.py
@@ -9,6 +9,7 @@
 from carawayhub.config.files import ConfigFile
 from carawayhub.config.merge import plain
 from carawayhub.config.problem import ConfigRefusedError
+from carawayhub.config.schema import FIELDS
 from carawayhub.config.spelling import hint
 from carawayhub.config.syntax import (
     WHOLE,
@@ -76,7 +77,7 @@
         for path in _paths(outlines, entity, rest)
     )
     if not found:
-        raise ConfigError(Code.CONFIG_UNKNOWN_KEY, f"{key} is set by no file and has no default")
+        raise _unknown(key)
     return found
 
 
@@ -100,6 +101,14 @@
     return [(EntityKey(section, name), _split(rest[len(name) + 1 :]))]
 
 
+def _unknown(key: str) -> ConfigError:
+    section, _, name = key.partition(".")
+    fields = FIELDS.get(Section(section), ())
+    meant = hint(name.rpartition(".")[2], (field.key for field in fields))
+    detail = f"{key} is set by no file and has no default: {meant}"
+    return ConfigError(Code.CONFIG_UNKNOWN_KEY, detail)
+
+
 def _split(rest: str) -> Path:
     return tuple(rest.split(".")) if rest else ()
 
--- a/carawayhub/config/syntax.py
+++ b/carawayhub/config/syntax.py
@@ -158,8 +158,7 @@
     if root.has_error:
         spot = _first_error(root)
         row, column = spot.start_point
-        what = f"{spot.type!r} is missing" if spot.is_missing else "this cannot be read"
-        detail = f"column {column + 1}: {what}; a comma before a closing bracket is not allowed"
+        detail = f"column {column + 1}: {_syntax_advice(spot, file.content)}"
         return Problem(file.name, row + 1, "", Code.CONFIG_SYNTAX, detail)
     values = _values(root)
     if len(values) != 1:
@@ -179,6 +178,18 @@
     return spot
 
 
+def _syntax_advice(spot: SyntaxNode, content: bytes) -> str:
+    if spot.is_missing and spot.type in _PUNCTUATION:
+        return f"{spot.type!r} is missing"
+    if spot.is_missing:
+        return "a value is missing, or the comma before it is too many"
+    text = content[spot.start_byte : spot.end_byte].strip()
+    if text == b",":
+        return "this comma is too many"
+    shown = text[:_MAX_SHOWN].decode(errors="replace")
+    return f"{shown!r} cannot be read; look here for a missing bracket, quote or comma"
+
+
 class _Outliner:
     """Collects the places of one file's objects and the faults of the levels above them."""
 
@@ -295,6 +306,8 @@
 _SECTION_NAMES = tuple(section.value for section in Section)
 _NAME_SIGNS = frozenset("._:/-")
 _MAX_NAME = 100
+_PUNCTUATION = frozenset('{}[],:"')
+_MAX_SHOWN = 20
 
 
 def _is_name(name: str) -> bool:
--- a/tests/test_config_commands.py
+++ b/tests/test_config_commands.py
@@ -68,7 +68,7 @@
         for key, wanted in (
             ("endpoint.brest-1", "endpoints"),
             ("endpoints.bresd-1", "brest-1"),
-            ("fleet.answer", "answer"),
+            ("fleet.answer_siz", "did you mean 'answer_size'"),
         ):
             with self.assertRaisesRegex(ConfigError, wanted):
                 explain((BASE,), key)
--- a/tests/test_config_syntax.py
+++ b/tests/test_config_syntax.py
@@ -42,6 +42,18 @@
             with self.subTest(content):
                 self.assert_refused(content, Code.CONFIG_SYNTAX, line)
 
+    def test_faults_of_syntax_say_what_to_look_for(self) -> None:
+        for content, wanted in (
+            (b'{"fleet": {},}', "column 13: this comma is too many"),
+            (b'{"groups": {"a": {"endpoints": ["b",]}}}', "column 36: this comma is too many"),
+            (b'{"fleet": [1,2,]}', "a value is missing"),
+            (b'{"fleet": {}', "'}' is missing"),
+            (b"{", "missing bracket"),
+        ):
+            with self.subTest(content):
+                (problem,) = outline(ConfigFile("x.json", content)).problems
+                self.assertIn(wanted, problem.detail)
+
     def test_half_of_a_surrogate_pair_is_no_text(self) -> None:
         text = b'{"endpoints": {"a": {"provider": "\\ud800"}}}'
         problems = build((ConfigFile("x.json", text),)).problems
