Keep crossed answers whole and the proxy up when a client stops reading

Cause: a trial with all faults at once ended the proxy: two connections that were given each other's answers wrote to one client at the same time. An answer held for crossing was also lost when the fault was lifted.

Change: one writer at a time for each client; a failure while writing to the other connection's client resets that connection and not the writer's own; a held answer goes out with the next piece of its own connection.

Conclusion: a new test counts every byte over 100 crossed pieces.

--- a/carawayhub/standins/forward.py
+++ b/carawayhub/standins/forward.py
@@ -72,6 +72,7 @@
     sent_to_client: int = 0
     open_directions: int = 2
     ended: anyio.Event = field(default_factory=anyio.Event)
+    _writing: anyio.Lock = field(default_factory=anyio.Lock)
 
     @property
     def fault(self) -> LinkFault:
@@ -165,13 +166,21 @@
         if fault.cross_count > 0:
             await self.crossing.give(self, data)
             return
+        data = self.crossing.take_back(self) + data
         if fault.duplicate_count > 0:
             fault.duplicate_count -= 1
             data += data
         await self.send_to_client(data)
 
     async def send_to_client(self, data: bytes) -> None:
-        """Deliver data to the client, or cut the connection where the fault says so."""
+        """Deliver data to the client, or end the connection where that fails or a fault says so."""
+        async with self._writing:
+            try:
+                await self._send_or_cut(data)
+            except Broken:
+                self.reset()
+
+    async def _send_or_cut(self, data: bytes) -> None:
         fault = self.fault
         limit = fault.cut_after
         if limit is not None and fault.cut_count > 0 and self.sent_to_client + len(data) >= limit:
@@ -184,7 +193,10 @@
 
 
 class Crossing:
-    """Holds an answer until another connection has one, then gives each the other's."""
+    """Holds an answer until another connection has one, then gives each the other's.
+
+    What found no partner goes out with the next piece of its own connection.
+    """
 
     __slots__ = ("_held",)
 
@@ -204,3 +216,11 @@
         connection.fault.cross_count -= 1
         await connection.send_to_client(held)
         await other.send_to_client(data)
+
+    def take_back(self, connection: Connection) -> bytes:
+        """Return what is held of ``connection``, and hold it no longer."""
+        if self._held is None or self._held[0] is not connection:
+            return b""
+        _, held = self._held
+        self._held = None
+        return held
--- a/tests/test_faultproxy.py
+++ b/tests/test_faultproxy.py
@@ -154,6 +154,29 @@
             self.assertEqual(await receive(one, 3), b"two")
             self.assertEqual(await receive(two, 3), b"one")
 
+    async def test_crossing_of_many_pieces_loses_and_doubles_nothing(self) -> None:
+        async with echo_link() as link, await connect(link) as one, await connect(link) as two:
+            link.state.set_fault(LinkFault(cross_count=20, delay_ms=1, jitter_ms=1))
+            for _ in range(50):
+                await one.send(b"1" * 1000)
+                await two.send(b"2" * 1000)
+            link.state.clear()
+            # What found no partner comes with the next piece of its own connection.
+            await one.send(b"1")
+            await two.send(b"2")
+            received = bytearray()
+
+            async def read(stream: SocketStream) -> None:
+                while True:
+                    received.extend(await stream.receive())
+                    if len(received) >= 100_002:
+                        tg.cancel_scope.cancel()
+
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(read, one)
+                tg.start_soon(read, two)
+        self.assertEqual((received.count(b"1"), received.count(b"2")), (50_001, 50_001))
+
     async def test_duplicate_delay_and_throttle_keep_order(self) -> None:
         async with echo_link() as link, await connect(link) as stream:
             link.state.set_fault(LinkFault(duplicate_count=1))
