Hold goodput flat past saturation with a limit that all entries bound alike

Cause: the first controller cut concurrency on each entry's own estimate of the unloaded wait. In the measurement a refusal further on counted as a wait of nothing and became that estimate, and an entry that began under load took the queue for the usual wait and crowded out the others.

Waits are allowed 0.2 s, or three times the unloaded wait where that is longer; the limit grows by the root of itself, is cut by at most 15% a window, and starts small; failures count only above the unloaded wait; a flow's part has room for chance, and a flow within its part is admitted while others drain.

Tried and dropped: judging each cut by whether the wait fell, and halving the limit each 10 s to see the unloaded wait.

--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 from carawayhub.clock import ManualClock
 from carawayhub.config.model import (
@@ -71,6 +72,15 @@
         self.clock.advance(end - self.now)
 
 
+class Stage(Enum):
+    """How far a request has come at a fake engine."""
+
+    QUEUED = "queued"
+    PREFILL = "prefill"
+    DECODE = "decode"
+    ENDED = "ended"
+
+
 @dataclass(slots=True)
 class FakeRequest:
     """A request at a fake engine."""
@@ -80,7 +90,8 @@
     priority: int
     on_first: Callable[[], None]
     on_end: Callable[[], None]
-    hits: int = 0
+    stage: Stage = Stage.QUEUED
+    cancelled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +112,7 @@
     """An engine with slots, one prefill at a time, and a prefix cache of limited size.
 
     Attributes:
+        slowness: How many times longer than usual everything takes.
         running: Requests in slots.
         load: Requests in slots and in the queue.
         served_blocks: Prefix blocks of all requests so far.
@@ -117,11 +129,11 @@
         "_name",
         "_prefill_free_at",
         "_queue",
-        "_slowness",
         "_time",
         "hit_blocks",
         "running",
         "served_blocks",
+        "slowness",
     )
 
     def __init__(
@@ -130,7 +142,7 @@
         self._time = time
         self._name = name
         self._capacity = capacity
-        self._slowness = slowness
+        self.slowness = slowness
         self._cache: OrderedDict[int, None] = OrderedDict()
         self._cache_size = cache_size
         self._prefill_free_at = 0.0
@@ -178,8 +190,8 @@
             queued=sample.queued,
             capacity=self._capacity,
             load_age=now - sample.at,
-            step_seconds=STEP_SECONDS * self._slowness,
-            tokens_rate=sample.running / (STEP_SECONDS * self._slowness),
+            step_seconds=STEP_SECONDS * self.slowness,
+            tokens_rate=sample.running / (STEP_SECONDS * self.slowness),
             cache=self._due_events(now - lag),
         )
 
@@ -193,29 +205,53 @@
         self._events_first += len(added) + len(removed)
         return CacheEvents(first=first, added=tuple(added), removed=tuple(removed))
 
+    def cancel(self, req: FakeRequest) -> None:
+        """Give up a request; a slot that it decodes in is free at once, a begun prefill ends."""
+        req.cancelled = True
+        if req.stage is Stage.DECODE:
+            self._leave(req)
+
     def _start(self, req: FakeRequest) -> None:
         self.running += 1
-        req.hits = self._hits(req.blocks)
+        req.stage = Stage.PREFILL
+        hits = self._hits(req.blocks)
         self.served_blocks += len(req.blocks)
-        self.hit_blocks += req.hits
-        missing = len(req.blocks) - req.hits
-        prefill = (PREFILL_SECONDS + BLOCK_SECONDS * missing) * self._slowness
+        self.hit_blocks += hits
+        prefill = (PREFILL_SECONDS + BLOCK_SECONDS * (len(req.blocks) - hits)) * self.slowness
         self._prefill_free_at = max(self._time.now, self._prefill_free_at) + prefill
         self._time.after(self._prefill_free_at - self._time.now, lambda: self._first(req))
 
     def _first(self, req: FakeRequest) -> None:
         self._keep(req.blocks)
+        if req.cancelled:
+            self._leave(req)
+            return
+        req.stage = Stage.DECODE
         req.on_first()
-        step = STEP_SECONDS * self._slowness * (1.0 + 0.5 * self.running / self._capacity)
+        step = STEP_SECONDS * self.slowness * (1.0 + 0.5 * self.running / self._capacity)
         self._time.after(req.tokens * step, lambda: self._end(req))
 
     def _end(self, req: FakeRequest) -> None:
-        self.running -= 1
+        if req.stage is Stage.ENDED:
+            return
+        self._leave(req)
         req.on_end()
+
+    def _leave(self, req: FakeRequest) -> None:
+        req.stage = Stage.ENDED
+        self.running -= 1
+        while self.running < self._capacity:
+            waiting = self._next()
+            if waiting is None:
+                return
+            if not waiting.cancelled:
+                self._start(waiting)
+
+    def _next(self) -> FakeRequest | None:
         for priority in sorted(self._queue):
             if self._queue[priority]:
-                self._start(self._queue[priority].popleft())
-                return
+                return self._queue[priority].popleft()
+        return None
 
     def _hits(self, blocks: Sequence[int]) -> int:
         count = 0
--- /dev/null
+++ b/carawayhub/limits/adaptive.py
@@ -0,0 +1,108 @@
+"""A limit on concurrency that follows how long requests wait for their first byte."""
+
+import math
+
+WINDOW_SECONDS = 0.25
+MIN_SAMPLES = 8
+LOW_QUANTILE = 0.25
+FIRST_LIMIT = 8.0
+MIN_LIMIT = 4.0
+WAIT_SECONDS = 0.2
+WAIT_BASES = 3.0
+MAX_CUT = 0.85
+GROWTH = 0.1
+FIRST_GROWTH = 0.5
+FAR_BELOW = 0.5
+BASE_DRIFT = 0.01
+FLOOR_DRIFT = 0.2
+BINDING = 0.7
+
+
+class AdaptiveLimit:
+    """Requests that may run at one target at once.
+
+    When a low quantile of the waits of a short window is above what is allowed, a queue stands:
+    the limit is cut in proportion. A limit that is used up without such a queue grows, by steps
+    that grow more slowly than the limit, so that the limits of several entries draw even.
+
+    What is allowed is the same ``WAIT_SECONDS`` at all entries, or three times the wait of the
+    idle target where that is longer. A bound that followed each entry's own estimate alone would
+    favour the entry that began under load and takes the queue for the usual wait.
+
+    Attributes:
+        value: The limit.
+        base: Seconds to the first byte without a queue, None for unknown.
+    """
+
+    __slots__ = ("_congested_before", "_peak", "_waits", "_window_until", "base", "value")
+
+    def __init__(self) -> None:
+        self.value = FIRST_LIMIT
+        self.base: float | None = None
+        self._congested_before = False
+        self._peak = 0
+        self._waits: list[float] = []
+        self._window_until = 0.0
+
+    def running(self, count: int) -> None:
+        """Note how many requests run."""
+        self._peak = max(self._peak, count)
+
+    def answered(self, wait: float, running: int, now: float) -> None:
+        """Take the seconds that a request waited for the first byte of its answer."""
+        self._waits.append(wait)
+        if now < self._window_until or len(self._waits) < MIN_SAMPLES:
+            return
+        self._waits.sort()
+        low = self._waits[int(len(self._waits) * LOW_QUANTILE)]
+        self._adjust(low)
+        self._waits.clear()
+        self._peak = running
+        self._window_until = now + WINDOW_SECONDS
+
+    def failed(self, wait: float, running: int, now: float) -> None:
+        """Take a request that ended without an answer.
+
+        Guards against both lies of a failure: one that comes at once would pass for an idle
+        target and, as the new base, make every true wait look like a queue; and an endpoint that
+        answers nothing would leave no waits at all. So a failure counts only above the base.
+        """
+        if self.base is not None and wait > self.base:
+            self.answered(wait, running, now)
+
+    def _adjust(self, low: float) -> None:
+        """Move the limit at the end of a window.
+
+        Guards against overload that feeds itself: once requests wait longer than callers do,
+        all work is wasted and callers ask again. A low quantile and not the mean decides, since a
+        burst makes some wait and only a standing queue makes all wait.
+        """
+        allowed = max(WAIT_SECONDS, WAIT_BASES * self._learn_base(low))
+        if low > allowed:
+            cut = min(self.value, self._peak) * max(MAX_CUT, allowed / low)
+            self.value = max(MIN_LIMIT, cut)
+            self._congested_before = True
+        elif self._peak >= BINDING * self.value:
+            self.value += self._growth(low < allowed * FAR_BELOW)
+
+    def _growth(self, far_below: bool) -> float:
+        """Return the next step up: a large one at first and far below what is allowed."""
+        step = math.sqrt(self.value) / 2.0
+        if not far_below:
+            return step
+        return max(step, self.value * (GROWTH if self._congested_before else FIRST_GROWTH))
+
+    def _learn_base(self, low: float) -> float:
+        """Return the base: it falls at once, and rises slowly and only with room to spare.
+
+        Guards against a base that is no longer true, as with longer prompts or slower endpoints:
+        every wait then looks like a queue and the limit falls to its floor. There nothing can
+        queue, and the base is learned anew within a second or two.
+        """
+        if self.base is None or low < self.base:
+            self.base = low
+        elif self.value <= MIN_LIMIT:
+            self.base += FLOOR_DRIFT * (low - self.base)
+        elif self._peak < BINDING * self.value:
+            self.base += BASE_DRIFT * (low - self.base)
+        return self.base
--- a/carawayhub/limits/admission.py
+++ b/carawayhub/limits/admission.py
@@ -126,21 +126,21 @@
 
         Args:
             admitted: What ``admit`` gave.
-            ok: False where it failed or timed out; without a first byte the whole time then
-                counts as a wait, since nothing else would show an endpoint that answers nothing.
+            ok: False where it failed or timed out.
         """
         if admitted.released:
             return
-        now = self._clock.monotonic()
-        if not ok:
-            self.first_byte(admitted)
         admitted.released = True
+        now = self._clock.monotonic()
         query = admitted.query
+        controller = self._controller(query.target)
+        held = now - admitted.at
         streamed = None
-        if ok and admitted.first_byte_at is not None:
+        if admitted.first_byte_at is None and not ok:
+            controller.failed(held, now)
+        if admitted.first_byte_at is not None and ok:
             streamed = now - admitted.first_byte_at
-        key = Key(query.priority, query.organisation)
-        self._controller(query.target).ended(key, now - admitted.at, streamed, query.cost)
+        controller.ended(Key(query.priority, query.organisation), held, streamed, query.cost)
         account = self._accounts.get(query.organisation)
         if account is not None:
             account.ended()
--- a/carawayhub/limits/allotment.py
+++ b/carawayhub/limits/allotment.py
@@ -1,5 +1,6 @@
 """Division of a target's concurrency among priorities and, within one, organisations."""
 
+import math
 from dataclasses import dataclass
 
 from carawayhub.limits.fill import water_fill
@@ -7,7 +8,7 @@
 INTERVAL_SECONDS = 0.1
 RATE_GAIN = 0.2
 HOLD_GAIN = 0.05
-MARGIN = 1.25
+MARGIN_DEVIATIONS = 2.0
 UNKNOWN_PART = 0.05
 FORGET_RATE = 0.01
 
@@ -91,7 +92,9 @@
         return flow
 
     def _asked(self, flow: _Flow) -> float:
-        return MARGIN * flow.rate * self._hold + 1.0
+        """Return the requests a flow would have running, with room for chance."""
+        mean = flow.rate * self._hold
+        return mean + MARGIN_DEVIATIONS * math.sqrt(mean) + 1.0
 
     def _divide(self, limit: float, elapsed: float) -> None:
         by_priority: dict[int, dict[Key, float]] = {}
