Keep all links up when one peer dies, and run the main job in one process

Cause: after the death of one endpoint every call was refused with 'no endpoint'. grpclib wakes a task that waits on a broken connection by cancelling it and turns that into an error, but does not withdraw the cancellation; the next anyio scope of the task passed it on and the task group of all links ended without a word. Ruled out: the fault proxy (links to other hosts went too), the pause detector (it fired as a consequence). A call to a peer that resets its connections could also end the process with AttributeError from inside the library. Change: the cancellation is withdrawn where the error comes out; whatever a library raises in a link or call is a lost link or call. readyz and the callers' door now turn at the same moment. New: a whole fleet in one process, 'carawayhub demo'.

--- a/carawayhub/cli/definition.py
+++ b/carawayhub/cli/definition.py
@@ -152,3 +152,14 @@
     from carawayhub.cli import reference
 
     return reference.codes(_env(context), json_output)
+
+
+@app.command()
+def demo(context: typer.Context) -> ExitStatus:
+    """Run the main job in this one process: calls, a migration step, a VM that dies.
+
+    Example: carawayhub demo
+    """
+    from carawayhub import demo as demonstration
+
+    return demonstration.demo(_env(context))
--- a/carawayhub/core.py
+++ b/carawayhub/core.py
@@ -2,8 +2,9 @@
 
 import sys
 from collections.abc import Sequence
+from typing import Any
 
-import click
+import typer
 from typer.main import get_command
 
 from carawayhub.cli.definition import app
@@ -21,6 +22,11 @@
 }
 
 
+_UsageError: Any = typer.BadParameter.__bases__[0]
+"""Wrong words on the command line. ``typer`` may carry ``click`` within itself, where it has no
+public name, so it is found through what ``typer`` exports."""
+
+
 def main(args: Sequence[str] | None = None, env: Environment | None = None) -> ExitStatus:
     """Run one command and return its exit status.
 
@@ -34,12 +40,12 @@
         result = get_command(app).main(
             words, prog_name="carawayhub", standalone_mode=False, obj=env
         )
-    except click.exceptions.Exit as exc:
+    except typer.Exit as exc:
         return ExitStatus(exc.exit_code)
-    except click.ClickException as exc:
+    except _UsageError as exc:
         exc.show(file=env.stderr)
         return ExitStatus.USAGE
-    except (click.Abort, KeyboardInterrupt):
+    except (typer.Abort, KeyboardInterrupt):
         env.stderr.write("carawayhub: interrupted\n")
         return ExitStatus.INTERRUPTED
     except ConfigError as exc:
--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -91,6 +91,7 @@
     run_once: RunOnce
     directory: EntryDirectory
     metrics: Metrics
+    ready: Callable[[], bool]
     confirmed: Callable[[float], Awaitable[bool]]
 
 
@@ -106,7 +107,6 @@
         self._parts = parts
         self._cfg: Configuration | None = None
         self._by_key: dict[str, Organisation] = {}
-        self.ready = False
         self.accepting = True
         self.running = 0
 
@@ -170,7 +170,7 @@
     def _ready_configuration(self) -> Configuration:
         if not self.accepting:
             raise RequestError(Code.ENTRY_STOPPING, retry_after=STOPPING_RETRY_AFTER)
-        if self._cfg is None or not self.ready:
+        if self._cfg is None or not self._parts.ready():
             raise RequestError(Code.NOT_READY, retry_after=1.0)
         return self._cfg
 
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -76,6 +76,7 @@
                 self._run_once,
                 self._directory,
                 metrics,
+                lambda: runtime.member.ready,
                 runtime.member.confirmed,
             )
         )
@@ -135,7 +136,6 @@
         """Move the shares of limits and watch for changes worth an audit entry."""
         while True:
             await anyio.sleep(self.runtime.member.intervals().heartbeat)
-            self._app.ready = self.runtime.member.ready
             self._demand = self._admission.tick()
             self._audit_endpoints()
 
--- a/carawayhub/peers/calls.py
+++ b/carawayhub/peers/calls.py
@@ -5,11 +5,12 @@
 import anyio
 from grpclib.client import UnaryUnaryMethod
 from grpclib.config import Configuration
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.exceptions import GRPCError
 
 from carawayhub.addresses import Address
 from carawayhub.codes import Code
 from carawayhub.errors import PeerError
+from carawayhub.peers.cancellation import settle_cancellation
 from carawayhub.peers.channels import PeerChannel
 from carawayhub.peers.codec import MessagePackCodec
 from carawayhub.peers.methods import Method
@@ -73,11 +74,13 @@
             await self._connect(address, shared)
             unary = UnaryUnaryMethod(shared.channel, method.path, method.request, method.reply)
             try:
-                with anyio.fail_after(timeout):
+                with anyio.fail_after(timeout), settle_cancellation():
                     return await unary(request, metadata=self._prover.sign(method.path))
             except GRPCError as exc:
                 raise PeerError(Code.PEER_PROTOCOL, str(exc.message)) from exc
-            except (OSError, ProtocolError, StreamTerminatedError, TimeoutError) as exc:
+            except Exception as exc:
+                # A library may fail in ways that it does not document when a connection breaks
+                # under it, with AttributeError for one. To the caller it is a lost call.
                 self._retire(address, shared)
                 raise PeerError(Code.PEER_SILENT, str(exc) or type(exc).__name__) from exc
 
@@ -98,7 +101,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT):
                 await shared.channel.__connect__()
-        except (OSError, TimeoutError) as exc:
+        except Exception as exc:
             self._retire(address, shared)
             raise NotSentError(Code.PEER_SILENT, f"{address}: {exc or 'no connection'}") from exc
 
--- a/carawayhub/peers/links.py
+++ b/carawayhub/peers/links.py
@@ -18,6 +18,7 @@
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
 from carawayhub.errors import PeerError
+from carawayhub.peers.cancellation import settle_cancellation
 from carawayhub.peers.channels import PeerChannel
 from carawayhub.peers.codec import MessagePackCodec
 from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello, ProcessRole
@@ -144,20 +145,27 @@
             await anyio.sleep(self._rng.uniform(FIRST_BACKOFF, ceiling))
 
     async def _session(self) -> tuple[bool, str]:
+        """Use one connection; return whether the peer answered on it and why it ended.
+
+        The stream is always left by an exception. Left in good order, ``grpclib`` would wait for
+        the peer's end of it, which a connection that went silent never brings.
+        """
         channel = PeerChannel(self.peer.address, self._source, self._codec)
         reached = False
         try:
             method = StreamStreamMethod(channel, LINK.path, LINK.request, LINK.reply)
             async with method.open(metadata=self._prover.sign(LINK.path)) as stream:
-                try:
-                    with anyio.fail_after(CONNECT_TIMEOUT):
-                        await self._introduce(stream)
-                    reached = True
-                    await self._exchange(stream)
-                finally:
-                    await _abandon(stream)
+                with anyio.fail_after(CONNECT_TIMEOUT), settle_cancellation():
+                    await self._introduce(stream)
+                reached = True
+                await self._exchange(stream)
         except LinkFailure as exc:
             return reached, _reason(exc)
+        except Exception as exc:
+            # A library may fail in ways that it does not document when a connection breaks under
+            # it. One link that fails so must not end the process and with it all other links.
+            logger.bind(peer=self.peer.name).opt(exception=exc).error("link failed unexpectedly")
+            return reached, _reason(exc)
         finally:
             channel.close()
         return reached, "ended"
@@ -173,13 +181,15 @@
 
     async def _exchange(self, stream: Stream[Any, Any]) -> None:
         self._sent.clear()
+        reason = "the connection broke"
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._beat, stream, tasks.cancel_scope)
             try:
                 await self._receive(stream)
             except LinkFailure as exc:
-                logger.bind(peer=self.peer.name, reason=_reason(exc)).debug("link failed")
+                reason = _reason(exc)
             tasks.cancel_scope.cancel()
+        raise PeerError(Code.PEER_SILENT, reason)
 
     async def _beat(self, stream: Stream[Any, Any], scope: anyio.CancelScope) -> None:
         sequence = 0
@@ -187,7 +197,8 @@
             sequence += 1
             self._sent[sequence] = self._clock.monotonic()
             try:
-                await stream.send_message(self._owner.heartbeat(self.peer, sequence))
+                with settle_cancellation():
+                    await stream.send_message(self._owner.heartbeat(self.peer, sequence))
             except LinkFailure:
                 scope.cancel()
                 return
@@ -195,7 +206,7 @@
 
     async def _receive(self, stream: Stream[Any, Any]) -> None:
         while True:
-            with anyio.fail_after(self._owner.intervals().timeout):
+            with anyio.fail_after(self._owner.intervals().timeout), settle_cancellation():
                 reply = await stream.recv_message()
             match reply:
                 case HeartbeatReply(sequence=0):
@@ -209,15 +220,6 @@
                     raise PeerError(Code.PEER_SILENT, "the peer ended the stream")
 
 
-async def _abandon(stream: Stream[Any, Any]) -> None:
-    """Reset the stream: waiting for the end of a link that went silent would never return."""
-    with anyio.CancelScope(shield=True):
-        try:
-            await stream.cancel()
-        except (ProtocolError, StreamTerminatedError, OSError):
-            return
-
-
 def _reason(exc: BaseException) -> str:
     if isinstance(exc, TimeoutError):
         return "silent past the timeout"
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,232 @@
+"""Links and calls between processes when a peer breaks its connections."""
+
+import random
+import socket
+import unittest
+from typing import Any
+
+import anyio
+
+from carawayhub.addresses import Address
+from carawayhub.clock import SystemClock
+from carawayhub.errors import PeerError
+from carawayhub.fleet.messages import FilesReply, FilesRequest
+from carawayhub.http import bind
+from carawayhub.peers.calls import CallClient
+from carawayhub.peers.links import Intervals, Link, Peer
+from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello, ProcessRole
+from carawayhub.peers.methods import FILES
+from carawayhub.peers.proofs import Prover
+from carawayhub.peers.server import PeerServer, UnaryCall
+from carawayhub.peers.signal import Signal
+
+KEY = "a key of the test fleet"
+LOCAL = Address("127.0.0.1", 0)
+
+
+class End:
+    """One end of a link that notes what happens on it."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.changed = Signal()
+        self.replies = 0
+        self.lost: list[str] = []
+        self.moved = Signal()
+
+    def hello(self) -> Hello:
+        return Hello(
+            name=self.name,
+            role=ProcessRole.AGENT,
+            incarnation=1,
+            failure_domain="brest",
+            address="127.0.0.1:1",
+        )
+
+    def intervals(self) -> Intervals:
+        return Intervals(0.02, 1.0)
+
+    def heartbeat(self, peer: Peer, sequence: int) -> Heartbeat:
+        return Heartbeat(sequence=sequence, version=1, digest="")
+
+    def reply(self, peer: Hello, heartbeat: Heartbeat | None) -> HeartbeatReply:
+        sequence = 0 if heartbeat is None else heartbeat.sequence
+        return HeartbeatReply(sequence=sequence, version=1, digest="")
+
+    def link_up(self, peer: Peer, hello: Hello) -> None:
+        return
+
+    def replied(self, peer: Peer, reply: HeartbeatReply, asked_at: float) -> None:
+        self.replies += 1
+        self.moved.notify()
+
+    def link_lost(self, peer: Peer, reason: str) -> None:
+        self.lost.append(reason)
+        self.moved.notify()
+
+    async def until_replies(self, count: int) -> None:
+        while self.replies < count:
+            await self.moved.wait()
+
+    async def until_lost(self) -> None:
+        while not self.lost:
+            await self.moved.wait()
+
+
+async def start(name: str, key: str, sock: socket.socket, calls: Any = ()) -> PeerServer:
+    server = PeerServer(End(name), Prover(key, name), calls)
+    await server.start(sock)
+    return server
+
+
+def peer_at(sock: socket.socket, name: str = "far") -> Peer:
+    return Peer(name, ProcessRole.AGENT, Address(*sock.getsockname()[:2]))
+
+
+def link_to(peer: Peer, end: End) -> Link:
+    return Link(peer, end, Prover(KEY, "near"), SystemClock(), random.Random(1))
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """Links that one end keeps up."""
+
+    async def test_one_dead_peer_leaves_the_other_links_up(self) -> None:
+        """An entry refuses every call after one of its many endpoints has died.
+
+        A peer's process dies with its link open. grpclib wakes the task of that link by a
+        cancellation that it does not withdraw. The task's next cancel scope passed it on, and the
+        task group that holds all links of the process ended without a word.
+        """
+        dying, living = bind(LOCAL), bind(LOCAL)
+        first = await start("dying", KEY, dying)
+        second = await start("living", KEY, living)
+        to_dying, to_living = End("near"), End("near")
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(link_to(peer_at(dying, "dying"), to_dying).run)
+                tasks.start_soon(link_to(peer_at(living, "living"), to_living).run)
+                await to_dying.until_replies(2)
+                await first.stop()
+                await to_dying.until_lost()
+                await to_living.until_replies(to_living.replies + 3)
+                tasks.cancel_scope.cancel()
+        await second.stop()
+        self.assertTrue(to_dying.lost)
+
+    async def test_a_peer_that_comes_back_is_linked_again(self) -> None:
+        """An endpoint whose agent was restarted gets no work for ever.
+
+        The agent ends and another process takes its address. The link must find it by itself.
+        """
+        sock = bind(LOCAL)
+        address = Address(*sock.getsockname()[:2])
+        server = await start("far", KEY, sock)
+        end = End("near")
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(link_to(Peer("far", ProcessRole.AGENT, address), end).run)
+                await end.until_replies(2)
+                await server.stop()
+                await end.until_lost()
+                server = await start("far", KEY, bind(address))
+                await end.until_replies(end.replies + 2)
+                tasks.cancel_scope.cancel()
+        await server.stop()
+
+    async def test_another_process_at_the_address_is_not_taken_for_the_peer(self) -> None:
+        """Requests for one endpoint would go by the reports of another.
+
+        An address was given to another VM; its agent answers with its own name.
+        """
+        sock = bind(LOCAL)
+        server = await start("stranger", KEY, sock)
+        end = End("near")
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(link_to(peer_at(sock), end).run)
+                await end.until_lost()
+                tasks.cancel_scope.cancel()
+        await server.stop()
+        self.assertEqual(end.replies, 0)
+        self.assertIn("stranger answers for far", end.lost[0])
+
+    async def test_a_stranger_without_the_key_gets_no_link(self) -> None:
+        """A process of another system reads reports and gives them.
+
+        It was given the address by mistake and signs with its own key.
+        """
+        sock = bind(LOCAL)
+        server = await start("far", "a key of another fleet", sock)
+        end = End("near")
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(link_to(peer_at(sock), end).run)
+                await end.until_lost()
+                tasks.cancel_scope.cancel()
+        await server.stop()
+        self.assertEqual(end.replies, 0)
+
+
+class CallTest(unittest.IsolatedAsyncioTestCase):
+    """Calls over channels that break."""
+
+    async def test_a_connection_that_is_reset_is_a_lost_call(self) -> None:
+        """An agent ends while it starts, with an AttributeError.
+
+        A peer accepts its connection and resets it at once; the library then fails inside itself
+        in some of the calls, and the error ended the process.
+        """
+        client = CallClient(Prover(KEY, "near"))
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+        async def reset(stream: anyio.abc.SocketStream) -> None:
+            raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            await stream.aclose()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, reset)
+            for _ in range(100):
+                with self.assertRaises(PeerError):
+                    request = FilesRequest(digests=())
+                    await client.call(Address("127.0.0.1", port), FILES, request, 5.0)
+            tasks.cancel_scope.cancel()
+        client.close()
+
+    async def test_a_lost_call_leaves_the_caller_cancellable(self) -> None:
+        """A process that asked a dying peer cannot be stopped in order afterwards.
+
+        The call is lost with its connection; the caller's task still counts as being cancelled,
+        and the next cancel scope that ends in it does not catch its own cancellation.
+        """
+        sock = bind(LOCAL)
+        entered = anyio.Event()
+
+        async def never(sender: str, request: FilesRequest) -> FilesReply:
+            entered.set()
+            await anyio.sleep_forever()
+            raise AssertionError("unreachable")
+
+        server = await start("far", KEY, sock, (UnaryCall(FILES, never),))
+        client = CallClient(Prover(KEY, "near"))
+        address = Address(*sock.getsockname()[:2])
+        with anyio.fail_after(20):
+            async with anyio.create_task_group() as tasks:
+
+                async def stop_once_entered() -> None:
+                    await entered.wait()
+                    await server.stop()
+
+                tasks.start_soon(stop_once_entered)
+                with self.assertRaises(PeerError):
+                    await client.call(address, FILES, FilesRequest(digests=()), 10.0)
+                with anyio.CancelScope() as scope:
+                    scope.cancel()
+                    await anyio.sleep_forever()
+        self.assertTrue(scope.cancelled_caught)
+        client.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
