--- a/carawayhub/limits/account.py
+++ b/carawayhub/limits/account.py
@@ -1,10 +1,14 @@
 """One organisation's rate, concurrency and demand at one entry."""
 
+import math
+
 from carawayhub.limits.bucket import TokenBucket
 from carawayhub.limits.shares import Allowance, Demand
 
-RATE_GAIN = 0.4
-HEADROOM = 1.15
+CALM_GAIN = 0.1
+JUMP_GAIN = 0.5
+JUMP_DEVIATIONS = 3.0
+HEADROOM = 1.03
 
 
 class Account:
@@ -77,11 +81,21 @@
         """Return what the organisation's callers ask for, measured since the last call."""
         elapsed = now - self._measured_at
         if elapsed > 0.0:
-            self._rate += RATE_GAIN * (self._arrivals / elapsed - self._rate)
-            asked = float(self._peak + self._refused_slots)
-            self._wanted_slots += RATE_GAIN * (asked - self._wanted_slots)
+            self._rate = _follow(self._rate * elapsed, self._arrivals) / elapsed
+            self._wanted_slots = _follow(self._wanted_slots, self._peak + self._refused_slots)
             self._measured_at = now
             self._arrivals = 0
             self._peak = self.running
             self._refused_slots = 0
-        return Demand(self._rate * HEADROOM, self._wanted_slots * HEADROOM, self.running)
+        return Demand(self._rate * HEADROOM, self._wanted_slots, self.running)
+
+
+def _follow(mean: float, count: int) -> float:
+    """Return a mean moved towards a count: slowly within chance, quickly where it has shifted.
+
+    A want that follows chance makes every entry give up and take parts at each tick, and what is
+    on the way between two entries is used by neither.
+    """
+    chance = JUMP_DEVIATIONS * math.sqrt(mean + 1.0)
+    gain = CALM_GAIN if abs(count - mean) <= chance else JUMP_GAIN
+    return mean + gain * (count - mean)
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -141,7 +141,7 @@
     report: EndpointReport | None = None
 
 
-class OrganisationDemand(msgspec.Struct, frozen=True, kw_only=True):
+class OrganisationDemand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Demand of one organisation at one entry.
 
     Attributes:
