--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@$(PY) -m carawayhub demo
 
 lint: $(STAMP)
-	$(PY) -m black --check --quiet carawayhub tests benchmarks
+	$(PY) -m black --check carawayhub tests benchmarks
 	$(PY) -m ruff check carawayhub tests benchmarks
 	$(PY) -m mypy
 
--- a/carawayhub/cli/reference.py
+++ b/carawayhub/cli/reference.py
@@ -32,6 +32,20 @@
     return found
 
 
+def markdown() -> str:
+    """Return all result codes as the table of ``docs/codes.md``."""
+    lines = [
+        "| code | name | outcome | HTTP | what happened | what to do |",
+        "|---|---|---|---|---|---|",
+    ]
+    for row in rows():
+        status = row.http_status or ""
+        lines.append(
+            f"| {row.code} | `{row.name}` | {row.outcome} | {status} | {row.text} | {row.action} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
 def codes(env: Environment, json_output: bool) -> ExitStatus:
     """Write all result codes."""
     if json_output:
