--- /dev/null
+++ b/carawayhub/peers/channels.py
@@ -0,0 +1,40 @@
+"""Channels to peers that go out from the process's own IP number."""
+
+from typing import Any
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+
+from carawayhub.addresses import Address
+from carawayhub.peers.codec import MessagePackCodec
+
+
+class PeerChannel(Channel):
+    """A channel whose connection is bound to a local IP number.
+
+    A VM may have several. Peers, firewalls and those who read their logs tell processes apart by
+    the number that the settings give, so connections go out from it too.
+
+    Args:
+        address: The peer.
+        source: IP number to connect from, empty for any.
+        codec: Encodes messages.
+        config: Options of the library.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        source: str,
+        codec: MessagePackCodec,
+        config: Configuration | None = None,
+    ) -> None:
+        super().__init__(address.host, address.port, codec=codec, config=config)
+        self._source = source
+
+    async def _create_connection(self) -> Any:
+        local = (self._source, 0) if self._source else None
+        _, protocol = await self._loop.create_connection(
+            self._protocol_factory, self._host, self._port, local_addr=local
+        )
+        return protocol
