--- a/tests/test_run_once_tickets.py
+++ b/tests/test_run_once_tickets.py
@@ -1,5 +1,6 @@
 """Tickets: signed, for one incarnation, and refused from the moment they are forgotten."""
 
+import random
 import unittest
 
 from hypothesis import given, settings
@@ -21,7 +22,7 @@
 
     def setUp(self):
         self.clock = ManualClock()
-        self.office = TicketOffice("secret")
+        self.office = TicketOffice("secret", random.Random(1).randbytes)
         self.epochs = Epochs(self.clock, "bench-1", 7, epoch_seconds=5.0, ticket_epochs=4)
         self.ledger = Ledger(self.clock, Member("bench-1", "10.0.0.1:7100"), 7)
 
@@ -91,7 +92,9 @@
     @settings(derandomize=True, max_examples=300, database=None)
     @given(st.data())
     def test_no_changed_ticket_is_read(self, data):
-        text = self.office.issue(SCOPE, "cafe", "bench-1", 7, 1)
+        # A nonce of its own for each example would make the examples differ from run to run.
+        office = TicketOffice("secret", random.Random(1).randbytes)
+        text = office.issue(SCOPE, "cafe", "bench-1", 7, 1)
         place = data.draw(st.integers(0, len(text) - 2))
         other = data.draw(st.sampled_from("AZaz09-_").filter(lambda char: char != text[place]))
         with self.assertRaises(RequestError):
