Keep routing state only for endpoints that an entry hears

Cause: at the planned size an entry knew all 5,400 endpoints: 7.2 MB of state without a single report, 25 MB more for the prefix blocks of 83 linked endpoints, and 100 ms for the status rows (with memory tracing on).

Change: an endpoint is kept account of from its first report until ten minutes after its link went; the blocks remembered share a room of 60,000, about 75 bytes each; status can be limited to endpoints that were heard. What a configuration lets a request use moved to a catalogue of its own.

--- a/carawayhub/routing/candidate.py
+++ b/carawayhub/routing/candidate.py
@@ -17,6 +17,7 @@
 EJECT_SECONDS = 1.0
 MAX_EJECT_SECONDS = 30.0
 FLAP_MEMORY_SECONDS = 60.0
+FORGET_SECONDS = 600.0
 MAX_SETTLE_SECONDS = 32.0
 
 
@@ -92,11 +93,17 @@
         """Its last reported step time, 0 for unknown."""
         return self._report.step_seconds if self._report is not None else 0.0
 
-    def observe(self, report: EndpointReport, asked_at: float, now: float) -> bool:
+    def observe(self, report: EndpointReport, asked_at: float, now: float, room: int) -> bool:
         """Take a report; return whether it is the first or changed if the endpoint may be used.
 
         An answer to an older heartbeat that comes late is passed over: it would bring back a state
         that a newer one has ended.
+
+        Args:
+            report: The report.
+            asked_at: Reading of the clock when the heartbeat that it answers was sent.
+            now: Reading of the clock.
+            room: Prefix blocks to remember at most.
         """
         if asked_at < self._asked_at:
             return False
@@ -110,7 +117,7 @@
         self._report = report
         self.permit_until = self._permit(report, asked_at, last)
         self.load.reported(report.running + report.queued, asked_at - report.load_age)
-        self.blocks.observe(report.cache)
+        self.blocks.observe(report.cache, room)
         return before != self.permitted(now)
 
     def lost(self, now: float) -> None:
@@ -120,6 +127,12 @@
         if self._lost_at == -math.inf:
             self._lost_at = now
 
+    def forgettable(self, now: float) -> bool:
+        """Return whether its link has been gone for so long that nothing of it is of use."""
+        if self._lost_at == -math.inf or self.load.own > 0.0:
+            return False
+        return now - self._lost_at > FORGET_SECONDS
+
     def permitted(self, now: float) -> bool:
         """Return whether work may be sent to it."""
         report = self._report
--- a/carawayhub/routing/pool.py
+++ b/carawayhub/routing/pool.py
@@ -63,19 +63,34 @@
         nearby: For each such provider its endpoints in the nearest region, as one tier.
     """
 
-    __slots__ = ("_domain", "_groups", "_heard", "_refreshed_at", "_region", "nearby", "tiers")
+    __slots__ = (
+        "_domain",
+        "_groups",
+        "_heard",
+        "_known",
+        "_refreshed_at",
+        "_region",
+        "nearby",
+        "tiers",
+    )
 
     def __init__(
-        self, groups: Sequence[Sequence[Candidate]], failure_domain: str, region: str
+        self,
+        groups: Sequence[Sequence[str]],
+        known: Mapping[str, Candidate],
+        failure_domain: str,
+        region: str,
     ) -> None:
         """Make a pool.
 
         Args:
             groups: Its endpoints by lock-step group; a plain service has a group for each.
+            known: The endpoints that were heard; looked at again after ``invalidate``.
             failure_domain: Of this entry.
             region: Of this entry.
         """
         self._groups = groups
+        self._known = known
         self._domain = failure_domain
         self._region = region
         self._heard: list[list[Candidate]] | None = None
@@ -98,7 +113,8 @@
             return
         self._refreshed_at = now
         if self._heard is None:
-            groups = ([c for c in group if c.heard] for group in self._groups)
+            known = self._known
+            groups = ([known[name] for name in group if name in known] for group in self._groups)
             self._heard = [group for group in groups if group]
         self._weigh(self._heard, now, wall)
         self._arrange(self._heard, now)
--- a/carawayhub/routing/prefixes.py
+++ b/carawayhub/routing/prefixes.py
@@ -5,7 +5,8 @@
 
 from carawayhub.peers.messages import CacheEvents
 
-MAX_BLOCKS = 4096
+TOTAL_BLOCKS = 60_000
+MIN_BLOCKS = 256
 HOME_DEPTH = 4
 
 
@@ -15,7 +16,7 @@
     Guards against lost events: an eviction that was never heard would leave a block that is gone
     looking cached, and requests would keep going to a loaded endpoint for nothing. Events carry
     sequence numbers; at a gap all that was known is dropped, and only what later events add counts.
-    Memory holds because the oldest block is forgotten past ``MAX_BLOCKS``.
+    Memory holds because the oldest blocks are forgotten past the room that is given.
     """
 
     __slots__ = ("_blocks", "_next", "gaps")
@@ -31,8 +32,13 @@
     def __len__(self) -> int:
         return len(self._blocks)
 
-    def observe(self, events: CacheEvents) -> None:
-        """Apply the events of one report; events heard before are skipped."""
+    def observe(self, events: CacheEvents, room: int) -> None:
+        """Apply the events of one report; events heard before are skipped.
+
+        Args:
+            events: The events.
+            room: Blocks to remember at most.
+        """
         count = len(events.added) + len(events.removed)
         if events.first + count <= (self._next or 0):
             return
@@ -40,7 +46,7 @@
             self._blocks.clear()
             self.gaps += 1
         self._next = events.first + count
-        self._apply(events)
+        self._apply(events, room)
 
     def forget(self) -> None:
         """Drop everything: the endpoint was restarted, or its events were not heard for a time."""
@@ -57,16 +63,21 @@
             count += 1
         return count
 
-    def _apply(self, events: CacheEvents) -> None:
+    def _apply(self, events: CacheEvents, room: int) -> None:
         for block in events.added:
             self._blocks.pop(block, None)
             self._blocks[block] = None
         for block in events.removed:
             self._blocks.pop(block, None)
-        while len(self._blocks) > MAX_BLOCKS:
+        while len(self._blocks) > room:
             del self._blocks[next(iter(self._blocks))]
 
 
+def blocks_room(endpoints: int) -> int:
+    """Return how many blocks to remember of each endpoint, about 75 bytes each."""
+    return max(MIN_BLOCKS, TOTAL_BLOCKS // max(1, endpoints))
+
+
 def home_key(blocks: Sequence[int]) -> int:
     """Return the number by which the home of a prefix is found.
 
--- a/carawayhub/routing/router.py
+++ b/carawayhub/routing/router.py
@@ -5,11 +5,13 @@
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
-from carawayhub.config.model import Configuration, Endpoint, ModelGroup
+from carawayhub.config.model import Configuration, Endpoint
 from carawayhub.errors import RequestError
 from carawayhub.peers.messages import EndpointReport
 from carawayhub.routing.candidate import Candidate
+from carawayhub.routing.catalogue import Catalogue
 from carawayhub.routing.pool import Pool, Tier
+from carawayhub.routing.prefixes import blocks_room
 from carawayhub.routing.providers import ProviderShares
 from carawayhub.routing.query import (
     Choice,
@@ -18,7 +20,6 @@
     Reason,
     RouteQuery,
     Target,
-    TargetKind,
 )
 
 RETRY_SECONDS = 1.0
@@ -44,10 +45,10 @@
 
     __slots__ = (
         "_candidates",
+        "_catalogue",
         "_cfg",
         "_clock",
         "_domain",
-        "_groups_of",
         "_leaving",
         "_pools",
         "_pools_of",
@@ -63,7 +64,7 @@
         self._region = region
         self._cfg: Configuration | None = None
         self._candidates: dict[str, Candidate] = {}
-        self._groups_of: dict[str, list[ModelGroup]] = {}
+        self._catalogue: Catalogue | None = None
         self._leaving: frozenset[str] = frozenset()
         self._pools: dict[tuple[Target, tuple[str, ...]], Pool] = {}
         self._pools_of: dict[tuple[Target, str], Pool] = {}
@@ -72,13 +73,15 @@
     def configure(self, cfg: Configuration) -> None:
         """Take a configuration into force; what is known of endpoints that stay is kept."""
         self._cfg = cfg
+        now = self._clock.monotonic()
         self._candidates = {
-            name: self._candidate(name, endpoint) for name, endpoint in cfg.endpoints.items()
+            name: candidate
+            for name, candidate in self._candidates.items()
+            if _same_place(candidate, cfg.endpoints.get(name)) and not candidate.forgettable(now)
         }
-        self.set_leaving(self._leaving)
-        self._groups_of = {}
-        for group in cfg.groups.values():
-            self._groups_of.setdefault(group.model, []).append(group)
+        for name, candidate in self._candidates.items():
+            candidate.endpoint = cfg.endpoints[name]
+        self._catalogue = Catalogue(cfg)
         self._pools = {}
         self._pools_of = {}
         self._shares = {model: self._provider_shares(cfg, model) for model in cfg.shares}
@@ -97,8 +100,11 @@
             report: The report.
             asked_at: Reading of the clock when the heartbeat that it answers was sent.
         """
-        candidate = self._candidates.get(report.endpoint)
-        if candidate is not None and candidate.observe(report, asked_at, self._clock.monotonic()):
+        candidate = self._candidates.get(report.endpoint) or self._meet(report.endpoint)
+        if candidate is None:
+            return
+        room = blocks_room(len(self._candidates))
+        if candidate.observe(report, asked_at, self._clock.monotonic(), room):
             self._invalidate()
 
     def lost(self, endpoint: str) -> None:
@@ -178,19 +184,30 @@
         if candidate is not None:
             candidate.ended(token.cost, ok, self._clock.monotonic())
 
-    def states(self) -> list[EndpointRow]:
-        """Return a row for each endpoint, by name."""
+    def states(self, heard_only: bool = False) -> list[EndpointRow]:
+        """Return rows by name, of all declared endpoints or only of those that were heard.
+
+        In a large fleet an entry hears a small part of the endpoints, and rows for all take time.
+        """
         now, wall = self._clock.monotonic(), self._clock.wall()
         for pool in self._pools.values():
             pool.refresh(now, wall)
-        return [self._candidates[name].row(now, wall) for name in sorted(self._candidates)]
-
-    def _candidate(self, name: str, endpoint: Endpoint) -> Candidate:
-        known = self._candidates.get(name)
-        if known is None or known.endpoint.vm != endpoint.vm or known.endpoint.url != endpoint.url:
-            return Candidate(endpoint)
-        known.endpoint = endpoint
-        return known
+        declared = self._cfg.endpoints if self._cfg is not None else {}
+        names = self._candidates if heard_only else declared
+        return [self._row(declared[name], now, wall) for name in sorted(names)]
+
+    def _row(self, endpoint: Endpoint, now: float, wall: float) -> EndpointRow:
+        candidate = self._candidates.get(endpoint.name)
+        return (candidate or Candidate(endpoint)).row(now, wall)
+
+    def _meet(self, name: str) -> Candidate | None:
+        """Begin to keep account of an endpoint that is heard for the first time."""
+        endpoint = self._cfg.endpoints.get(name) if self._cfg is not None else None
+        if endpoint is None:
+            return None
+        candidate = self._candidates[name] = Candidate(endpoint)
+        candidate.leaving = name in self._leaving
+        return candidate
 
     def _provider_shares(self, cfg: Configuration, model: str) -> ProviderShares:
         wanted = {row.provider: row.share for row in cfg.shares[model]}
@@ -208,42 +225,18 @@
         pool = self._pools_of.get((query.target, query.organisation))
         if pool is not None:
             return pool
-        groups = self._eligible(query)
+        if self._catalogue is None:
+            raise RequestError(Code.NOT_READY, retry_after=self._retry_after())
+        groups = self._catalogue.eligible(query)
         key = (query.target, tuple(groups))
         pool = self._pools.get(key)
         if pool is None:
-            by_group = [[self._candidates[name] for name in names] for names in groups.values()]
-            pool = self._pools[key] = Pool(by_group, self._domain, self._region)
+            by_group = list(groups.values())
+            pool = Pool(by_group, self._candidates, self._domain, self._region)
+            self._pools[key] = pool
         self._pools_of[query.target, query.organisation] = pool
         return pool
 
-    def _eligible(self, query: RouteQuery) -> dict[str, tuple[str, ...]]:
-        """Return the endpoints that may serve the query, by lock-step group."""
-        if self._cfg is None:
-            raise RequestError(Code.NOT_READY, retry_after=self._retry_after())
-        if query.target.kind is TargetKind.SERVICE:
-            return self._of_service(self._cfg, query)
-        name = query.target.name
-        groups = self._groups_of.get(name)
-        if not groups:
-            raise RequestError(Code.NOT_SERVED, name)
-        allowed = {
-            group.name: group.endpoints
-            for group in groups
-            if not group.organisations or query.organisation in group.organisations
-        }
-        if not allowed:
-            raise RequestError(Code.NOT_ALLOWED, name)
-        return allowed
-
-    def _of_service(self, cfg: Configuration, query: RouteQuery) -> dict[str, tuple[str, ...]]:
-        service = cfg.services.get(query.target.name)
-        if service is None:
-            raise RequestError(Code.NOT_SERVED, query.target.name)
-        if service.organisations and query.organisation not in service.organisations:
-            raise RequestError(Code.NOT_ALLOWED, query.target.name)
-        return {endpoint: (endpoint,) for endpoint in service.endpoints}
-
     def _search(
         self, tiers: list[Tier], exclude: frozenset[str], limit: float, now: float
     ) -> tuple[Candidate, Reason] | None:
@@ -315,6 +308,13 @@
         return RETRY_SECONDS * (1.0 + self._rng.uniform(-RETRY_JITTER, RETRY_JITTER))
 
 
+def _same_place(candidate: Candidate, endpoint: Endpoint | None) -> bool:
+    if endpoint is None:
+        return False
+    known = candidate.endpoint
+    return known.vm == endpoint.vm and known.url == endpoint.url
+
+
 def _open(candidate: Candidate, exclude: frozenset[str], limit: float, now: float) -> bool:
     if candidate.name in exclude or not candidate.permitted(now):
         return False
