Count the ledger's memory as measured and pass on which VMs are gone

Cause: an entry was counted as 1,100 bytes without its headers, which was neither the memory of a small one nor that of a large one; and an agent that restarts after a VM died never saw that VM listed, so it waited for its promise for ever.

--- a/carawayhub/agent/fence.py
+++ b/carawayhub/agent/fence.py
@@ -229,6 +229,8 @@
         self._hear(reply, sent)
         for former in reply.formers:
             self._learn_former(former)
+        for member in {*reply.gone} & {*self.missing()}:
+            self._gone[member] = self._clock.monotonic()
         self._settle()
         return True
 
@@ -269,6 +271,7 @@
             closed=None if closed is None else closed.incarnation,
             closed_quarantine=0.0 if closed is None else max(0.0, closed.until - now),
             remembers=self._own_quarantine_until() <= now,
+            gone=tuple(sorted(self._gone)),
         )
 
     def _request(self, peer: Member) -> FenceRequest:
--- a/carawayhub/agent/ledger.py
+++ b/carawayhub/agent/ledger.py
@@ -51,7 +51,7 @@
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
 
-ENTRY_BYTES = 1100
+ENTRY_BYTES = 600
 """Memory of one record without its answer, rounded up; ``benchmarks.ledger`` measures it."""
 
 
@@ -65,8 +65,8 @@
         answer_bytes: Largest answer that is kept.
     """
 
-    entries: int = 16_384
-    total_bytes: int = 20 * 1024 * 1024
+    entries: int = 20_000
+    total_bytes: int = 16 * 1024 * 1024
     answer_bytes: int = 16 * 1024
 
 
--- a/carawayhub/agent/messages.py
+++ b/carawayhub/agent/messages.py
@@ -205,6 +205,8 @@
             stopped; none where that is not known.
         closed_quarantine: Quarantine of that incarnation, in seconds.
         remembers: Whether the sender has lost no memory of what it promised before.
+        gone: Members whose VM the platform's list called gone and that the sender has not heard
+            from since; an agent that started later never saw them listed.
     """
 
     scope: str
@@ -220,6 +222,7 @@
     closed: int | None = None
     closed_quarantine: float = 0.0
     remembers: bool = True
+    gone: tuple[Member, ...] = ()
 
 
 class FenceRefusal(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/carawayhub/agent/record.py
+++ b/carawayhub/agent/record.py
@@ -13,6 +13,9 @@
     RunsElsewhere,
 )
 
+ANSWER_BYTES = 150
+HEADER_BYTES = 180
+
 
 @dataclass(slots=True, frozen=True)
 class Running:
@@ -61,10 +64,11 @@
 
 
 def answer_bytes(state: State) -> int:
-    """Return the size of the answer that ``state`` holds."""
+    """Return the memory of the answer that ``state`` holds, rounded up."""
     if not isinstance(state, Answer):
         return 0
-    return len(state.body) + sum(len(name) + len(value) for name, value in state.headers)
+    headers = sum(HEADER_BYTES + len(name) + len(value) for name, value in state.headers)
+    return ANSWER_BYTES + len(state.body) + headers
 
 
 def join(mine: State, theirs: EntryState) -> State:
--- a/tests/test_run_once_homes.py
+++ b/tests/test_run_once_homes.py
@@ -276,6 +276,23 @@
             self.settle(world)
         self.assertIsNone(self.refusal(world, B, key))
 
+    def test_an_agent_that_starts_later_learns_from_its_peers_which_vms_are_gone(self):
+        """A VM dies; before its endpoint is replaced, another agent crashes and restarts.
+
+        The new incarnation never saw the dead VM listed, and would wait for it for ever.
+        """
+        world = self.fleet("a b c")
+        world.crash(A)
+        for slot in (B, C):
+            world.note_gone(A, slot)
+        world.crash(B)
+        world.start(B, 1)
+        for _ in range(6):
+            self.settle(world)
+            world.advance(KEY_TTL * 0.4)
+        self.settle(world)
+        self.assertEqual(world.agents[B].homes.status(SCOPE), Established(0.0))
+
     def test_an_agent_whose_vm_is_called_gone_while_it_lives_stops_by_itself(self):
         """The platform's list drops a VM that lives on, cut off from its peers but not its callers.
 
