Divide limits within cells of a large fleet

Cause: dividing each organisation's limits over all entries needs each entry to hear all others. At 780 entries and 380 organisations that is no longer possible, and one tick over all organisations took 6.6 ms, 1.3% of a core at two ticks a second.

Change: above 24 entries they form cells of about 16. An organisation has as many cells as its rate needs, its limits are split among them by size, and demand is exchanged within a cell only. Entries outside share a tenth, fixed. Only divided limits are moved at a tick. Answers to callers can be kept to preferred entries, and each set of entries has its turns of its own.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -75,11 +75,13 @@
 
     Attributes:
         tick_us: Processor time of one tick in microseconds, hearing all peers included.
+        peers: Entries it exchanges demand with.
         bytes_to_peer: Size of what one heartbeat to one peer carries.
     """
 
     entries: int
     organisations: int
+    peers: int
     tick_us: float
     bytes_to_peer: int
 
@@ -261,9 +263,9 @@
     names = [f"org-{index:03d}" for index in range(organisations)]
     limits = Limits(rate=200.0, burst=200.0, concurrency=200)
     cfg = fake_configuration(2, entries, dict.fromkeys(names, limits))
-    own, *others = sorted(cfg.entries)
-    admission = Admission(timeline.clock, random.Random(SEED), own)
+    admission = Admission(timeline.clock, random.Random(SEED), min(cfg.entries))
     admission.configure(cfg)
+    others = admission.shares.neighbours()
     rows = admission.tick()
     spent = time.process_time()
     for _ in range(rounds):
@@ -273,7 +275,7 @@
         rows = admission.tick()
     spent = time.process_time() - spent
     most = max(len(msgspec.msgpack.encode(admission.shares.for_peer(n, rows))) for n in others)
-    return CostRow(entries, organisations, round(1e6 * spent / rounds, 0), most)
+    return CostRow(entries, organisations, len(others), round(1e6 * spent / rounds, 0), most)
 
 
 def _busiest(times: Sequence[float], begin: float, end: float) -> float:
@@ -335,10 +337,11 @@
             f"{row.entries:>7}  {row.limit:<12} {row.phase:<10} {row.used:>6.1%} "
             f"{row.over:>5}% {row.over_requests:>9} {row.share_error:>11}%"
         )
-    print("\nentries  organisations  tick us  bytes to a peer")
+    print("\nentries  organisations  peers  tick us  bytes to a peer")
     for cost in result.costs:
         print(
-            f"{cost.entries:>7} {cost.organisations:>14} {cost.tick_us:>8} {cost.bytes_to_peer:>16}"
+            f"{cost.entries:>7} {cost.organisations:>14} {cost.peers:>6} {cost.tick_us:>8} "
+            f"{cost.bytes_to_peer:>16}"
         )
     return 0
 
--- a/carawayhub/limits/admission.py
+++ b/carawayhub/limits/admission.py
@@ -1,6 +1,7 @@
 """Whether a request is taken: rate, concurrency, overload and deadline."""
 
 import random
+from collections.abc import Iterable
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
@@ -59,7 +60,7 @@
         self._accounts = {
             name: self._accounts.get(name) or Account(now) for name in cfg.organisations
         }
-        self._resize(now)
+        self._resize(self._accounts, now)
 
     def set_gone(self, entries: frozenset[str]) -> None:
         """Name the entries whose VM the platform's list no longer has."""
@@ -80,9 +81,10 @@
             What to announce to the other entries; ``shares.for_peer`` narrows it to one.
         """
         now = self._clock.monotonic()
-        demand = {name: account.demand(now) for name, account in self._accounts.items()}
+        divided = self.shares.divided
+        demand = {name: self._accounts[name].demand(now) for name in divided}
         rows = self.shares.tick(demand)
-        self._resize(now)
+        self._resize(divided, now)
         return rows
 
     def admit(self, query: AdmitQuery) -> Admitted:
@@ -158,9 +160,9 @@
             account.refused_slot()
             raise self._refuse(Code.CONCURRENCY_EXCEEDED, CONCURRENCY_RETRY_SECONDS)
 
-    def _resize(self, now: float) -> None:
-        for name, account in self._accounts.items():
-            account.resize(self.shares.allowance(name), now)
+    def _resize(self, organisations: Iterable[str], now: float) -> None:
+        for name in organisations:
+            self._accounts[name].resize(self.shares.allowance(name), now)
 
     def _controller(self, target: Target) -> TargetController:
         controller = self._controllers.get(target)
--- a/carawayhub/limits/placement.py
+++ b/carawayhub/limits/placement.py
@@ -1,44 +1,91 @@
-"""Which entries an organisation's callers are sent to."""
+"""Which entries divide an organisation's limits among them, and which its callers are sent to.
+
+Few entries form one cell. Many form cells of about ``CELL_ENTRIES``, and each organisation has as
+many cells as its rate needs. Entries exchange demand within their cell only, so what an entry
+sends does not grow with the fleet, and a surge of one organisation meets a part of it. All of it
+follows from names and limits alone, so all processes agree without a message.
+"""
 
 import math
 from collections.abc import Collection
+from dataclasses import dataclass
 
 from carawayhub.routing.prefixes import name_seed, rendezvous_rank
 
-MIN_ENTRIES = 16
+CELL_ENTRIES = 16
+ONE_CELL_ENTRIES = 24
 RATE_PER_ENTRY = 10.0
 OUTSIDER_PART = 0.1
 
 
-def entries_for(organisation: str, rate: float, entries: Collection[str]) -> frozenset[str]:
-    """Return the entries among which an organisation's limits are divided.
-
-    With few entries it is all of them. With many, each organisation has a part that grows with its
-    rate, chosen by rendezvous hashing: entries then exchange demand only with those that share an
-    organisation with them, and a surge of one organisation meets a part of the fleet. A new or lost
-    entry changes one member at most.
+@dataclass(frozen=True, slots=True)
+class Place:
+    """An entry's place in the division of one organisation's limits.
 
-    Args:
-        organisation: Its name.
-        rate: Its limit in requests a second.
-        entries: Names of all entries that are declared and not gone.
+    Attributes:
+        members: The entries that divide ``part`` among them.
+        part: Part of the limits, from 0 to 1.
     """
-    size = max(MIN_ENTRIES, math.ceil(rate / RATE_PER_ENTRY))
-    if len(entries) <= size:
-        return frozenset(entries)
-    key = name_seed(organisation)
-    ranked = sorted(entries, key=lambda name: rendezvous_rank(name, key), reverse=True)
-    return frozenset(ranked[:size])
+
+    members: frozenset[str]
+    part: float
 
 
-def outsider_part(members: int, entries: int) -> float:
-    """Return the fixed part of a limit that each entry outside the members may use.
+class Cells:
+    """The entries of a fleet, sorted into cells.
 
-    A caller that did not name itself may come to any entry, which must not refuse it outright.
+    Attributes:
+        entries: All of them.
+        count: Number of cells.
     """
-    return OUTSIDER_PART / (entries - members) if entries > members else 0.0
 
+    __slots__ = ("_cell_of", "_members", "count", "entries")
+
+    def __init__(self, entries: Collection[str]) -> None:
+        self.entries = frozenset(entries)
+        many = len(self.entries) > ONE_CELL_ENTRIES
+        self.count = math.ceil(len(self.entries) / CELL_ENTRIES) if many else 1
+        self._cell_of = {name: self._find(name) for name in self.entries}
+        self._members: dict[int, frozenset[str]] = {
+            cell: frozenset(name for name, own in self._cell_of.items() if own == cell)
+            for cell in set(self._cell_of.values())
+        }
+
+    def neighbours(self, entry: str) -> frozenset[str]:
+        """Return the other entries of an entry's cell."""
+        return self._members[self._cell_of[entry]] - {entry}
+
+    def entries_for(self, organisation: str, rate: float) -> frozenset[str]:
+        """Return the entries that an organisation's callers are best sent to."""
+        cells = self._cells_for(organisation, rate)
+        return frozenset().union(*(self._members[cell] for cell in cells))
+
+    def place(self, entry: str, organisation: str, rate: float) -> Place:
+        """Return an entry's place in the division of an organisation's limits.
+
+        An organisation with several cells has its limits divided among them by their sizes. An
+        entry outside has a small fixed part to itself: a caller that did not name itself may come
+        to any entry, which must not refuse it outright.
+        """
+        cells = self._cells_for(organisation, rate)
+        inside = sum(len(self._members[cell]) for cell in cells)
+        outside = len(self.entries) - inside
+        own = self._cell_of[entry]
+        if own not in cells:
+            return Place(frozenset((entry,)), OUTSIDER_PART / outside)
+        part = 1.0 if outside == 0 else 1.0 - OUTSIDER_PART
+        members = self._members[own]
+        return Place(members, part * len(members) / inside)
+
+    def _find(self, entry: str) -> int:
+        """Return an entry's cell; of a larger fleet only what fills a new cell moves."""
+        seed = name_seed(entry)
+        return max(range(self.count), key=lambda cell: rendezvous_rank(f"cell-{cell}", seed))
 
-def member_part(members: int, entries: int) -> float:
-    """Return the part of a limit that the members divide among them."""
-    return 1.0 - OUTSIDER_PART if entries > members else 1.0
+    def _cells_for(self, organisation: str, rate: float) -> list[int]:
+        key = name_seed(organisation)
+        wanted = math.ceil(rate / (RATE_PER_ENTRY * CELL_ENTRIES))
+        ranked = sorted(
+            self._members, key=lambda cell: rendezvous_rank(f"cell-{cell}", key), reverse=True
+        )
+        return ranked[: max(1, wanted)]
--- a/carawayhub/limits/shares.py
+++ b/carawayhub/limits/shares.py
@@ -6,7 +6,7 @@
 
 from carawayhub.clock import Clock
 from carawayhub.config.model import Configuration, Limits
-from carawayhub.limits.placement import entries_for, member_part, outsider_part
+from carawayhub.limits.placement import Cells, Place
 from carawayhub.limits.split import FRESH_TICKS, PeerPart, Split
 from carawayhub.peers.messages import OrganisationDemand
 
@@ -58,17 +58,15 @@
 
 
 class _Shared:
-    """One organisation's two limits and the entries that divide them."""
+    """One organisation's two limits and this entry's place in their division."""
 
-    __slots__ = ("limits", "members", "outside", "rate", "slots")
+    __slots__ = ("limits", "place", "rate", "slots")
 
-    def __init__(self, limits: Limits, members: frozenset[str], entries: int) -> None:
-        part = member_part(len(members), entries)
+    def __init__(self, limits: Limits, place: Place) -> None:
         self.limits = limits
-        self.members = members
-        self.outside = outsider_part(len(members), entries)
-        self.rate = Split(limits.rate * part)
-        self.slots = Split(limits.concurrency * part)
+        self.place = place
+        self.rate = Split(limits.rate * place.part)
+        self.slots = Split(limits.concurrency * place.part)
 
 
 class Shares:
@@ -76,16 +74,21 @@
 
     A new entry holds nothing until it has heard all its peers, or ``START_TICKS`` have passed;
     until then it admits single requests.
+
+    Attributes:
+        divided: Organisations whose limits this entry divides with others; its parts of all other
+            limits stay as they are.
     """
 
     __slots__ = (
+        "_cells",
         "_clock",
         "_interval",
-        "_members",
         "_organisations",
         "_own",
         "_peers",
         "_ticks",
+        "divided",
     )
 
     def __init__(self, clock: Clock, own: str) -> None:
@@ -98,10 +101,11 @@
         self._clock = clock
         self._own = own
         self._interval = 0.5
-        self._members: frozenset[str] = frozenset((own,))
+        self._cells = Cells((own,))
         self._organisations: dict[str, _Shared] = {}
         self._peers: dict[str, _Peer] = {}
         self._ticks = 0
+        self.divided: tuple[str, ...] = ()
 
     def configure(self, cfg: Configuration, gone: Collection[str] = frozenset()) -> None:
         """Take limits and entries into force.
@@ -113,13 +117,30 @@
         """
         now = self._clock.monotonic()
         self._interval = cfg.fleet.report_interval
-        self._members = frozenset(cfg.entries) - frozenset(gone) | {self._own}
-        others = self._members - {self._own}
-        self._peers = {name: self._peers.get(name) or _Peer(now) for name in others}
+        entries = frozenset(cfg.entries) - frozenset(gone) | {self._own}
+        moved = entries != self._cells.entries
+        if moved:
+            self._cells = Cells(entries)
+        neighbours = self.neighbours()
+        self._peers = {name: self._peers.get(name) or _Peer(now) for name in neighbours}
         self._organisations = {
-            name: self._shared(name, organisation.limits)
+            name: self._shared(name, organisation.limits, moved)
             for name, organisation in cfg.organisations.items()
         }
+        self.divided = tuple(
+            name for name, shared in self._organisations.items() if len(shared.place.members) > 1
+        )
+
+    def neighbours(self) -> frozenset[str]:
+        """Return the other entries whose demand this one needs to hear, and that need its own."""
+        return self._cells.neighbours(self._own)
+
+    def entries_for(self, organisation: str) -> frozenset[str]:
+        """Return the entries that an organisation's callers are best sent to."""
+        shared = self._organisations.get(organisation)
+        if shared is None:
+            return frozenset()
+        return self._cells.entries_for(organisation, shared.limits.rate)
 
     def hear(self, entry: str, incarnation: int, demand: Collection[OrganisationDemand]) -> None:
         """Take what another entry announced.
@@ -138,48 +159,43 @@
         """Move all claims, once in each report interval, and return what to announce."""
         now = self._clock.monotonic()
         self._ticks += 1
-        for name, shared in self._organisations.items():
-            self._move(name, shared, demand.get(name, _NO_DEMAND), now)
-        return tuple(self._row(name, demand.get(name, _NO_DEMAND)) for name in self._shared_here())
+        for name in self.divided:
+            self._move(name, self._organisations[name], demand.get(name, _NO_DEMAND), now)
+        return tuple(self._row(name, demand.get(name, _NO_DEMAND)) for name in self.divided)
 
     def for_peer(
-        self, peer: str, rows: Collection[OrganisationDemand]
+        self, peer: str, rows: tuple[OrganisationDemand, ...]
     ) -> tuple[OrganisationDemand, ...]:
-        """Return the rows that concern a peer: of organisations that it shares with this entry."""
-        organisations = self._organisations
-        return tuple(row for row in rows if peer in organisations[row.organisation].members)
+        """Return the rows that concern a peer: all for one of the same cell, none for others."""
+        return rows if peer in self._peers else ()
 
     def allowance(self, organisation: str) -> Allowance:
         """Return what this entry may admit for an organisation that is declared."""
         shared = self._organisations[organisation]
-        limits = shared.limits
-        if self._own not in shared.members:
-            rate = limits.rate * shared.outside
-            slots = limits.concurrency * shared.outside
-            return Allowance(rate, _depth(limits, rate), math.floor(slots), True)
         rate = shared.rate.claimed
         slots = math.floor(shared.slots.claimed + 1e-9)
-        return Allowance(rate, _depth(limits, rate), slots, self._single(organisation, shared))
+        single = self._single(organisation, shared)
+        return Allowance(rate, _depth(shared.limits, rate), slots, single)
 
-    def _shared(self, name: str, limits: Limits) -> _Shared:
+    def _shared(self, name: str, limits: Limits, moved: bool) -> _Shared:
         """Return the division of an organisation's limits, keeping claims that still fit."""
-        members = entries_for(name, limits.rate, self._members)
         known = self._organisations.get(name)
-        if known is not None and known.limits == limits and known.members == members:
+        if known is not None and known.limits == limits and not moved:
+            return known
+        place = self._cells.place(self._own, name, limits.rate)
+        if known is not None and known.limits == limits and known.place == place:
             return known
-        shared = _Shared(limits, members, len(self._members))
-        if known is not None and self._own in members:
+        shared = _Shared(limits, place)
+        if len(place.members) == 1:
+            shared.rate.claimed = shared.rate.total
+            shared.slots.claimed = shared.slots.total
+        elif known is not None:
             shared.rate.claimed = min(known.rate.claimed, shared.rate.total)
             shared.slots.claimed = min(known.slots.claimed, shared.slots.total)
         return shared
 
-    def _shared_here(self) -> list[str]:
-        return [name for name, row in self._organisations.items() if self._own in row.members]
-
     def _move(self, name: str, shared: _Shared, demand: Demand, now: float) -> None:
-        if self._own not in shared.members:
-            return
-        peers = shared.members - {self._own}
+        peers = shared.place.members - {self._own}
         if not self._started(peers):
             shared.rate.announced = demand.rate
             shared.slots.announced = demand.slots
@@ -227,10 +243,10 @@
         counts of the others then decide.
         """
         running = 0
-        for name in shared.members - {self._own}:
+        for name in shared.place.members - {self._own}:
             row = self._peers[name].demand.get(organisation)
             running += row.running if row is not None else 0
-        return running < shared.limits.concurrency
+        return running < max(1.0, shared.slots.total)
 
 
 def _depth(limits: Limits, rate: float) -> float:
--- a/carawayhub/routing/directory.py
+++ b/carawayhub/routing/directory.py
@@ -7,6 +7,8 @@
 from carawayhub.clock import Clock
 from carawayhub.config.model import Configuration, EndpointState, EntryNode, FleetOptions
 
+MAX_ROTATIONS = 256
+
 
 @dataclass(frozen=True, slots=True)
 class EntriesAnswer:
@@ -26,15 +28,15 @@
 class _Rotation:
     """Hands out members in turn, each pass in a new random order, so that all get equally many."""
 
-    __slots__ = ("_queue", "members")
+    __slots__ = ("_members", "_queue")
 
     def __init__(self, members: frozenset[str]) -> None:
-        self.members = members
+        self._members = members
         self._queue: list[str] = []
 
     def next(self, rng: random.Random) -> str:
         if not self._queue:
-            self._queue = sorted(self.members)
+            self._queue = sorted(self._members)
             rng.shuffle(self._queue)
         return self._queue.pop()
 
@@ -64,7 +66,7 @@
         self._fleet = FleetOptions()
         self._away: frozenset[str] = frozenset()
         self._longest_ttl = 0.0
-        self._rotations: dict[str, _Rotation] = {}
+        self._rotations: dict[frozenset[str], _Rotation] = {}
 
     def configure(self, cfg: Configuration) -> None:
         """Take a configuration into force."""
@@ -76,17 +78,26 @@
         """Name the entries that are leaving or suspected; answers leave them out from now on."""
         self._away = frozenset(names)
 
-    def answer(self, caller_domain: str | None = None) -> EntriesAnswer:
+    def answer(
+        self, caller_domain: str | None = None, preferred: Collection[str] = ()
+    ) -> EntriesAnswer:
         """Return the entries for one caller.
 
         Args:
             caller_domain: The caller's failure domain, None where it is not known.
+            preferred: Entries to choose from where enough of them serve, such as those that divide
+                the limits of the caller's organisation; empty for all.
         """
         serving = self._serving()
-        size = self._size(len(serving))
-        names: list[str] = []
-        for position in range(size):
-            names.append(self._next(serving, names, position, caller_domain))
+        declared = frozenset(self._entries)
+        chosen = {name: serving[name] for name in preferred if name in serving}
+        if len(chosen) > self._fleet.answer_size:
+            serving = chosen
+            declared = declared.intersection(preferred)
+        first = self._first(serving, declared, caller_domain)
+        names = [first]
+        while len(names) < self._size(len(serving)):
+            names.append(self._next(serving, names, caller_domain))
         addresses = tuple(self._entries[name].address for name in names)
         ttl = self._fleet.answer_ttl
         return EntriesAnswer(addresses, self._clock.wall() + ttl, ttl)
@@ -116,29 +127,31 @@
         """Return how many to name: never all, but a spare wherever there are two."""
         return min(self._fleet.answer_size, max(serving - 1, 2), serving)
 
-    def _next(
-        self, serving: dict[str, EntryNode], taken: list[str], position: int, domain: str | None
+    def _first(
+        self, serving: dict[str, EntryNode], declared: frozenset[str], domain: str | None
     ) -> str:
-        left = frozenset(serving) - frozenset(taken)
-        own = frozenset(name for name in left if serving[name].failure_domain == domain)
-        inside = position == 1 or position == 0 and self._keeps_inside(serving, domain)
-        wanted = (own if inside else left - own) or left
-        if position > 0:
-            return self._rng.choice(sorted(wanted))
-        return self._in_turn(f"{domain}/{inside}", wanted)
-
-    def _keeps_inside(self, serving: dict[str, EntryNode], domain: str | None) -> bool:
-        """Return whether this caller's first address is to be of its own domain.
+        """Return the first address: of the caller's domain, each entry in its turn.
 
         Guards against a domain that has lost most of its entries: the one that is left would take
         all its callers. Only the part of the callers stays that its live entries had before.
         """
-        declared = [e for e in self._entries.values() if e.failure_domain == domain]
-        live = [e for e in serving.values() if e.failure_domain == domain]
-        return bool(live) and self._rng.random() * len(declared) < len(live)
-
-    def _in_turn(self, key: str, members: frozenset[str]) -> str:
-        rotation = self._rotations.get(key)
-        if rotation is None or rotation.members != members:
-            rotation = self._rotations[key] = _Rotation(members)
+        own = frozenset(n for n, entry in serving.items() if entry.failure_domain == domain)
+        before = sum(self._entries[name].failure_domain == domain for name in declared)
+        if own and self._rng.random() * before < len(own):
+            return self._in_turn(own)
+        return self._in_turn(frozenset(serving) - own or own)
+
+    def _next(self, serving: dict[str, EntryNode], taken: list[str], domain: str | None) -> str:
+        """Return a further address: the second of the caller's domain, the rest of others."""
+        left = frozenset(serving) - frozenset(taken)
+        own = frozenset(name for name in left if serving[name].failure_domain == domain)
+        wanted = own if len(taken) == 1 else left - own
+        return self._rng.choice(sorted(wanted or left))
+
+    def _in_turn(self, members: frozenset[str]) -> str:
+        rotation = self._rotations.get(members)
+        if rotation is None:
+            if len(self._rotations) >= MAX_ROTATIONS:
+                self._rotations.clear()
+            rotation = self._rotations[members] = _Rotation(members)
         return rotation.next(self._rng)
--- a/tests/test_limits_shares.py
+++ b/tests/test_limits_shares.py
@@ -13,7 +13,7 @@
 from carawayhub.errors import RequestError
 from carawayhub.limits.admission import Admission
 from carawayhub.limits.fill import water_fill
-from carawayhub.limits.placement import entries_for
+from carawayhub.limits.placement import Cells
 from carawayhub.limits.query import AdmitQuery
 from carawayhub.limits.shares import RESERVE_SECONDS, Demand, Shares
 from carawayhub.limits.split import UNNOTICED_TICKS
@@ -92,12 +92,35 @@
         parts = water_fill(10.0, {"a": 2.0, "b": 9.0, "c": 9.0})
         self.assertEqual(parts, {"a": 2.0, "b": 4.0, "c": 4.0})
 
-    def test_a_new_entry_changes_one_member_of_a_large_fleet_at_most(self) -> None:
-        names = [f"entry-{index}" for index in range(200)]
-        before = entries_for("org", 100.0, names)
-        after = entries_for("org", 100.0, [*names, "entry-new"])
-        self.assertEqual(len(before), 16)
-        self.assertLessEqual(len(before - after), 1)
+
+class CellsOfALargeFleet(unittest.TestCase):
+    """Which entries divide a limit where there are many."""
+
+    NAMES = [f"entry-{index}" for index in range(400)]
+
+    def test_the_parts_of_all_entries_add_up(self) -> None:
+        cells = Cells(self.NAMES)
+        for rate in (10.0, 1000.0, 1e9):
+            whole = 0.0
+            for name in self.NAMES:
+                place = cells.place(name, "org", rate)
+                whole += place.part / len(place.members)
+            self.assertAlmostEqual(whole, 1.0)
+
+    def test_a_cell_is_small_and_a_new_entry_moves_few(self) -> None:
+        before = Cells(self.NAMES)
+        after = Cells([*self.NAMES, "entry-new"])
+        sizes = [len(before.neighbours(name)) + 1 for name in self.NAMES]
+        self.assertLess(max(sizes), 40)
+        moved = [n for n in self.NAMES if len(before.neighbours(n) ^ after.neighbours(n)) > 20]
+        self.assertLess(len(moved), 60)
+
+    def test_callers_are_sent_where_the_limit_is(self) -> None:
+        cells = Cells(self.NAMES)
+        best = cells.entries_for("org", 100.0)
+        parts = {name: cells.place(name, "org", 100.0) for name in self.NAMES}
+        inside = sum(parts[name].part / len(parts[name].members) for name in best)
+        self.assertAlmostEqual(inside, 0.9)
 
 
 class PartitionAndReplacement(unittest.TestCase):
--- a/tests/test_routing_directory.py
+++ b/tests/test_routing_directory.py
@@ -43,6 +43,17 @@
             sizes[entries] = len(self.directory.answer("domain-a").addresses)
         self.assertEqual(sizes, {1: 1, 2: 2, 3: 2, 4: 3})
 
+    def test_preferred_entries_come_first_where_enough_of_them_serve(self) -> None:
+        preferred = [f"entry-00{index}" for index in range(5)]
+        wanted = {self.cfg.entries[name].address for name in preferred}
+        for _ in range(50):
+            self.assertLessEqual(
+                set(self.directory.answer("domain-a", preferred).addresses), wanted
+            )
+        self.directory.set_away(preferred[:3])
+        others = set(self.directory.answer("domain-a", preferred).addresses) - wanted
+        self.assertTrue(others)
+
     def test_the_wall_time_until_which_an_answer_may_be_kept(self) -> None:
         answer = self.directory.answer(None)
         self.assertEqual(answer.ttl, 20.0)
