Ask members that have promised only at the pace of the renewal

Cause: while one member could not be reached, each round asked all members again: at 284 members that is 283 calls a second, where some 24 are the whole budget of a process.

Change: a round asks those that have not promised, and the others once their renewal is due. The requests and promises of a stage stand in a module of their own.

--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -162,6 +162,7 @@
     for reply in replies:
         assert homes[0].take(reply, ledgers[0])
     taken = time.process_time()
+    clock.advance(KeyTiming().renewal(KEY_TTL))
     for peer, request in homes[0].requests(SCOPE):
         homes[0].take(homes[by_member[peer]].answer(request, ledgers[by_member[peer]]), ledgers[0])
     size = sum(len(msgspec.msgpack.encode(request)) for _, request in requests)
--- a/carawayhub/agent/fence.py
+++ b/carawayhub/agent/fence.py
@@ -25,11 +25,11 @@
     Member,
     RunKey,
 )
+from carawayhub.agent.promises import Promises
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
 
 RETRY_AFTER = 1.0
-MAX_PENDING = 8
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,25 +54,6 @@
     members: tuple[Member, ...]
 
 
-@dataclass(slots=True)
-class _Heard:
-    """A peer's promise at the present set.
-
-    Attributes:
-        first: Reading at which the first request that it answered was sent.
-        incarnation: The peer's.
-        quarantine_until: Reading until which the peer's lost memory matters.
-        closed: Incarnation of this slot that handed its ledger to the peer, none for unknown.
-        closed_until: Reading until which the quarantine of that incarnation lasts.
-    """
-
-    first: float
-    incarnation: int
-    quarantine_until: float
-    closed: int | None
-    closed_until: float
-
-
 class Fence:
     """See the module.
 
@@ -91,11 +72,10 @@
         "_formers",
         "_gone",
         "_grounds",
-        "_heard",
         "_incarnation",
         "_lost_until",
         "_member",
-        "_pending",
+        "_promises",
         "_retention",
         "_scope",
         "_sequence",
@@ -123,8 +103,7 @@
         self._closed = ClosedBook()
         self._formers = Formers()
         self._gone: dict[Member, float] = {}
-        self._heard: dict[Member, _Heard] = {}
-        self._pending: dict[Member, dict[int, float]] = {}
+        self._promises = Promises()
         self._lost_until: float | None = None
         self._retention = 0.0
         self._sequence = 0
@@ -147,7 +126,7 @@
         self._version = version
         if key_set.digest == self.key_set.digest:
             return
-        fenced = {member: heard.first for member, heard in self._heard.items()}
+        fenced = {member: promise.first for member, promise in self._promises.made.items()}
         for member in key_set.members:
             if self.key_set.seat(member) is None:
                 self._gone.pop(member, None)
@@ -156,8 +135,7 @@
             self._gone.setdefault(member, self._clock.monotonic())
         self._retention = max(self._retention, self._timing.retention(key_set.key_ttl))
         self._grounds.enter(key_set)
-        self._heard = {}
-        self._pending = {}
+        self._promises = Promises()
         self._closed.forget_closed()
         self._settle()
 
@@ -188,12 +166,21 @@
 
     def missing(self) -> tuple[Member, ...]:
         """Return who has neither promised nor is known to be gone."""
-        return tuple(m for m in self._required() if m not in self._heard and m not in self._gone)
+        made = self._promises.made
+        return tuple(m for m in self._required() if m not in made and m not in self._gone)
 
     def requests(self) -> tuple[tuple[Member, FenceRequest], ...]:
-        """Return one request for each member that must promise, or confirm its promise."""
+        """Return the requests that are due.
+
+        Members that have not promised are asked at each call, the others to confirm their promise
+        at the pace of the renewal: one member that cannot be reached must not cost a call to each
+        of the others every second.
+        """
         self._settle()
-        return tuple((peer, self._request(peer)) for peer in self._required())
+        pace = self._timing.renewal(self.key_set.key_ttl) / 2
+        oldest = self._clock.monotonic() - pace
+        due = [peer for peer in self._required() if self._promises.due(peer, oldest)]
+        return tuple((peer, self._request(peer)) for peer in due)
 
     def answer(self, request: FenceRequest, ledger: Ledger) -> FenceReply:
         """Promise a peer to run none of its keys from here on, if it stands at the same set."""
@@ -218,7 +205,7 @@
         Returns:
             Whether it was a promise that counts.
         """
-        sent = self._pending.get(reply.sender, {}).pop(reply.sequence, None)
+        sent = self._promises.sent(reply.sender, reply.sequence)
         if sent is None or reply.asker != self._incarnation:
             return False
         self._gone.pop(reply.sender, None)
@@ -276,10 +263,7 @@
 
     def _request(self, peer: Member) -> FenceRequest:
         self._sequence += 1
-        sent = self._pending.setdefault(peer, {})
-        sent[self._sequence] = self._clock.monotonic()
-        if len(sent) > MAX_PENDING:
-            del sent[min(sent)]
+        self._promises.ask(peer, self._sequence, self._clock.monotonic())
         return FenceRequest(
             scope=self._scope,
             sender=self._member,
@@ -287,23 +271,14 @@
             sequence=self._sequence,
             version=self._version,
             digest=self.key_set.digest,
-            holds=peer in self._heard,
+            holds=peer in self._promises.made,
         )
 
     def _hear(self, ack: FenceAck, sent: float) -> None:
-        now = self._clock.monotonic()
-        until = now + ack.quarantine
         if ack.remembers:
             self._grounds.confirm(ack.sender, sent)
-        heard = self._heard.get(ack.sender)
-        if heard is None:
-            closed_until = now + ack.closed_quarantine
-            self._heard[ack.sender] = _Heard(sent, ack.incarnation, until, ack.closed, closed_until)
-            self._formers.fence(ack.sender, sent)
-            return
-        # The first incarnation's promise stands after its end: a later one asks this agent first.
-        if heard.incarnation == ack.incarnation:
-            heard.quarantine_until = min(heard.quarantine_until, until)
+        self._promises.hear(ack, sent, self._clock.monotonic())
+        self._formers.fence(ack.sender, sent)
 
     def _required(self) -> tuple[Member, ...]:
         if self.key_set.seat(self._member) is None:
@@ -319,19 +294,21 @@
             stage.ground = None
             return
         required = self._required()
-        self._trust_closed(required)
+        closed_until = self._promises.closed_until(required)
+        if closed_until is not None:
+            self._lost_until = min(closed_until, self._own_quarantine_until())
         stage.ground = max(
             [self._own_quarantine_until(), *(self._quarantine_until(peer) for peer in required)]
         )
 
     def _quarantine_until(self, peer: Member) -> float:
-        heard = self._heard.get(peer)
-        if heard is not None:
-            return heard.quarantine_until
+        promise = self._promises.made.get(peer)
+        if promise is not None:
+            return promise.quarantine_until
         # Counted from the last promise too: up to then a peer may have confirmed the one believed
         # gone, which may live on behind a partition.
-        readings = [self._gone[peer], *(heard.first for heard in self._heard.values())]
-        return max(readings) + self._timing.gone_quarantine(self.key_set.key_ttl, self._retention)
+        since = max(self._gone[peer], self._promises.last())
+        return since + self._timing.gone_quarantine(self.key_set.key_ttl, self._retention)
 
     def _own_quarantine_until(self) -> float:
         if not self.key_set.quarantine:
@@ -340,21 +317,6 @@
             return self._lost_until
         return self._started + self._retention
 
-    def _trust_closed(self, required: tuple[Member, ...]) -> None:
-        """End the own quarantine where every peer holds the ledger of one stopped predecessor.
-
-        An incarnation in between, which crashed, would have asked each of these peers before it
-        ran anything, and they would not name the older one any more.
-        """
-        known = [self._heard[peer] for peer in required if peer in self._heard]
-        if not known or len(known) < len(required):
-            return
-        closed = {heard.closed for heard in known}
-        if len(closed) > 1 or None in closed:
-            return
-        until = max(heard.closed_until for heard in known)
-        self._lost_until = min(until, self._own_quarantine_until())
-
     def _learn_former(self, told: FormerMember) -> None:
         if told.member == self._member or self.key_set.seat(told.member) is not None:
             return
@@ -370,7 +332,7 @@
         if ground is None or ground > now:
             return
         for member in self._formers.members:
-            if member not in self._heard:
+            if member not in self._promises.made:
                 # Believed gone, and the quarantine that this cost is over.
                 self._formers.drop(member)
                 self._gone.pop(member, None)
--- a/carawayhub/agent/homes.py
+++ b/carawayhub/agent/homes.py
@@ -124,7 +124,7 @@
         return self._fences[scope].quarantine()
 
     def requests(self, scope: str) -> Requests:
-        """Return one request for each member that must promise, or confirm its promise."""
+        """Return the requests for promises and confirmations that are due."""
         return self._fences[scope].requests()
 
     def answer(self, request: FenceRequest, ledger: Ledger) -> FenceReply:
--- a/tests/test_run_once_homes.py
+++ b/tests/test_run_once_homes.py
@@ -151,6 +151,7 @@
         """
         world = self.fleet("a b", "a b-", "a b")
         key = key_moving(world, B, A, B)
+        world.advance(KEY_TTL * 0.1)
         world.ask(B)
         world.deliver(0)
         late = world.bag.pop()
@@ -321,6 +322,7 @@
         world.note_gone(A, B)
         self.settle(world, deaf=(A,))
         self.assertNotEqual(world.agents[B].homes.status(SCOPE), Missing((A,)))
+        world.advance(KEY_TTL * 0.1)
         world.ask(A)
         self.arrive(world)
         self.assertEqual(world.agents[B].homes.status(SCOPE), Missing((A,)))
@@ -382,6 +384,16 @@
         self.assertFalse(self.homes.take(ack, self.ledger))
         self.assertEqual(self.homes.status(SCOPE), Missing((B,)))
 
+    def test_a_silent_member_is_asked_often_and_the_others_at_the_pace_of_the_renewal(self):
+        self.homes.adopt({SCOPE: set_of("a b c")}, 1)
+        peer = Homes(self.clock, B, 2, TIMING)
+        peer.adopt({SCOPE: set_of("a b c")}, 1)
+        request = dict(self.homes.requests(SCOPE))[B]
+        self.homes.take(peer.answer(request, self.ledger), self.ledger)
+        self.assertEqual([asked for asked, _ in self.homes.requests(SCOPE)], [C])
+        self.clock.advance(self.homes.renewal(SCOPE) / 2)
+        self.assertEqual([asked for asked, _ in self.homes.requests(SCOPE)], [B, C])
+
     def test_an_older_configuration_is_passed_over(self):
         self.homes.adopt({SCOPE: set_of("a b")}, 2)
         self.homes.adopt({SCOPE: set_of("a")}, 1)
