End commands with a clean word when interrupted, misused or short of a stream

Cause: with standard input closed the demo died of an assertion of its event loop, whose first socket had the number 0; Ctrl-C ended it with status 0, since the local fleet and the fault proxy cancelled their own scopes while the interrupt passed through and so swallowed it, and typer gives an interrupt as a number; an error inside a task group came out as a traceback. Change: closed standard streams are opened on the null device; scopes are cancelled only after an end in good order; an error of the product is taken out of its group.

--- a/carawayhub/__main__.py
+++ b/carawayhub/__main__.py
@@ -3,10 +3,12 @@
 import sys
 
 from carawayhub.core import main
+from carawayhub.streams import reserve_standard_streams
 
 
 def run() -> None:
     """Run the command and end the process with its status."""
+    reserve_standard_streams()
     sys.exit(main())
 
 
--- a/carawayhub/cli/daemons.py
+++ b/carawayhub/cli/daemons.py
@@ -7,7 +7,6 @@
 import anyio
 
 from carawayhub.context import Environment
-from carawayhub.errors import CommandError
 from carawayhub.output.logs import configure_logs
 from carawayhub.settings import AgentSettings, EntrySettings, load_settings
 from carawayhub.status import ExitStatus
@@ -32,19 +31,5 @@
 
 
 def _run(process: Callable[[Any], Awaitable[None]], settings: Any) -> ExitStatus:
-    try:
-        anyio.run(process, settings, backend_options={"use_uvloop": True})
-    except BaseExceptionGroup as group:
-        raise _first_command_error(group) from None
+    anyio.run(process, settings, backend_options={"use_uvloop": True})
     return ExitStatus.SUCCESS
-
-
-def _first_command_error(group: BaseExceptionGroup[BaseException]) -> BaseException:
-    """Return the error that says what to do, if the group of a failed start holds one."""
-    found = group.subgroup(CommandError)
-    while isinstance(found, BaseExceptionGroup):
-        inner = found.exceptions[0]
-        if not isinstance(inner, BaseExceptionGroup):
-            return inner
-        found = inner
-    return group
--- a/carawayhub/core.py
+++ b/carawayhub/core.py
@@ -37,17 +37,14 @@
     env = env or Environment()
     words = list(sys.argv[1:] if args is None else args)
     try:
-        result = get_command(app).main(
-            words, prog_name="carawayhub", standalone_mode=False, obj=env
-        )
+        result = _run(words, env)
     except typer.Exit as exc:
         return ExitStatus(exc.exit_code)
     except _UsageError as exc:
         exc.show(file=env.stderr)
         return ExitStatus.USAGE
     except (typer.Abort, KeyboardInterrupt):
-        env.stderr.write("carawayhub: interrupted\n")
-        return ExitStatus.INTERRUPTED
+        return _closing(ExitStatus.INTERRUPTED, env)
     except ConfigError as exc:
         env.stderr.write(f"carawayhub: {exc}\n")
         return ExitStatus.CONFIG_REFUSED
@@ -58,4 +55,29 @@
         # The reader of the output has gone, as in `carawayhub codes | head`.
         sys.stderr.close()
         return ExitStatus.SUCCESS
-    return result if isinstance(result, ExitStatus) else ExitStatus.SUCCESS
+    return _closing(result, env)
+
+
+def _closing(result: Any, env: Environment) -> ExitStatus:
+    """Return the status of a command that ended; ``typer`` gives an interrupt as its number."""
+    status = ExitStatus(result) if isinstance(result, int) else ExitStatus.SUCCESS
+    if status is ExitStatus.INTERRUPTED:
+        env.stderr.write("carawayhub: interrupted\n")
+    return status
+
+
+def _run(words: list[str], env: Environment) -> Any:
+    """Run the command; an error within a task group comes out as it was raised."""
+    try:
+        return get_command(app).main(words, prog_name="carawayhub", standalone_mode=False, obj=env)
+    except BaseExceptionGroup as group:
+        raise _known_error(group) from group
+
+
+def _known_error(group: BaseExceptionGroup[BaseException]) -> BaseException:
+    """Return the first error of the product in a group, the group itself where there is none."""
+    for exc in group.exceptions:
+        found = _known_error(exc) if isinstance(exc, BaseExceptionGroup) else exc
+        if isinstance(found, CarawayhubError | KeyboardInterrupt):
+            return found
+    return group
--- a/carawayhub/local/fleet.py
+++ b/carawayhub/local/fleet.py
@@ -95,7 +95,9 @@
                 with anyio.CancelScope(shield=True):
                     await self._end_processes()
                 self._lease.release()
-                tasks.cancel_scope.cancel()
+            # Only after an end in good order: a scope that is cancelled here while the interrupt of
+            # a person passes through would take that for its own cancellation and swallow it.
+            tasks.cancel_scope.cancel()
 
     def publish(self, step: str, content: bytes) -> int:
         """Drop one more file into the configuration folder and return the new version."""
@@ -218,7 +220,7 @@
         while True:
             for name in list(self.processes):
                 status = await self.status(name)
-                if status is not None and status.version:
+                if status is not None and status.ready and status.version:
                     at = self._clock.monotonic()
                     sample = VersionSample(
                         f"{status.role}:{name}:{status.incarnation}", at, status.version
--- a/carawayhub/standins/proxy.py
+++ b/carawayhub/standins/proxy.py
@@ -53,10 +53,8 @@
                 ready = anyio.Event()
                 tg.start_soon(link.run, ready)
                 await ready.wait()
-            try:
-                yield self
-            finally:
-                tg.cancel_scope.cancel()
+            yield self
+            tg.cancel_scope.cancel()
 
     @asynccontextmanager
     async def serving(self, address: str) -> AsyncIterator[str]:
