Run the decider of a group beside rank 0 and stage weights in the background

Cause: a group needs one task that forms it, stages weights within the store's rate, changes the map and takes over what an earlier decider left, with requests kept off a group that cannot step. A first form refused to prepare a map while a change was armed: a rank that died between agreement and verdict then kept the group from ever forming again.

--- a/carawayhub/groups/change.py
+++ b/carawayhub/groups/change.py
@@ -158,7 +158,8 @@
     """Return the handling of a change that another decider left behind, None where there is none.
 
     A change that some rank is armed for is settled: it is committed where all have agreed, and
-    otherwise the ranks that have not agreed are asked to bar it.
+    otherwise the ranks that have not agreed are asked to bar it. One that all ranks have committed
+    to and not yet reached is settled already.
     """
     armed = {state.armed for state in states.values() if state.armed is not None}
     if not armed:
@@ -167,4 +168,4 @@
     handling = begin(term, change, len(states)).withdraw()
     for state in states.values():
         handling = handling.learn(state)
-    return handling
+    return None if handling.settled else handling
--- a/carawayhub/groups/orders.py
+++ b/carawayhub/groups/orders.py
@@ -88,9 +88,16 @@
     staging: MapId | None = None
     missing: int = 0
 
+    @property
+    def next_map(self) -> MapId | None:
+        """The map it goes to as far as it knows a verdict, else the one it is on."""
+        return self.armed.target if self.armed is not None and self.committed else self.map
+
     def holds(self, wanted: MapId) -> bool:
         """Return whether the weights of ``wanted`` are all here."""
-        return self.map == wanted or (self.staging == wanted and self.missing == 0)
+        if self.map == wanted or (self.armed is not None and self.armed.target == wanted):
+            return True
+        return self.staging == wanted and self.missing == 0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -102,7 +109,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Prepare:
-    """Set weights of ``map`` as the ones to fetch; those of an earlier Prepare may go."""
+    """Set weights of ``map`` as the ones to fetch.
+
+    Those of an earlier Prepare may go, but for the map in force and the one that is armed.
+    """
 
     term: Term
     map: ExpertMap
--- /dev/null
+++ b/carawayhub/groups/rounds.py
@@ -0,0 +1,46 @@
+"""Giving orders to many ranks at once and collecting the replies that come."""
+
+from collections.abc import Mapping, Sequence
+
+import anyio
+
+from carawayhub.codes import Code
+from carawayhub.errors import GroupError
+from carawayhub.groups.orders import Order, Reply
+from carawayhub.groups.ranks import RankPort
+
+ORDER_TIMEOUT = 1.0
+
+
+async def give(
+    ports: Sequence[RankPort],
+    orders: Mapping[int, Order],
+    *,
+    timeout: float = ORDER_TIMEOUT,
+    fenced_is_error: bool = True,
+) -> dict[int, Reply]:
+    """Give each rank its order and return the replies that came within ``timeout`` seconds.
+
+    A rank that is missing from the result may have obeyed or not, or may obey later.
+
+    Raises:
+        GroupError: CHANGE_OVERTAKEN where a rank has promised to obey another decider.
+    """
+    replies: dict[int, Reply] = {}
+
+    async def one(rank: int, order: Order) -> None:
+        try:
+            with anyio.move_on_after(timeout):
+                replies[rank] = await ports[rank].order(order)
+        except GroupError:
+            return
+
+    async with anyio.create_task_group() as tasks:
+        for rank, order in orders.items():
+            tasks.start_soon(one, rank, order)
+    for rank, reply in replies.items():
+        if reply.code is Code.ORDER_FENCED and fenced_is_error:
+            raise GroupError(Code.CHANGE_OVERTAKEN, f"rank {rank} obeys {reply.state.promised}")
+        if reply.state.rank != rank:
+            raise GroupError(Code.RANK_MALFORMED, f"rank {rank} says it is {reply.state.rank}")
+    return replies
--- a/carawayhub/standins/rank_rules.py
+++ b/carawayhub/standins/rank_rules.py
@@ -64,7 +64,8 @@
         return replace(state, entered=step)
     if not state.committed:
         return None
-    return replace(state, entered=step, map=armed.target, armed=None, committed=False, staging=None)
+    switched = replace(state, entered=step, map=armed.target, armed=None, committed=False)
+    return replace(switched, staging=None) if state.staging == armed.target else switched
 
 
 def _form(state: RankState, formation: Formation, replaces: str) -> Answer:
--- /dev/null
+++ b/tests/group_bench.py
@@ -0,0 +1,147 @@
+"""A small lock-step group with its decider, for tests."""
+
+import random
+from contextlib import asynccontextmanager
+
+import anyio
+
+from carawayhub.clock import SystemClock
+from carawayhub.config.model import ModelGroup
+from carawayhub.groups.decider import DeciderOptions, GroupDecider
+from carawayhub.groups.policy import Keep, Reason, Rebalance, Situation
+from carawayhub.output.audit import AuditTrail
+from carawayhub.standins.rank_faults import FaultyPort
+from carawayhub.standins.ranks import StandInGroup, StandInPort, StandInRank, WeightStore
+
+EXPERT_BYTES = 1_000
+FAST = DeciderOptions(
+    watch_interval=0.005,
+    full_read_interval=0.1,
+    decision_interval=0.01,
+    lead_steps=20,
+    agree_within=0.2,
+    lost_after=0.6,
+    stage_within=30.0,
+    stand_down=0.02,
+    staging_rate=10_000_000.0,
+)
+
+
+class Chooser:
+    """Asks for one change at a time: whatever ``rows`` is set to."""
+
+    def __init__(self):
+        self.rows = None
+        self.applied_maps = []
+
+    def observe(self, counters):
+        return None
+
+    def decide(self, current, situation):
+        if self.rows is None or current.layers == self.rows:
+            return Keep(reason=Reason.BALANCED, skew=1.0)
+        return Rebalance(
+            reason=Reason.GAIN,
+            map=current.with_layers(self.rows),
+            skew=1.5,
+            expected_skew=1.1,
+            gain_seconds=9.0,
+            cost_seconds=1.0,
+            fetches=1,
+            bytes=EXPERT_BYTES,
+        )
+
+    def applied(self, old, decision):
+        self.applied_maps.append(decision.map.id)
+
+    def measured(self):
+        return ()
+
+
+class Signals:
+    """No counters, an ordinary load."""
+
+    async def counters(self):
+        return None
+
+    def situation(self):
+        return Situation()
+
+
+class GroupBench:
+    """Three ranks with three experts in one layer and one spare slot each."""
+
+    FIRST = ((0, 1, 1, 2, 2, 0),)
+    SECOND = ((0, 1, 1, 0, 2, 0),)
+    THIRD = ((0, 1, 1, 2, 2, 1),)
+
+    def __init__(self, *, checks_fencing=True, ranks=3):
+        self.clock = SystemClock()
+        self.rng = random.Random(7)
+        self.store = WeightStore(100_000_000.0, self.clock)
+        self.ranks = [
+            StandInRank(n, self.store, EXPERT_BYTES, self.rng, checks_fencing=checks_fencing)
+            for n in range(ranks)
+        ]
+        self.group = StandInGroup(self.ranks)
+        self.trail = AuditTrail("agent", self.clock)
+        self.deciders = []
+
+    def decider(self, *, version=1, options=FAST, ports=None):
+        """Return a decider with ports of its own, so that its orders alone meet faults."""
+        count = len(self.ranks)
+        config = ModelGroup(
+            name="g",
+            model="m",
+            endpoints=("e",),
+            ranks=count,
+            experts=3,
+            layers=1,
+            spare_slots=1,
+            expert_bytes=EXPERT_BYTES,
+        )
+        ports = ports or [FaultyPort(StandInPort(rank)) for rank in self.ranks]
+        chooser = Chooser()
+        made = GroupDecider(
+            config, version, ports, chooser, Signals(), self.clock, self.trail, self.rng, options
+        )
+        made.ports, made.chooser = ports, chooser
+        return made
+
+    @asynccontextmanager
+    async def stepping(self):
+        """Let the ranks step while the body runs; bounded, so that a hang fails."""
+        with anyio.fail_after(30):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.group.run, 0.0005)
+                yield tasks
+                tasks.cancel_scope.cancel()
+
+    @asynccontextmanager
+    async def running(self, decider):
+        """Run ``decider`` while the body runs; then it ends as if its process had died."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(decider.run)
+            yield decider
+            tasks.cancel_scope.cancel()
+
+    async def until(self, holds):
+        """Wait for an event."""
+        while not holds():
+            await anyio.sleep(0.001)
+
+    async def until_on(self, rows):
+        """Wait until all ranks step under the map with these rows."""
+        await self.until(lambda: all(self.rows_of(rank) == rows for rank in self.ranks))
+
+    async def until_steps(self, count=30):
+        """Wait until every rank has made ``count`` more steps."""
+        aim = min(rank.state.entered for rank in self.ranks) + count
+        await self.until(lambda: all(rank.state.entered >= aim for rank in self.ranks))
+
+    def rows_of(self, rank):
+        content = rank.content(rank.state.map) if rank.state.map else None
+        return content.layers if content else None
+
+    def events(self):
+        return [change.after + "; " + change.reason for change in self.trail.since()]
