Prove refusals with real processes, and each guard by taking it out

A guard is taken out by a starter among the tests that replaces one function in the daemon's process, so that the product has no switch that makes it unsafe. Local fleets may be told that agents which have just started trust idempotency keys, as on the first use of a service.

--- a/carawayhub/standins/fleet.py
+++ b/carawayhub/standins/fleet.py
@@ -98,7 +98,7 @@
             },
         }
         if desks:
-            parts["40-services.json"] = {"services": _services_section(desks)}
+            parts["40-services.json"] = {"services": _services_section(desks, shape.key_quarantine)}
         return {name: to_json(part) for name, part in parts.items()}
 
     def entry_settings(self, node: NodePlan) -> dict[str, Any]:
@@ -219,8 +219,9 @@
     return json.dumps(value, indent=2).encode() + b"\n"
 
 
-def _services_section(desks: list[str]) -> dict[str, Any]:
+def _services_section(desks: list[str], quarantine: bool) -> dict[str, Any]:
     reads = ("/slots", "/roster", "/lookup", "/licences/*")
     routes = [{"method": "POST", "path": "/bookings", "repeatable": False}]
     routes += [{"method": "GET", "path": path, "repeatable": True} for path in reads]
-    return {BOOKING_SERVICE: {"endpoints": desks, "routes": routes}}
+    booking = {"endpoints": desks, "routes": routes, "key_quarantine": quarantine}
+    return {BOOKING_SERVICE: booking}
--- a/carawayhub/standins/fleetshape.py
+++ b/carawayhub/standins/fleetshape.py
@@ -47,6 +47,7 @@
         capacity: Requests that an engine runs at once.
         step_ms: Time of an engine's step.
         resumes: Whether engines resume streams.
+        key_quarantine: Whether agents that have just started distrust idempotency keys.
         organisations: Customers.
         options: Fleet-wide options as the configuration writes them.
     """
@@ -59,6 +60,7 @@
     capacity: int = 32
     step_ms: float = 6.0
     resumes: bool = True
+    key_quarantine: bool = True
     organisations: tuple[OrganisationPlan, ...] = (
         OrganisationPlan("cafes", priority=1),
         OrganisationPlan("guides", priority=8),
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -27,6 +27,7 @@
 from carawayhub.standins.journal import read_journal
 from carawayhub.standins.platform import Platform, Vm, VmState
 from carawayhub.standins.proxy import Proxy
+from tests.unguarded import VARIABLE
 
 READY_S = 30.0
 END_S = 30.0
@@ -267,5 +268,11 @@
 ) -> ProcessHandle:
     path = fleet.folder / f"{node.name}.json"
     path.write_bytes(to_json(settings))
-    command = ["carawayhub", role, "--settings", str(path)]
+    command = [*_starter(), role, "--settings", str(path)]
     return ProcessHandle(node.name, command, fleet.folder / f"{node.name}.log")
+
+
+def _starter() -> list[str]:
+    """Return the module that runs a daemon, and the guard it leaves out where one is named."""
+    unguarded = os.environ.get(VARIABLE, "")
+    return ["tests.unguarded", unguarded] if unguarded else ["carawayhub"]
--- /dev/null
+++ b/tests/unguarded.py
@@ -0,0 +1,151 @@
+"""Runs a daemon with one of its guards taken out: ``python -m tests.unguarded GUARD entry ...``.
+
+The product has no switch that would disable a guard. This starter replaces the one function that
+holds it, in this process only, and then runs the command as it is. ``benchmarks.guards`` shows that
+the test which belongs to a guard fails without it.
+"""
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from carawayhub.__main__ import run
+
+VARIABLE = "CARAWAYHUB_TEST_UNGUARDED"
+"""Environment variable by which ``tests.processes`` is told which guard to take out."""
+
+NO_FIELD = b'"no such field":'
+Guard = Callable[[], None]
+GUARDS: dict[str, Guard] = {}
+
+
+def guard(name: str) -> Callable[[Guard], Guard]:
+    """Register what takes a guard out under its name."""
+
+    def register(take_out: Guard) -> Guard:
+        GUARDS[name] = take_out
+        return take_out
+
+    return register
+
+
+def replace(owner: object, name: str, value: object) -> None:
+    """Put ``value`` in the place of a function or attribute of the product."""
+    if not hasattr(owner, name):
+        raise AttributeError(f"{owner} has no {name}; the guard has moved")
+    setattr(owner, name, value)
+
+
+def _main() -> None:
+    name, *arguments = sys.argv[1:]
+    for part in name.split("+"):
+        GUARDS[part]()
+    sys.argv[1:] = arguments
+    run()
+
+
+@guard("deadline-read")
+def _deadline_read() -> None:
+    from carawayhub.entry import calls
+
+    replace(calls, "deadline", lambda headers, cfg, clock: clock.monotonic() + 30.0)
+
+
+@guard("http-version")
+def _http_version() -> None:
+    from carawayhub.entry.app import EntryApp
+
+    serve = EntryApp._serve
+
+    async def unchecked(self: Any, scope: Any, *rest: Any) -> None:
+        await serve(self, scope | {"http_version": "1.1"}, *rest)
+
+    replace(EntryApp, "_serve", unchecked)
+
+
+@guard("worst-outcome")
+def _worst_outcome() -> None:
+    from carawayhub.entry import relay
+
+    replace(relay, "_worse", lambda first, second: second)
+
+
+@guard("authentication")
+def _authentication() -> None:
+    from carawayhub.peers import proofs
+
+    def unchecked(self: Any, method: str, metadata: Any) -> str:
+        return str((metadata or {}).get(proofs.SENDER, ""))
+
+    replace(proofs.Prover, "check", unchecked)
+
+
+@guard("ids")
+def _ids() -> None:
+    from carawayhub.entry import relay, stream
+
+    replace(stream, "ID", NO_FIELD)
+    replace(relay, "_check_id", lambda call, response, body: None)
+
+
+@guard("offsets")
+def _offsets() -> None:
+    from carawayhub.entry import stream
+
+    replace(stream, "OFFSET", NO_FIELD)
+
+
+@guard("resumption")
+def _resumption() -> None:
+    from carawayhub.entry.relay import Relay
+
+    replace(Relay, "_may_resume", lambda self, answer, attempt, exc, resumes: False)
+
+
+@guard("broken-off-answer")
+def _broken_off_answer() -> None:
+    from carawayhub.entry.app import AnswerBrokenOff, EntryApp
+
+    serve = EntryApp.__call__
+
+    async def in_order(self: Any, scope: Any, receive: Any, send: Any) -> None:
+        try:
+            await serve(self, scope, receive, send)
+        except AnswerBrokenOff:
+            await send({"type": "http.response.body", "body": b""})
+
+    replace(EntryApp, "__call__", in_order)
+
+
+@guard("explicit-end")
+def _explicit_end() -> None:
+    from carawayhub.entry import relay
+    from carawayhub.errors import RequestError
+
+    relay_stream = relay.Relay._relay_stream
+
+    async def trusting(
+        self: Any, call: Any, answer: Any, attempt: Any, check: Any, res: Any
+    ) -> None:
+        try:
+            await relay_stream(self, call, answer, attempt, check, res)
+        except RequestError as exc:
+            if not exc.detail.endswith("ended the stream early"):
+                raise
+            await answer.end()
+
+    replace(relay.Relay, "_relay_stream", trusting)
+
+
+@guard("caller-watch")
+def _caller_watch() -> None:
+    from carawayhub.entry import app
+
+    async def blind(receive: Any, scope: Any) -> None:
+        return
+
+    replace(app, "_watch_caller", blind)
+
+
+if __name__ == "__main__":
+    _main()
