--- a/carawayhub/agent/fence.py
+++ b/carawayhub/agent/fence.py
@@ -143,7 +143,7 @@
         """Return why a key without a record may not be run here, none where it may."""
         home = self.key_set.home(key)
         if home != self._member:
-            where = "nowhere" if home is None else home.endpoint
+            where = "nowhere" if home is None else f"{home.endpoint} at {home.agent}"
             return Refuse(Code.RUN_HOME_UNREACHABLE, RETRY_AFTER, f"its home is {where}")
         ground = self._grounds.ground(key)
         if ground is None:
--- a/carawayhub/agent/homes.py
+++ b/carawayhub/agent/homes.py
@@ -102,6 +102,15 @@
         fence = self._fences.get(key.scope)
         return self._clock.monotonic() + (0.0 if fence is None else fence.retention)
 
+    def sendable(self, scope: str, remaining: float) -> float:
+        """Return for how long a caller may still send a key that is remembered for ``remaining``.
+
+        Both are in seconds; the difference covers late requests and the rates of clocks.
+        """
+        key_set = self._fences[scope].key_set
+        margin = self._timing.retention(key_set.key_ttl) - key_set.key_ttl
+        return max(0.0, remaining - margin)
+
     def renewal(self, scope: str) -> float:
         """Return the seconds between two rounds of requests while ``scope`` is established."""
         return self._timing.renewal(self._fences[scope].key_set.key_ttl)
--- a/tests/test_run_once_homes.py
+++ b/tests/test_run_once_homes.py
@@ -394,6 +394,12 @@
         self.clock.advance(self.homes.renewal(SCOPE) / 2)
         self.assertEqual([asked for asked, _ in self.homes.requests(SCOPE)], [B, C])
 
+    def test_a_new_key_may_be_sent_for_the_lifetime_that_is_promised(self):
+        self.homes.adopt({SCOPE: set_of("a b")}, 1)
+        kept = self.homes.keep_until(key_of(1)) - self.clock.monotonic()
+        self.assertAlmostEqual(self.homes.sendable(SCOPE, kept), KEY_TTL)
+        self.assertEqual(self.homes.sendable(SCOPE, 0.5), 0.0)
+
     def test_an_older_configuration_is_passed_over(self):
         self.homes.adopt({SCOPE: set_of("a b")}, 2)
         self.homes.adopt({SCOPE: set_of("a")}, 1)
