--- a/carawayhub/standins/ranks.py
+++ b/carawayhub/standins/ranks.py
@@ -155,11 +155,13 @@
     Attributes:
         ranks: The ranks, in order.
         steps: Every step that every rank made.
+        waits: Times that a rank was found waiting at a step for a verdict.
     """
 
     def __init__(self, ranks: Sequence[StandInRank]) -> None:
         self.ranks = tuple(ranks)
         self.steps: list[RankStep] = []
+        self.waits = 0
 
     def advance(self) -> bool:
         """Let each rank enter its next step if it can; return whether one did."""
@@ -168,7 +170,10 @@
             if rank.stalled or not self._may_enter(rank.state):
                 continue
             after = enter_step(rank.state)
-            if after is None or after.formation is None or after.map is None:
+            if after is None:
+                self.waits += 1
+                continue
+            if after.formation is None or after.map is None:
                 continue
             rank.state = after
             moved = True
