Let the agents' clocks differ in the search of key histories

Cause: all agents shared one clock, so the bound on the rates of clocks was never met in a test. Change: each agent's clock has its own zero and runs at 0.99 or 1.01 of true time.

--- a/tests/key_world.py
+++ b/tests/key_world.py
@@ -34,6 +34,8 @@
 SCOPE = "service/booking"
 KEY_TTL = 10.0
 TIMING = KeyTiming(late_arrival=1.0)
+RATES = {"a": 0.99, "b": 1.01, "c": 0.99, "d": 1.01}
+"""Rates of the agents' clocks; their zeros differ as well. The callers' clock is true time."""
 
 
 class DoubleRunError(AssertionError):
@@ -103,6 +105,7 @@
     sets: list[KeySet]
     latest: int = 1
     clock: ManualClock = field(default_factory=ManualClock)
+    clocks: dict[Member, ManualClock] = field(default_factory=dict)
     agents: dict[Member, Agent] = field(default_factory=dict)
     bag: list[Message] = field(default_factory=list)
     live: dict[RunId, Try] = field(default_factory=dict)
@@ -118,8 +121,9 @@
         """Start a new incarnation; the slot's address is free, so none other is alive there."""
         assert slot not in self.agents and slot not in self.gone
         self.incarnations += 1
-        ledger = Ledger(self.clock, slot, self.incarnations)
-        homes = Homes(self.clock, slot, self.incarnations, TIMING)
+        clock = self.clocks.setdefault(slot, ManualClock(now=1000.0 * len(self.clocks)))
+        ledger = Ledger(clock, slot, self.incarnations)
+        homes = Homes(clock, slot, self.incarnations, TIMING)
         self.agents[slot] = Agent(ledger, homes, 0)
         self.adopt(slot, version)
 
@@ -165,6 +169,8 @@
     def advance(self, seconds: float) -> None:
         """Let time pass; attempts that were too long on their way are refused by their stamp."""
         self.clock.advance(seconds)
+        for slot, clock in self.clocks.items():
+            clock.advance(seconds * RATES[slot.endpoint])
         now = self.clock.monotonic()
         self.bag = [
             one
--- a/tests/test_run_once_homes.py
+++ b/tests/test_run_once_homes.py
@@ -20,10 +20,11 @@
     Service,
 )
 from carawayhub.errors import PeerError
-from tests.key_world import KEY_TTL, SCOPE, TIMING, World, key_of, member, set_of
+from tests.key_world import KEY_TTL, RATES, SCOPE, TIMING, World, key_of, member, set_of
 
 A, B, C, D = (member(name) for name in "abcd")
-RETENTION = TIMING.retention(KEY_TTL)
+RETENTION = TIMING.retention(KEY_TTL) / min(RATES.values())
+"""True time after which each agent's retention has passed."""
 
 
 def key_moving(world, *homes):
