--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -124,7 +124,7 @@
         self.world = world
         self.name = name
         self.router = Router(clock, rng, DOMAINS[index % len(DOMAINS)], REGION)
-        self.admission = Admission(clock, rng, name)
+        self.admission = Admission(clock, rng, name, self.router.load_of)
         self.retries = RetryBudget(clock, rng)
         for part in (self.router, self.admission, self.retries):
             part.configure(world.cfg)
--- a/carawayhub/limits/adaptive.py
+++ b/carawayhub/limits/adaptive.py
@@ -1,6 +1,7 @@
 """A limit on concurrency that follows how long requests wait for their first byte."""
 
 import math
+from collections.abc import Callable
 
 WINDOW_SECONDS = 0.25
 MIN_SAMPLES = 8
@@ -16,6 +17,11 @@
 BASE_DRIFT = 0.01
 FLOOR_DRIFT = 0.2
 BINDING = 0.6
+BUSY = 0.4
+
+
+def _unknown() -> float | None:
+    return None
 
 
 class AdaptiveLimit:
@@ -48,19 +54,30 @@
         """Note how many requests run."""
         self._peak = max(self._peak, count)
 
-    def answered(self, wait: float, running: int, now: float) -> None:
-        """Take the seconds that a request waited for the first byte of its answer."""
+    def answered(
+        self, wait: float, running: int, now: float, load: Callable[[], float | None] = _unknown
+    ) -> None:
+        """Take the seconds that a request waited for the first byte of its answer.
+
+        Args:
+            wait: The seconds.
+            running: Requests that run.
+            now: Reading of the clock.
+            load: Gives the load of the target's endpoints over their capacity, None for unknown.
+        """
         self._waits.append(wait)
         if now < self._window_until or len(self._waits) < MIN_SAMPLES:
             return
         self._waits.sort()
         low = self._waits[int(len(self._waits) * LOW_QUANTILE)]
-        self._adjust(low)
+        self._adjust(low, load())
         self._waits.clear()
         self._peak = running
         self._window_until = now + WINDOW_SECONDS
 
-    def failed(self, wait: float, running: int, now: float) -> None:
+    def failed(
+        self, wait: float, running: int, now: float, load: Callable[[], float | None] = _unknown
+    ) -> None:
         """Take a request that ended without an answer.
 
         Guards against both lies of a failure: one that comes at once would pass for an idle
@@ -68,17 +85,20 @@
         answers nothing would leave no waits at all. So a failure counts only above the base.
         """
         if self.base is not None and wait > self.base:
-            self.answered(wait, running, now)
+            self.answered(wait, running, now, load)
 
-    def _adjust(self, low: float) -> None:
+    def _adjust(self, low: float, load: float | None) -> None:
         """Move the limit at the end of a window.
 
         Guards against overload that feeds itself: once requests wait longer than callers do,
         all work is wasted and callers ask again. A low quantile and not the mean decides, since a
-        burst makes some wait and only a standing queue makes all wait.
+        burst makes some wait and only a standing queue makes all wait. Answers that take long in
+        themselves, as whole ones do, can look the same; endpoints with room to spare tell them
+        apart.
         """
+        busy = load is None or load >= BUSY
         allowed = max(WAIT_SECONDS, WAIT_BASES * self._learn_base(low))
-        if low > allowed:
+        if low > allowed and busy:
             cut = min(self.value, self._peak) * max(MAX_CUT, allowed / low)
             self.value = max(MIN_LIMIT, cut)
             self._settled = True
--- a/carawayhub/limits/admission.py
+++ b/carawayhub/limits/admission.py
@@ -1,7 +1,7 @@
 """Whether a request is taken: rate, concurrency, overload and deadline."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
@@ -34,16 +34,34 @@
         >>> admission.release(admitted, ok=True)  # doctest: +SKIP
     """
 
-    __slots__ = ("_accounts", "_clock", "_controllers", "_gone", "_rng", "_cfg", "shares")
-
-    def __init__(self, clock: Clock, rng: random.Random, entry: str) -> None:
+    __slots__ = (
+        "_accounts",
+        "_clock",
+        "_controllers",
+        "_gone",
+        "_load_of",
+        "_rng",
+        "_cfg",
+        "shares",
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        entry: str,
+        load_of: Callable[[Target], float | None] = lambda target: None,
+    ) -> None:
         """Make the admission of one entry.
 
         Args:
             clock: Where the time comes from.
             rng: Where jitter comes from.
             entry: Name of this entry.
+            load_of: Gives the load of a target's endpoints over their capacity, None for unknown,
+                as ``Router.load_of`` does.
         """
+        self._load_of = load_of
         self._clock = clock
         self._rng = rng
         self._cfg: Configuration | None = None
@@ -167,7 +185,7 @@
     def _controller(self, target: Target) -> TargetController:
         controller = self._controllers.get(target)
         if controller is None:
-            controller = self._controllers[target] = TargetController()
+            controller = self._controllers[target] = TargetController(lambda: self._load_of(target))
         return controller
 
     def _refuse(self, code: Code, seconds: float) -> RequestError:
--- a/carawayhub/limits/overload.py
+++ b/carawayhub/limits/overload.py
@@ -1,5 +1,7 @@
 """Control of one target's load: how many requests run at once, and whose."""
 
+from collections.abc import Callable
+
 from carawayhub.limits.adaptive import AdaptiveLimit
 from carawayhub.limits.allotment import Allotment, Key
 from carawayhub.limits.latency import LatencyEstimate
@@ -15,9 +17,15 @@
         running: Requests that run.
     """
 
-    __slots__ = ("_allotment", "_latency", "_limit", "running")
+    __slots__ = ("_allotment", "_latency", "_limit", "_load", "running")
+
+    def __init__(self, load: Callable[[], float | None]) -> None:
+        """Make the controller of one target.
 
-    def __init__(self) -> None:
+        Args:
+            load: Gives the load of its endpoints over their capacity, None for unknown.
+        """
+        self._load = load
         self.running = 0
         self._allotment = Allotment()
         self._latency = LatencyEstimate()
@@ -62,11 +70,11 @@
     def first_byte(self, wait: float, now: float) -> None:
         """Take the seconds that a request waited for the first byte of its answer."""
         self._latency.waited(wait, now)
-        self._limit.answered(wait, self.running, now)
+        self._limit.answered(wait, self.running, now, self._load)
 
     def failed(self, held: float, now: float) -> None:
         """Take a request that ended without a first byte, after some seconds."""
-        self._limit.failed(held, self.running, now)
+        self._limit.failed(held, self.running, now, self._load)
 
     def ended(self, key: Key, held: float, streamed: float | None, cost: float) -> None:
         """Count the end of a request.
--- a/carawayhub/routing/router.py
+++ b/carawayhub/routing/router.py
@@ -151,6 +151,21 @@
             return Choice(candidate.name, reason, candidate.blocks.leading(query.prefix_blocks))
         raise self._refusal(pool, exclude)
 
+    def load_of(self, target: Target) -> float | None:
+        """Return the load of a target's usable endpoints over their capacity, None for unknown."""
+        members = {
+            candidate.name: candidate
+            for (wanted, _), pool in self._pools.items()
+            if wanted == target
+            for tiers in pool.tiers.values()
+            for tier in tiers
+            for candidate in tier.members
+        }.values()
+        capacity = sum(candidate.capacity for candidate in members)
+        if capacity == 0:
+            return None
+        return sum(candidate.load.value for candidate in members) / capacity
+
     def begin(self, endpoint: str, cost: float = 1.0) -> InFlight:
         """Count an attempt that is about to be sent; ``cost`` is 1.0 for an ordinary request."""
         now = self._clock.monotonic()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -69,6 +69,26 @@
             limit.failed(5.0, int(limit.value), now)
         self.assertLess(limit.value, before / 2)
 
+    def test_long_answers_at_endpoints_with_room_are_no_queue(self) -> None:
+        """Callers are refused at an idle target because others ask for whole answers.
+
+        The first byte of a whole answer comes with its last. When such requests become the most,
+        waits are long although nothing queues.
+        """
+        limit = AdaptiveLimit()
+        now = feed(limit, 0.05, 3.0, 0.0)
+        before = limit.value
+        for _ in range(200):
+            now += 0.02
+            limit.running(20)
+            limit.answered(3.0, 20, now, load=lambda: 0.1)
+        self.assertGreaterEqual(limit.value, before)
+        for _ in range(200):
+            now += 0.02
+            limit.running(20)
+            limit.answered(3.0, 20, now, load=lambda: 0.9)
+        self.assertLess(limit.value, before / 2)
+
     def test_a_target_that_became_slower_for_good_is_learned_anew(self) -> None:
         """Goodput stays at a trickle after prompts became ten times longer.
 
