Let local fleets hold a lock-step group behind several engines

The protocol for changing maps had run in memory only. A stand-in of all ranks of a group now has an address; each engine holds its ranks over a connection, passes orders on, and steps only while the group does. A rank is gone with its engine and begins anew with no memory. Counters of tokens per expert drift by a seed, lag and skip samples. Stalls, lost, held and repeated orders, ignored fencing and restarts are switched under /control/, and every step with its map can be read.

FleetShape(lock_step=LockStepShape()) adds such a group; the default shape is as before. The interval of decisions and the horizon of gains become options of the fleet section, so that a fleet under test decides within seconds.

--- a/carawayhub/config/model.py
+++ b/carawayhub/config/model.py
@@ -202,6 +202,9 @@
         join_window: Time for which small parts of one stream are joined, 0 for not at all.
         weight_store_rate: Bytes a second that the platform's weight store gives out in all; each
             group fetches at most its even part of it.
+        decision_interval: Time between two decisions on a lock-step group's expert map.
+        gain_horizon: Time for which a better balance is expected to last, and over which the gain
+            of each change is measured.
     """
 
     answer_ttl: float = 20.0
@@ -215,6 +218,8 @@
     stream_stall: float = 3.0
     join_window: float = 0.02
     weight_store_rate: float = 1_000_000_000.0
+    decision_interval: float = 10.0
+    gain_horizon: float = 900.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/carawayhub/config/schema.py
+++ b/carawayhub/config/schema.py
@@ -55,6 +55,8 @@
     Field("stream_stall_s", Number(0.1, 600), "stream_stall"),
     Field("join_window_s", Number(0, 0.04), "join_window"),
     Field("weight_store_bytes_per_s", Number(1, 1e15), "weight_store_rate"),
+    Field("decision_interval_s", Number(0.1, 86_400), "decision_interval"),
+    Field("gain_horizon_s", Number(1, 604_800), "gain_horizon"),
 )
 ENTRY = (
     Field("vm", Text()),
--- a/carawayhub/local/fleet.py
+++ b/carawayhub/local/fleet.py
@@ -22,13 +22,20 @@
 from carawayhub.local.threads import End, LocalProcess
 from carawayhub.process.status import ProcessStatus
 from carawayhub.settings import AgentSettings, EntrySettings
-from carawayhub.standins.checker import EndpointJournal, Evidence, Leaving, VersionSample
+from carawayhub.standins.checker import (
+    EndpointJournal,
+    Evidence,
+    Leaving,
+    StepSample,
+    VersionSample,
+)
 from carawayhub.standins.engine import Engine
 from carawayhub.standins.fleet import FleetPlan
 from carawayhub.standins.fleetshape import EndpointKind, EndpointPlan, FleetShape, SubnetLease
-from carawayhub.standins.options import EngineOptions, ServiceOptions
+from carawayhub.standins.options import ServiceOptions
 from carawayhub.standins.platform import Platform, Vm, VmState
 from carawayhub.standins.proxy import Proxy
+from carawayhub.standins.rankgroup import RankGroup
 from carawayhub.standins.service import Service
 
 READY_TIMEOUT = 40.0
@@ -56,6 +63,7 @@
         endpoints: Endpoints by name.
         processes: Entries and agents by name.
         evidence: What an observer outside noted so far.
+        ranks: The ranks of the lock-step group, None without one.
     """
 
     def __init__(self, shape: FleetShape) -> None:
@@ -66,6 +74,8 @@
         self.endpoints: dict[str, LocalEndpoint] = {}
         self.processes: dict[str, LocalProcess] = {}
         self.evidence = Evidence()
+        lock_step = shape.lock_step
+        self.ranks = None if lock_step is None else RankGroup(lock_step.options(shape.step_ms))
         self.files = self.plan.config_files()
         self._clock = SystemClock()
         self._tasks: anyio.abc.TaskGroup | None = None
@@ -84,6 +94,8 @@
             self._tasks = tasks
             await stack.enter_async_context(self.platform.serving(self.plan.platform))
             await stack.enter_async_context(self.proxy.running())
+            if self.ranks is not None:
+                await stack.enter_async_context(self.ranks.serving(self.plan.ranks))
             for endpoint in self.plan.endpoints:
                 await self._start_endpoint(endpoint)
             try:
@@ -158,6 +170,13 @@
             for name, endpoint in self.endpoints.items()
         ]
 
+    def steps(self) -> list[StepSample]:
+        """Return every step that every rank of the lock-step group made."""
+        lock_step = self.plan.shape.lock_step
+        if self.ranks is None or lock_step is None:
+            return []
+        return self.ranks.samples(lock_step.name)
+
     def _list_vms(self) -> None:
         vms = [Vm(node.name, VmState.LIVE, node.failure_domain) for node in self.plan.nodes]
         self.platform.set_vms(vms)
@@ -169,12 +188,9 @@
         await self._tasks.start(self._serve_endpoint, endpoint)
 
     def _server(self, plan: EndpointPlan) -> Engine | Service:
-        shape = self.plan.shape
         if plan.kind is EndpointKind.SERVICE:
             return Service(ServiceOptions())
-        return Engine(
-            EngineOptions(capacity=shape.capacity, step_ms=shape.step_ms, resumes=shape.resumes)
-        )
+        return Engine(self.plan.engine_options(plan))
 
     async def _serve_endpoint(
         self, endpoint: LocalEndpoint, *, task_status: anyio.abc.TaskStatus[None]
--- a/carawayhub/standins/__main__.py
+++ b/carawayhub/standins/__main__.py
@@ -8,11 +8,14 @@
 from typing import Annotated
 
 import anyio
+import msgspec
 import typer
 
 from carawayhub.standins.engine import Engine, EngineOptions
+from carawayhub.standins.options import RankOptions
 from carawayhub.standins.platform import Platform, PlatformOptions, Vm, VmState
 from carawayhub.standins.proxy import Proxy
+from carawayhub.standins.rankgroup import RankGroup
 from carawayhub.standins.service import Service, ServiceOptions
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, help=__doc__)
@@ -74,6 +77,8 @@
     checks_giver: Annotated[str, typer.Option(help="Only giver it obeys.")] = "",
     checks_fencing: bool = False,
     seed: int = 0,
+    ranks_at: Annotated[str, typer.Option(help="Where the ranks of its group run.")] = "",
+    rank: Annotated[list[int] | None, typer.Option(help="A rank it holds.")] = None,
 ) -> None:
     """Run a model engine."""
     options = EngineOptions(
@@ -86,10 +91,21 @@
         checks_giver=checks_giver,
         checks_fencing=checks_fencing,
         seed=seed,
+        ranks_at=ranks_at,
+        ranks=tuple(rank or ()),
     )
     _serve(Engine(options, journal).serving(listen))
 
 
+@app.command()
+def ranks(
+    listen: Listen = "127.0.0.1:0",
+    options: Annotated[str, typer.Option(help="Options as a JSON object.")] = "{}",
+) -> None:
+    """Run the ranks of one lock-step group; engines hold them with ``--ranks-at``."""
+    _serve(RankGroup(msgspec.json.decode(options, type=RankOptions)).serving(listen))
+
+
 @app.command()
 def service(
     listen: Listen = "127.0.0.1:0", journal: JournalPath = None, work_ms: float = 5.0
--- a/carawayhub/standins/engine.py
+++ b/carawayhub/standins/engine.py
@@ -1,5 +1,6 @@
 """Stand-in of a model engine: model callers' request shape, batching, faults, a journal."""
 
+import math
 from collections import deque
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import asynccontextmanager
@@ -17,6 +18,8 @@
 from carawayhub.standins.journal import Journal, RunState
 from carawayhub.standins.options import EngineOptions
 from carawayhub.standins.prefixcache import PrefixCache, prefix_blocks
+from carawayhub.standins.rankgroup import Pulse
+from carawayhub.standins.rankshare import RankShare
 from carawayhub.standins.web import (
     CutError,
     Reply,
@@ -31,6 +34,7 @@
 
 LOAD_SAMPLE_S = 0.05
 DEFAULT_PRIORITY = 5
+FOR_EVER = math.inf
 
 
 @dataclass(slots=True, kw_only=True)
@@ -68,7 +72,9 @@
         "_highest_fencing",
         "_jobs",
         "_samples",
+        "_share",
         "_spoken",
+        "_stalled_until",
         "fault",
         "journal",
         "options",
@@ -89,6 +95,13 @@
         self._samples: deque[_Sampled] = deque()
         self._spoken = anyio.Event()
         self._highest_fencing = -1
+        self._stalled_until = 0.0
+        self._share: RankShare | None = None
+        if options.ranks_at:
+            self._share = RankShare(
+                options.ranks_at, options.ranks, options.checks_giver, self._group_changed
+            )
+            self._set_pace()
 
     @asynccontextmanager
     async def serving(self, address: str) -> AsyncIterator[str]:
@@ -96,6 +109,8 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._batch.run)
             tg.start_soon(self._sample_load)
+            if self._share is not None:
+                tg.start_soon(self._share.run)
             async with serving(self.app(), address) as actual:
                 yield actual
             tg.cancel_scope.cancel()
@@ -112,15 +127,31 @@
         router.add("GET", "/control/orders", self._list_orders)
         router.add("GET", "/control/journal", self._list_runs)
         router.add("POST", "/control/fault", self._set_fault)
+        if self._share is not None:
+            self._share.mount(router)
         return router
 
     def set_fault(self, fault: EngineFault) -> None:
         """Replace what is wrong with the engine."""
         self.fault = fault
-        self._batch.set_pace(fault.slow_factor, self._clock.monotonic() + fault.stall_s)
+        self._stalled_until = self._clock.monotonic() + fault.stall_s
+        self._set_pace()
         self._spoken.set()
         self._spoken = anyio.Event()
 
+    def _set_pace(self) -> None:
+        """Step at the pace of the faults, and not while the group of ranks does not."""
+        waits = self._share is not None and not self._share.pulse.stepping
+        until = FOR_EVER if waits else self._stalled_until
+        self._batch.set_pace(self.fault.slow_factor, until)
+
+    def _group_changed(self, before: Pulse, after: Pulse) -> None:
+        """Cut what ran in a formation that has ended; ranks lose their requests with it."""
+        if before.formation and before.formation != after.formation:
+            for job in list(self._jobs.values()):
+                self._batch.stop(job, RunState.CUT)
+        self._set_pace()
+
     async def _sample_load(self) -> None:
         while True:
             now = self._clock.monotonic()
--- a/carawayhub/standins/faults.py
+++ b/carawayhub/standins/faults.py
@@ -44,6 +44,29 @@
     silent: bool = False
 
 
+@dataclass(slots=True, kw_only=True)
+class RankFault:
+    """What is wrong with one rank at present; the defaults say nothing is.
+
+    Orders are named as in their path, for example ``commit``.
+
+    Attributes:
+        stalled: Whether it enters no step.
+        cut: Whether all orders to it are lost.
+        lose: Kinds of order of which the next one is lost.
+        lose_reply: Kinds of order of which the next one is obeyed and its reply lost.
+        hold: Kinds of order that are held back until they are told to be delivered.
+        checks_fencing: Whether it refuses orders of old terms; None for as it was started.
+    """
+
+    stalled: bool = False
+    cut: bool = False
+    lose: tuple[str, ...] = ()
+    lose_reply: tuple[str, ...] = ()
+    hold: tuple[str, ...] = ()
+    checks_fencing: bool | None = None
+
+
 @dataclass(slots=True, kw_only=True)
 class ServiceFault:
     """What is wrong with a service at present; the defaults say nothing is.
--- a/carawayhub/standins/fleet.py
+++ b/carawayhub/standins/fleet.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import Any
 
 from carawayhub.standins.faults import LinkFault
@@ -19,6 +20,7 @@
     FleetShape,
     NodePlan,
 )
+from carawayhub.standins.options import EngineOptions
 from carawayhub.standins.proxy import Proxy
 
 CALLER_PORT = 8080
@@ -27,6 +29,8 @@
 
 INNER_OFFSET = 100
 PLATFORM_BLOCK = 200
+RANKS_PORT = 7200
+RANKS_BLOCK = 202
 
 SYSTEM_KEY = "system-key-of-a-local-fleet"
 BOOKING_SERVICE = "booking"
@@ -44,20 +48,23 @@
         entries: VMs of entries.
         endpoints: Endpoints with their agents.
         platform: ``ip:port`` at which the platform listens.
+        ranks: ``ip:port`` at which the ranks of the lock-step group run, if there is one.
     """
 
-    __slots__ = ("endpoints", "entries", "platform", "shape", "subnet")
+    __slots__ = ("endpoints", "entries", "platform", "ranks", "shape", "subnet")
 
     def __init__(self, shape: FleetShape, subnet: int) -> None:
         self.shape = shape
         self.subnet = subnet
         self.platform = f"127.{subnet}.{PLATFORM_BLOCK + 1}.1:{PLATFORM_PORT}"
+        self.ranks = f"127.{subnet}.{RANKS_BLOCK}.1:{RANKS_PORT}"
         hosts: dict[str, int] = {}
         self.entries = [self._node("entry-", n, hosts) for n in range(shape.entries)]
         engines = [self._node("engine-", n, hosts) for n in range(shape.engines)]
         desks = [self._node("desk-", n, hosts) for n in range(shape.services)]
         self.endpoints = [
             *(EndpointPlan(node, EndpointKind.ENGINE) for node in engines),
+            *self._lock_step_engines(hosts),
             *(EndpointPlan(node, EndpointKind.SERVICE) for node in desks),
         ]
 
@@ -80,6 +87,11 @@
         """Return the VM of a name."""
         return next(node for node in self.nodes if node.name == name)
 
+    @property
+    def lock_step(self) -> list[EndpointPlan]:
+        """Return the engines of the lock-step group, that of rank 0 first."""
+        return [endpoint for endpoint in self.endpoints if endpoint.ranks]
+
     def endpoints_of(self, kind: EndpointKind) -> list[EndpointPlan]:
         """Return the endpoints of a kind."""
         return [endpoint for endpoint in self.endpoints if endpoint.kind is kind]
@@ -87,15 +99,12 @@
     def config_files(self) -> dict[str, bytes]:
         """Return the first version of the configuration, by file name."""
         shape = self.shape
-        engines = [each.name for each in self.endpoints_of(EndpointKind.ENGINE)]
         desks = [each.name for each in self.endpoints_of(EndpointKind.SERVICE)]
         parts: dict[str, dict[str, Any]] = {
-            "00-fleet.json": {"fleet": shape.options, "entries": self._entries_section()},
+            "00-fleet.json": {"fleet": self._fleet_section(), "entries": self._entries_section()},
             "10-organisations.json": {"organisations": self._organisations_section()},
             "20-endpoints.json": {"endpoints": self._endpoints_section()},
-            "30-groups.json": {
-                "groups": {f"group-{n}": {"model": shape.model, "endpoints": [n]} for n in engines}
-            },
+            "30-groups.json": {"groups": self._groups_section()},
         }
         if desks:
             parts["40-services.json"] = {"services": _services_section(desks, shape.key_quarantine)}
@@ -109,6 +118,17 @@
         """Return the settings of an agent."""
         return self._settings(endpoint.node)
 
+    def engine_options(self, endpoint: EndpointPlan) -> EngineOptions:
+        """Return how an engine behaves."""
+        shape = self.shape
+        options = EngineOptions(
+            capacity=shape.capacity, step_ms=shape.step_ms, resumes=shape.resumes
+        )
+        if not endpoint.ranks or shape.lock_step is None:
+            return options
+        giver = self.lock_step[0].name if shape.lock_step.checks_giver else ""
+        return replace(options, ranks_at=self.ranks, ranks=endpoint.ranks, checks_giver=giver)
+
     def add_links(self, proxy: Proxy) -> None:
         """Add to ``proxy`` a link for each address that the configuration names."""
         for node in self.entries:
@@ -150,6 +170,20 @@
             f"127.{self.subnet}.{INNER_OFFSET + index + 1}.{host}",
         )
 
+    def _lock_step_engines(self, hosts: dict[str, int]) -> list[EndpointPlan]:
+        shape = self.shape.lock_step
+        if shape is None:
+            return []
+        each = shape.ranks // shape.engines
+        return [
+            EndpointPlan(
+                self._node("ranks-", number, hosts),
+                EndpointKind.ENGINE,
+                tuple(range(number * each, (number + 1) * each)),
+            )
+            for number in range(shape.engines)
+        ]
+
     def _settings(self, node: NodePlan) -> dict[str, Any]:
         return {
             "name": node.name,
@@ -178,6 +212,36 @@
             for node in self.entries
         }
 
+    def _fleet_section(self) -> dict[str, float]:
+        lock_step = self.shape.lock_step
+        if lock_step is None:
+            return self.shape.options
+        timing = {
+            "decision_interval_s": lock_step.decision_interval_s,
+            "gain_horizon_s": lock_step.gain_horizon_s,
+        }
+        return timing | self.shape.options
+
+    def _groups_section(self) -> dict[str, Any]:
+        engines = self.endpoints_of(EndpointKind.ENGINE)
+        groups: dict[str, Any] = {
+            f"group-{each.name}": {"model": self.shape.model, "endpoints": [each.name]}
+            for each in engines
+            if not each.ranks
+        }
+        lock_step = self.shape.lock_step
+        if lock_step is not None:
+            groups[lock_step.name] = {
+                "model": lock_step.model or self.shape.model,
+                "endpoints": [each.name for each in self.lock_step],
+                "ranks": lock_step.ranks,
+                "experts": lock_step.experts,
+                "layers": lock_step.layers,
+                "spare_slots": lock_step.spare_slots,
+                "expert_bytes": lock_step.expert_bytes,
+            }
+        return groups
+
     def _endpoints_section(self) -> dict[str, Any]:
         return {
             endpoint.name: {
--- a/carawayhub/standins/fleetshape.py
+++ b/carawayhub/standins/fleetshape.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from carawayhub.standins.options import RankOptions
+
 ENDPOINT_PORT = 8000
 OPERATOR_PORT = 9000
 LEASE_PORT = 6999
@@ -34,6 +36,53 @@
         return f"key-of-{self.name}"
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class LockStepShape:
+    """A lock-step group whose ranks are spread evenly over engines of its own.
+
+    Attributes:
+        name: Name of the group.
+        model: The model it serves, empty for that of the fleet's other engines.
+        engines: Its engines.
+        ranks: Ranks in all.
+        experts: Experts a layer.
+        layers: Layers with experts.
+        spare_slots: Slots a rank and layer beyond an even share of the experts.
+        expert_bytes: Size of one expert's weights of one layer.
+        checks_fencing: Whether ranks refuse orders of old terms.
+        checks_giver: Whether engines obey only the agent beside rank 0.
+        decision_interval_s: Seconds between two decisions on the map.
+        gain_horizon_s: Seconds for which a better balance is expected to last.
+        seed: Seed of the ranks and of the experts' popularity.
+    """
+
+    name: str = "lock-step"
+    model: str = ""
+    engines: int = 2
+    ranks: int = 4
+    experts: int = 8
+    layers: int = 2
+    spare_slots: int = 1
+    expert_bytes: int = 1_000_000
+    checks_fencing: bool = True
+    checks_giver: bool = False
+    decision_interval_s: float = 1.0
+    gain_horizon_s: float = 60.0
+    seed: int = 0
+
+    def options(self, step_ms: float) -> RankOptions:
+        """Return how its ranks behave."""
+        return RankOptions(
+            ranks=self.ranks,
+            experts=self.experts,
+            layers=self.layers,
+            expert_bytes=self.expert_bytes,
+            step_ms=step_ms,
+            checks_fencing=self.checks_fencing,
+            seed=self.seed,
+        )
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class FleetShape:
     """What a fleet is made of.
@@ -42,6 +91,7 @@
         failure_domains: Their names; nodes are spread over them in turn.
         entries: Entries.
         engines: Model engines, each with an agent and a group of its own.
+        lock_step: A lock-step group with engines and agents beside those, None for none.
         services: Plain services, each with an agent.
         model: Name of the model.
         capacity: Requests that an engine runs at once.
@@ -55,6 +105,7 @@
     failure_domains: tuple[str, ...] = ("attica", "patra", "larisa")
     entries: int = 3
     engines: int = 4
+    lock_step: LockStepShape | None = None
     services: int = 2
     model: str = "repair"
     capacity: int = 32
@@ -94,10 +145,17 @@
 
 @dataclass(slots=True, frozen=True)
 class EndpointPlan:
-    """An endpoint with its agent."""
+    """An endpoint with its agent.
+
+    Attributes:
+        node: Its VM.
+        kind: What it is.
+        ranks: Ranks of the lock-step group that it holds.
+    """
 
     node: NodePlan
     kind: EndpointKind
+    ranks: tuple[int, ...] = ()
 
     @property
     def name(self) -> str:
--- a/carawayhub/standins/options.py
+++ b/carawayhub/standins/options.py
@@ -36,6 +36,9 @@
         checks_giver: Name of the only giver of orders it obeys, empty to obey all.
         checks_fencing: Whether it refuses an order with an old fencing number.
         seed: Seed of the event loss.
+        ranks_at: ``ip:port`` of the stand-in that runs the ranks of its group, empty for an engine
+            of a single rank.
+        ranks: Which ranks of the group it holds.
     """
 
     capacity: int = 64
@@ -49,6 +52,43 @@
     checks_giver: str = ""
     checks_fencing: bool = False
     seed: int = 0
+    ranks_at: str = ""
+    ranks: tuple[int, ...] = ()
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RankOptions:
+    """How the ranks of one lock-step group behave.
+
+    Attributes:
+        ranks: Ranks of the group.
+        experts: Experts a layer.
+        layers: Layers with experts.
+        expert_bytes: Size of one expert's weights of one layer.
+        store_rate: Bytes a second of the weight store.
+        step_ms: Time of one step in milliseconds.
+        checks_fencing: Whether ranks refuse orders of old terms.
+        tokens_per_second: Tokens that each layer routes.
+        drift: Deviation of the random step of a popularity's logarithm in one sample.
+        sample_s: Seconds between two samples of the counters.
+        counter_lag_s: Age at which counters can be read, in seconds.
+        counter_loss: Part of the samples that are lost.
+        seed: Seed of incarnations, popularity and loss.
+    """
+
+    ranks: int = 4
+    experts: int = 8
+    layers: int = 2
+    expert_bytes: int = 1_000_000
+    store_rate: float = 100_000_000.0
+    step_ms: float = 6.0
+    checks_fencing: bool = True
+    tokens_per_second: float = 400_000.0
+    drift: float = 0.002
+    sample_s: float = 0.1
+    counter_lag_s: float = 0.3
+    counter_loss: float = 0.1
+    seed: int = 0
 
 
 @dataclass(slots=True, frozen=True, kw_only=True)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -122,6 +122,7 @@
         proxy: The fault proxy.
         daemons: Processes of entries and agents by the name of their node.
         endpoints: Processes of engines and services by name.
+        ranks: Process of the ranks of the lock-step group, None without one.
     """
 
     plan: FleetPlan
@@ -131,6 +132,7 @@
     daemons: dict[str, ProcessHandle] = field(default_factory=dict)
     endpoints: dict[str, ProcessHandle] = field(default_factory=dict)
     files: dict[str, bytes] = field(default_factory=dict)
+    ranks: ProcessHandle | None = None
 
     def publish(self, name: str, content: bytes) -> int:
         """Drop one file into the configuration folder and publish it; returns the version."""
@@ -237,9 +239,18 @@
         finally:
             for handle in (*fleet.daemons.values(), *fleet.endpoints.values()):
                 handle.kill()
+            if fleet.ranks is not None:
+                fleet.ranks.kill()
 
 
 def _start_all(fleet: ProcessFleet) -> None:
+    lock_step = fleet.plan.shape.lock_step
+    if lock_step is not None:
+        options = msgspec.json.encode(lock_step.options(fleet.plan.shape.step_ms)).decode()
+        command = ["carawayhub.standins", "ranks", "--listen", fleet.plan.ranks]
+        log = fleet.folder / "ranks.log"
+        fleet.ranks = ProcessHandle("ranks", [*command, "--options", options], log)
+        fleet.ranks.start()
     for endpoint in fleet.plan.endpoints:
         handle = _endpoint_handle(fleet, endpoint)
         fleet.endpoints[endpoint.name] = handle
@@ -257,9 +268,11 @@
     command = ["carawayhub.standins", endpoint.kind.value, "--listen", endpoint.address]
     command += ["--journal", journal]
     if endpoint.kind is EndpointKind.ENGINE:
-        shape = fleet.plan.shape
-        command += ["--capacity", str(shape.capacity), "--step-ms", str(shape.step_ms)]
-        command += ["--resumes"] if shape.resumes else []
+        options = fleet.plan.engine_options(endpoint)
+        command += ["--capacity", str(options.capacity), "--step-ms", str(options.step_ms)]
+        command += ["--resumes"] if options.resumes else []
+        command += ["--ranks-at", options.ranks_at, "--checks-giver", options.checks_giver]
+        command += [word for rank in options.ranks for word in ("--rank", str(rank))]
     return ProcessHandle(endpoint.name, command, fleet.folder / f"{endpoint.name}.endpoint.log")
 
 
