Learn how long gains last, and leave stuck layers by shifts or a new placement

The horizon follows the measured part of past gains, and noise comes from clipped differences, which one jump can't inflate.

--- a/carawayhub/groups/balance.py
+++ b/carawayhub/groups/balance.py
@@ -15,6 +15,7 @@
 from functools import lru_cache
 
 COOL_RANKS = 16
+SHIFT_RANKS = 6
 COLD_EXPERTS = 4
 DROP_PRICE = 0.25
 LEAST_PROGRESS = 1e-9
@@ -37,7 +38,16 @@
     right: int
 
 
-Step = Place | Swap
+@dataclass(frozen=True, slots=True)
+class Shift:
+    """Put ``expert`` into the slot at ``at``, and what stood there into the slot at ``to``."""
+
+    at: int
+    expert: int
+    to: int
+
+
+Step = Place | Swap | Shift
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +106,19 @@
     return max(rank_loads(row, shares, ranks))
 
 
+def stage_of(
+    row: tuple[int, ...], origin: tuple[int, ...], shares: Sequence[float], ranks: int
+) -> Stage:
+    """Return what ``row`` is worth when it replaces ``origin``."""
+    loads = rank_loads(row, shares, ranks)
+    busiest = max(range(ranks), key=loads.__getitem__)
+    before, after = _layout(origin, ranks).held, _layout(row, ranks).held
+    fetches = sum(
+        len(set(new).difference(old)) for old, new in zip(before, after, strict=True) if new != old
+    )
+    return Stage(row, loads[busiest], fetches, busiest)
+
+
 class LayerBalance:
     """A layer's placement that is improved step by step.
 
@@ -105,12 +128,13 @@
         ranks: Ranks of the group.
     """
 
-    __slots__ = ("_holders", "_loads", "_origin", "_part", "_ranks", "_row", "_slots")
+    __slots__ = ("_changed", "_holders", "_loads", "_origin", "_part", "_ranks", "_row", "_slots")
 
     def __init__(self, row: tuple[int, ...], shares: Sequence[float], ranks: int) -> None:
         self._ranks = ranks
         self._slots = len(row) // ranks
         self._row = list(row)
+        self._changed: set[int] = set()
         self._part = [share * ranks for share in shares]
         self._loads = rank_loads(row, shares, ranks)
         self._origin = [
@@ -125,10 +149,18 @@
         busiest = max(range(self._ranks), key=self._loads.__getitem__)
         return Stage(tuple(self._row), self._loads[busiest], self._fetches(), busiest)
 
-    def stages(self, limit: int) -> Iterator[Stage]:
-        """Take up to ``limit`` steps and yield the placement after each."""
+    def stages(self, limit: int, *, shifts: int = 0) -> Iterator[Stage]:
+        """Take up to ``limit`` steps and yield the placement after each.
+
+        Args:
+            limit: Most steps.
+            shifts: How often to search for a shift, which is slow, where nothing simpler helps.
+        """
         for _ in range(limit):
             step = self.best_step()
+            if step is None and shifts > 0:
+                shifts -= 1
+                step = self.best_shift()
             if step is None:
                 return
             self.apply(step)
@@ -146,22 +178,47 @@
         self._try_displacements(hot, found)
         return found.step
 
+    def best_shift(self) -> Step | None:
+        """Return the shift that relieves the busiest rank most, or None.
+
+        It helps where the cool ranks have no spare slot and the ranks with spare slots are not cool
+        enough for a hot expert, yet have room for a light one.
+        """
+        by_load = sorted(range(self._ranks), key=self._loads.__getitem__)
+        reliefs = [self._relief(expert) for expert in set(self._held(by_load[-1]))]
+        spots = [spot for rank in by_load[:COOL_RANKS] for spot in self._spots(rank)]
+        found = _Found()
+        for rank in by_load[:SHIFT_RANKS]:
+            held = self._held(rank)
+            for offset, old in enumerate(held):
+                if not self._is_spare(old, held):
+                    self._try_shifts(rank * self._slots + offset, reliefs, spots, found)
+        return found.step
+
     def apply(self, step: Step) -> None:
         """Carry ``step`` out."""
-        for rank, load in self._new_loads(step).items():
-            self._loads[rank] = load
         match step:
             case Place(at, expert):
+                self._loads_from(self._loads_after_place(at, expert))
                 self._put(at, expert)
             case Swap(left, right):
+                self._loads_from(self._loads_after_swap(left, right))
                 first, second = self._row[left], self._row[right]
                 self._put(left, second)
                 self._put(right, first)
+            case Shift(at, expert, to):
+                self.apply(Place(to, self._row[at]))
+                self.apply(Place(at, expert))
+
+    def _loads_from(self, new: dict[int, float]) -> None:
+        for rank, load in new.items():
+            self._loads[rank] = load
 
     def _put(self, at: int, expert: int) -> None:
         rank = at // self._slots
         old = self._row[at]
         self._row[at] = expert
+        self._changed.add(rank)
         if old not in self._held(rank):
             self._holders[old].discard(rank)
         self._holders[expert].add(rank)
@@ -170,7 +227,7 @@
         return self._row[rank * self._slots : (rank + 1) * self._slots]
 
     def _fetches(self) -> int:
-        return sum(len(set(self._held(r)) - self._origin[r]) for r in range(self._ranks))
+        return sum(len(set(self._held(r)) - self._origin[r]) for r in self._changed)
 
     def _relief(self, expert: int) -> "_Relief":
         """Return what one more replica of ``expert`` does to the ranks that hold it."""
@@ -180,6 +237,44 @@
         change = sum([_norm(self._loads[r] - less) - _norm(self._loads[r]) for r in holders])
         return _Relief(expert, after, change)
 
+    def _spots(self, rank: int) -> list["_Spot"]:
+        """Return the slots of ``rank`` whose expert lives on elsewhere."""
+        held = self._held(rank)
+        spots = []
+        for offset, old in enumerate(held):
+            if self._is_spare(old, held):
+                left, pushed = self._removal(rank, old, held)
+                spots.append(_Spot(rank * self._slots + offset, rank, old, left, pushed))
+        return spots
+
+    def _try_shifts(
+        self, at: int, reliefs: Sequence["_Relief"], spots: Sequence["_Spot"], found: "_Found"
+    ) -> None:
+        """Try to put a hot expert at ``at`` and the only replica that stands there into a spot."""
+        rank = at // self._slots
+        moved = self._row[at]
+        part = self._part[moved]
+        held = self._held(rank)
+        for relief in reliefs:
+            if relief.expert in held:
+                continue
+            hot_holders = self._holders[relief.expert]
+            own = _norm(self._loads[rank] - part + relief.after) - _norm(self._loads[rank])
+            start = own + relief.change
+            if start >= 0:
+                continue
+            for spot in spots:
+                # Only independent changes may be added up: no rank may take part in two of them.
+                others = self._holders[spot.expert]
+                if spot.rank == rank or rank in others or spot.rank in hot_holders:
+                    continue
+                if not hot_holders.isdisjoint(others):
+                    continue
+                there = _norm(spot.left + part) - _norm(self._loads[spot.rank])
+                gain = -(start + spot.pushed + there) / 2.0
+                if gain > found.gain:
+                    found.take(gain, Shift(at, relief.expert, spot.at))
+
     def _try_replicas(self, cool: int, reliefs: Sequence["_Relief"], found: "_Found") -> None:
         """Try to put an expert of the busiest rank into a spare slot of ``cool``."""
         held = self._held(cool)
@@ -196,7 +291,7 @@
                     own = _norm(left + relief.after) - _norm(load)
                     change = relief.change + pushed + own
                 else:
-                    change = self._change_of_norm(Place(at, relief.expert))
+                    change = self._change_of_norm(at, relief.expert)
                 gain = -change / self._price(cool, relief.expert)
                 if gain > found.gain:
                     found.take(gain, Place(at, relief.expert))
@@ -242,10 +337,10 @@
         cold = sorted(range(len(self._part)), key=self._part.__getitem__)[:COLD_EXPERTS]
         for offset in spare:
             for expert in {*cold, held[offset - 1]} - {held[offset]}:
-                step = Place(hot * self._slots + offset, expert)
-                gain = -self._change_of_norm(step) / self._price(hot, expert)
+                at = hot * self._slots + offset
+                gain = -self._change_of_norm(at, expert) / self._price(hot, expert)
                 if gain > found.gain:
-                    found.take(gain, step)
+                    found.take(gain, Place(at, expert))
 
     def _is_spare(self, expert: int, held: list[int]) -> bool:
         return len(self._holders[expert]) > 1 or held.count(expert) > 1
@@ -254,20 +349,13 @@
         free = expert in self._origin[rank] or rank in self._holders[expert]
         return DROP_PRICE if free else 1.0
 
-    def _change_of_norm(self, step: Step) -> float:
+    def _change_of_norm(self, at: int, expert: int) -> float:
         loads = self._loads
         change = 0.0
-        for rank, load in self._new_loads(step).items():
+        for rank, load in self._loads_after_place(at, expert).items():
             change += _norm(load) - _norm(loads[rank])
         return change
 
-    def _new_loads(self, step: Step) -> dict[int, float]:
-        match step:
-            case Place(at, expert):
-                return self._loads_after_place(at, expert)
-            case Swap(left, right):
-                return self._loads_after_swap(left, right)
-
     def _loads_after_place(self, at: int, expert: int) -> dict[int, float]:
         rank = at // self._slots
         old = self._row[at]
@@ -314,6 +402,15 @@
     change: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Spot:
+    at: int
+    rank: int
+    expert: int
+    left: float
+    pushed: float
+
+
 def _norm(load: float) -> float:
     """Return the eighth power of ``load``.
 
--- a/carawayhub/groups/outcomes.py
+++ b/carawayhub/groups/outcomes.py
@@ -14,7 +14,11 @@
 from carawayhub.groups.popularity import Popularity
 
 MOST_OPEN = 8
-LEAST_TRUST = 0.05
+LEAST_KEPT = 0.05
+LEAST_GONE = 0.01
+MOST_WINDOWS = 16.0
+# The part kept at which the lifetime equals the window.
+START_KEPT = 0.73
 LEARNING_RATE = 0.3
 RECOVERY_SECONDS = 3600.0
 
@@ -55,24 +59,34 @@
         window: Seconds for which a change is measured.
     """
 
-    __slots__ = ("_finished", "_open", "_ranks", "_trust", "_trusted_at", "_window")
+    __slots__ = ("_finished", "_kept", "_kept_at", "_open", "_ranks", "_window")
 
     def __init__(self, ranks: int, window: float) -> None:
         self._ranks = ranks
         self._window = window
         self._open: list[_Open] = []
         self._finished: list[Outcome] = []
-        self._trust = 1.0
-        self._trusted_at = 0.0
+        self._kept = START_KEPT
+        self._kept_at = 0.0
 
-    def trust(self, now: float) -> float:
-        """Return the part of expected gains that came true, from 0 to 1.
+    def lifetime(self, now: float) -> float:
+        """Return for how long a gain lasts, in seconds, as far as past changes tell.
 
-        It returns to 1 over an hour without changes: else a group whose changes once failed would
-        never make the change that could show that times are better.
+        With a gain that fades exponentially, the part that came true over the window gives the
+        time after which it has faded to 1/e; this is that relation in a form that is cheap and a
+        tenth too high at most.
         """
-        age = max(0.0, now - self._trusted_at)
-        return 1.0 - (1.0 - self._trust) * math.exp(-age / RECOVERY_SECONDS)
+        kept = self._kept_now(now)
+        gone = max(1.0 - kept, LEAST_GONE)
+        return self._window * min(MOST_WINDOWS, kept * (1.0 + kept / (2.0 * gone)))
+
+    def _kept_now(self, now: float) -> float:
+        if self._kept >= START_KEPT:
+            return self._kept
+        # A group whose changes failed would otherwise never make the change that could show that
+        # times are better: the part climbs back within hours without changes.
+        age = max(0.0, now - self._kept_at)
+        return START_KEPT - (START_KEPT - self._kept) * math.exp(-age / RECOVERY_SECONDS)
 
     def start(self, old: ExpertMap, new: ExpertMap, expected: float, now: float) -> None:
         """Begin to measure a change."""
@@ -126,6 +140,6 @@
         del self._finished[:-MOST_OPEN]
         if item.expected <= 0 or not item.gains:
             return
-        ratio = min(1.0, max(LEAST_TRUST, measured / item.expected))
-        self._trust = (1.0 - LEARNING_RATE) * self.trust(now) + LEARNING_RATE * ratio
-        self._trusted_at = now
+        kept = min(1.0, max(LEAST_KEPT, measured / item.expected))
+        self._kept = (1.0 - LEARNING_RATE) * self._kept_now(now) + LEARNING_RATE * kept
+        self._kept_at = now
--- a/carawayhub/groups/policy.py
+++ b/carawayhub/groups/policy.py
@@ -20,16 +20,27 @@
 
 from carawayhub.clock import Clock
 from carawayhub.config.model import ModelGroup
-from carawayhub.groups.balance import LayerBalance, Stage, layer_skew, load_error, rank_loads
+from carawayhub.groups.balance import (
+    LayerBalance,
+    Stage,
+    layer_skew,
+    load_error,
+    rank_loads,
+    stage_of,
+)
 from carawayhub.groups.maps import ExpertMap
 from carawayhub.groups.outcomes import Outcome, Outcomes
 from carawayhub.groups.popularity import ExpertCounters, Observation, Popularity
+from carawayhub.groups.recompute import matched_row, recomputed_row
 from carawayhub.groups.stragglers import Straggler
 
 STALE_SECONDS_LEAST = 60.0
 STALE_INTERVALS = 5
 STEPS_PER_LAYER = 8
 STEPS_PER_DECISION = 96
+WHOLES_PER_DECISION = 16
+SHIFTS_PER_LAYER = 2
+LAYERS_WITH_SHIFTS = 8
 LEAST_SECONDS = 1e-9
 
 
@@ -67,7 +78,7 @@
     utilisation: float = 0.5
     running: int = 32
     step_seconds: float = 0.006
-    staging_rate: float = 125_000_000.0
+    staging_rate: float = 1_000_000_000.0
     routable: float = 0.0
     stragglers: tuple[Straggler, ...] = ()
 
@@ -77,16 +88,19 @@
     """What a decision assumes.
 
     Attributes:
-        horizon: Seconds over which a better balance is expected to last.
+        horizon: Seconds over which a better balance is expected to last at first, and for which
+            each change is measured; from then on the measurements tell how long gains last.
+        longest_staging: Seconds for which the weight store may work for one change.
         certainty: Standard errors by which a gain must exceed zero.
         surge_from: Utilisation from which the group is in a surge.
         surge_price: Factor on all costs in a surge.
     """
 
     horizon: float = 900.0
-    certainty: float = 3.0
+    certainty: float = 5.0
     surge_from: float = 0.85
-    surge_price: float = 4.0
+    surge_price: float = 2.0
+    longest_staging: float = 30.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -168,9 +182,9 @@
         self._spacing = 0.0
 
     @property
-    def trust(self) -> float:
-        """Part of the expected gains that came true of late, from 0 to 1."""
-        return self._outcomes.trust(self._clock.monotonic())
+    def horizon(self) -> float:
+        """Seconds for which a gain is expected to last, as past changes tell."""
+        return self._outcomes.lifetime(self._clock.monotonic())
 
     def observe(self, counters: ExpertCounters) -> Observation:
         """Take a report of counters in."""
@@ -249,6 +263,8 @@
         ranks = self._group.ranks
         plans = []
         steps_left = STEPS_PER_DECISION
+        wholes_left = WHOLES_PER_DECISION
+        layers_left = LAYERS_WITH_SHIFTS
         for layer in sorted(range(len(skews)), key=lambda index: -skews[index]):
             if steps_left <= 0 or (skews[layer] - 1.0) * second <= LEAST_SECONDS:
                 break
@@ -258,13 +274,26 @@
             doubt = self._options.certainty * load_error(start.row, errors, ranks, start.busiest)
             if (start.skew - 1.0 - doubt) * second <= price:
                 continue
-            stages = list(balance.stages(min(steps_left, STEPS_PER_LAYER)))
+            shifts = SHIFTS_PER_LAYER if layers_left > 0 else 0
+            stages = list(balance.stages(min(steps_left, STEPS_PER_LAYER), shifts=shifts))
             steps_left -= len(stages)
+            layers_left -= 1
             plan = self._best_stage(layer, start, stages, second, price)
+            if plan is None and wholes_left and (start.skew - 1.0) * second > ranks * price:
+                wholes_left -= 1
+                whole = self._whole(start.row, layer)
+                plan = self._best_stage(layer, start, [whole], second, price)
             if plan is not None:
                 plans.append(plan)
         return plans
 
+    def _whole(self, row: tuple[int, ...], layer: int) -> Stage:
+        """Return a placement from nothing, for a layer that small steps leave far from even."""
+        ranks = self._group.ranks
+        shares = self._popularity.mean(layer)
+        new = recomputed_row(shares, ranks=ranks, slots=len(row) // ranks)
+        return stage_of(matched_row(new, row, ranks=ranks), row, shares, ranks)
+
     def _best_stage(
         self, layer: int, start: Stage, stages: Sequence[Stage], second: float, price: float
     ) -> _LayerPlan | None:
@@ -285,7 +314,7 @@
 
     def _seconds_per_skew(self, skew: float, situation: Situation) -> float:
         """Return the weighted seconds that a layer's skew lowered by 1.0 saves."""
-        saved = self._options.horizon * self.trust * (1.0 - situation.routable)
+        saved = self.horizon * (1.0 - situation.routable)
         return self._group.skew_weight * saved / skew / self._group.layers
 
     def _price_of_fetch(self, situation: Situation) -> float:
@@ -296,6 +325,23 @@
         in_surge = situation.utilisation >= self._options.surge_from
         return self._options.surge_price if in_surge else 1.0
 
+    def _within_limit(
+        self, plans: Sequence[_LayerPlan], situation: Situation
+    ) -> Sequence[_LayerPlan]:
+        """Return the plans that gain most for each fetch, as many as one change may stage.
+
+        While a change is staged no other can begin, so a large one would delay an urgent one.
+        """
+        seconds = self._group.expert_bytes / situation.staging_rate
+        left = self._options.longest_staging / seconds
+        chosen: list[_LayerPlan] = []
+        for plan in sorted(plans, key=lambda item: -item.certain_gain / max(1, item.fetches)):
+            if chosen and plan.fetches > left:
+                continue
+            chosen.append(plan)
+            left -= plan.fetches
+        return chosen
+
     def _weigh(
         self,
         current: ExpertMap,
@@ -304,6 +350,7 @@
         situation: Situation,
     ) -> Decision:
         second = self._seconds_per_skew(skew, situation)
+        plans = self._within_limit(plans, situation)
         fetches = sum(plan.fetches for plan in plans)
         surge = self._surge_factor(situation)
         switch = situation.step_seconds * (1 + situation.running) * surge
--- a/carawayhub/groups/popularity.py
+++ b/carawayhub/groups/popularity.py
@@ -11,6 +11,10 @@
 
 DEFAULT_TIME_CONSTANT = 120.0
 MIN_SAMPLES = 4
+NOISE_WEIGHT = 0.05
+CLIP = 3.0
+# Standard deviation of a normal sample over the mean absolute difference of two.
+DEVIATION_OF_DIFFERENCE = math.sqrt(math.pi) / 2.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,9 +105,20 @@
         return self._take(before, counters)
 
     def errors(self, index: int) -> Sequence[float]:
-        """Return the standard error of each expert's mean share in layer ``index``."""
-        factor = self._weight_squares[index]
-        return [math.sqrt(noise * factor) for noise in self._noise[index]]
+        """Return the standard error of each expert's mean share in layer ``index``.
+
+        An expert's own noise is known from few samples at first and may look small by chance; it
+        counts as no smaller, for its share, than that of the layer's experts together.
+        """
+        mean, noise = self._mean[index], self._noise[index]
+        squares = sum([share * share for share in mean])
+        common = sum([deviation * deviation for deviation in noise]) / squares
+        factor = math.sqrt(self._weight_squares[index])
+        floor = math.sqrt(common)
+        return [
+            factor * max(deviation, floor * share)
+            for share, deviation in zip(mean, noise, strict=True)
+        ]
 
     def mean(self, index: int) -> Sequence[float]:
         """Return the share of each expert in layer ``index``."""
@@ -111,7 +126,7 @@
 
     def deviation(self, index: int) -> Sequence[float]:
         """Return the deviation of a single sample of each expert's share in layer ``index``."""
-        return [math.sqrt(noise) for noise in self._noise[index]]
+        return self._noise[index]
 
     def latest(self, index: int) -> Sequence[float]:
         """Return the shares in the last interval seen; empty before the first."""
@@ -160,7 +175,7 @@
                 rest * mean + weight * share
                 for mean, share in zip(self._mean[index], shares, strict=True)
             ]
-            self._update_noise(index, shares, max(weight, 1.0 / seen))
+            self._update_noise(index, shares)
         else:
             self._mean[index] = shares
         squares = rest * rest * self._weight_squares[index] + weight * weight
@@ -168,11 +183,15 @@
         self._latest[index] = shares
         self._samples[index] = seen + 1
 
-    def _update_noise(self, index: int, shares: list[float], weight: float) -> None:
+    def _update_noise(self, index: int, shares: list[float]) -> None:
+        weight = max(NOISE_WEIGHT, 1.0 / self._samples[index])
         rest = 1.0 - weight
-        half = weight / 2.0
+        factor = weight * DEVIATION_OF_DIFFERENCE
+        # A jump in popularity is one huge difference. Unclipped it would pass for noise for long
+        # after, and hide the very change that a decision should answer.
+        most = CLIP if self._samples[index] > MIN_SAMPLES else math.inf
         self._noise[index] = [
-            rest * noise + half * (share - last) * (share - last)
+            rest * noise + factor * min(abs(share - last), most * noise / DEVIATION_OF_DIFFERENCE)
             for noise, share, last in zip(
                 self._noise[index], shares, self._latest[index], strict=True
             )
--- a/carawayhub/groups/recompute.py
+++ b/carawayhub/groups/recompute.py
@@ -1,6 +1,7 @@
 """A whole placement worked out from nothing: the measure for placements reached by small steps."""
 
 import heapq
+from collections import Counter
 from collections.abc import Sequence
 
 
@@ -35,19 +36,27 @@
     Ranks are paired greedily by the number of experts they have in common.
     """
     slots = len(new) // ranks
-    before = [set(old[rank * slots : (rank + 1) * slots]) for rank in range(ranks)]
-    after = [tuple(new[rank * slots : (rank + 1) * slots]) for rank in range(ranks)]
-    pairs = sorted(
-        ((len(before[i].intersection(after[j])), i, j) for i in range(ranks) for j in range(ranks)),
-        key=lambda pair: (-pair[0], pair[1], pair[2]),
-    )
+    owners: dict[int, set[int]] = {}
+    for at, expert in enumerate(old):
+        owners.setdefault(expert, set()).add(at // slots)
+    common: Counter[tuple[int, int]] = Counter()
+    for group in range(ranks):
+        for expert in set(new[group * slots : (group + 1) * slots]):
+            common.update((rank, group) for rank in owners.get(expert, ()))
+    chosen = _paired(sorted(common, key=lambda pair: (-common[pair], pair)))
+    rest = iter(sorted(set(range(ranks)) - set(chosen.values())))
+    order = [chosen[rank] if rank in chosen else next(rest) for rank in range(ranks)]
+    return tuple(expert for group in order for expert in new[group * slots : (group + 1) * slots])
+
+
+def _paired(pairs: Sequence[tuple[int, int]]) -> dict[int, int]:
     chosen: dict[int, int] = {}
     taken: set[int] = set()
-    for _, place, group in pairs:
-        if place not in chosen and group not in taken:
-            chosen[place] = group
+    for rank, group in pairs:
+        if rank not in chosen and group not in taken:
+            chosen[rank] = group
             taken.add(group)
-    return tuple(expert for rank in range(ranks) for expert in after[chosen[rank]])
+    return chosen
 
 
 def _replica_counts(shares: Sequence[float], *, total: int, most: int) -> list[int]:
