--- a/tests/stories.py
+++ b/tests/stories.py
@@ -20,6 +20,7 @@
 
 SEED = 4
 STORY_S = 30.0
+WAIT_S = 15.0
 POLL_S = 0.02
 USABLE = frozenset({"serving", "ramping"})
 CAFES = OrganisationPlan("cafes", priority=1)
@@ -43,8 +44,14 @@
 
     @property
     def error(self) -> dict[str, Any]:
-        """What the system says of a request without an answer."""
+        """What the system says of a request without an answer.
+
+        Raises:
+            AssertionError: The request was answered.
+        """
         fields: dict[str, Any] = msgspec.json.decode(self.body)
+        if "error" not in fields:
+            raise AssertionError(f"answered with status {self.status}: {self.body!r}")
         error: dict[str, Any] = fields["error"]
         return error
 
@@ -124,7 +131,7 @@
             self.assertEqual(failed, [])
 
 
-async def until(condition: Condition, what: str, seconds: float = STORY_S) -> None:
+async def until(condition: Condition, what: str, seconds: float = WAIT_S) -> None:
     """Wait until a condition holds.
 
     Raises:
--- a/tests/unguarded.py
+++ b/tests/unguarded.py
@@ -147,5 +147,64 @@
     replace(app, "_watch_caller", blind)
 
 
+@guard("ledger")
+def _ledger() -> None:
+    from carawayhub.agent.gate import Gate
+
+    claim_of = Gate._claim
+
+    def forgetting(self: Any, req: Any) -> Any:
+        claim = claim_of(self, req)
+        self._ledger._records.pop(getattr(claim, "key", None), None)
+        return claim
+
+    replace(Gate, "_claim", forgetting)
+
+
+@guard("incarnation")
+def _incarnation() -> None:
+    from carawayhub.agent.tickets import Admitted, Epochs
+
+    replace(Epochs, "admit", lambda self, ticket: Admitted(self._end(ticket.epoch)))
+
+
+@guard("quarantine")
+def _quarantine() -> None:
+    from carawayhub.agent.fence import Fence
+
+    replace(Fence, "_own_quarantine_until", lambda self: self._started)
+
+
+@guard("ledger-handed-on")
+def _ledger_handed_on() -> None:
+    from carawayhub.agent.ledger import Ledger
+
+    replace(Ledger, "export", lambda self, wanted: ())
+
+
+@guard("promises")
+def _promises() -> None:
+    from carawayhub.agent.fence import Fence
+    from carawayhub.agent.grounds import Grounds
+
+    replace(Fence, "missing", lambda self: ())
+    replace(Fence, "_quarantine_until", lambda self, peer: self._started)
+    replace(Grounds, "confirmed", lambda self, key_set: True)
+
+
+@guard("home")
+def _home() -> None:
+    from carawayhub.agent.fence import Fence
+    from carawayhub.entry.runonce import RunOnce, _scope
+
+    def any_near(self: Any, call: Any) -> Any:
+        seats = self._sets[_scope(call)].seats
+        heard = [seat for seat in seats if self._reports.latest(seat.member.endpoint)]
+        return self._place(heard[0].member.endpoint)
+
+    replace(RunOnce, "_by_key", any_near)
+    replace(Fence, "admit", lambda self, key: None)
+
+
 if __name__ == "__main__":
     _main()
