Send nothing to any endpoint of a lock-step group that cannot step

Only the agent beside rank 0 knows whether the ranks are in one formation, and only its own endpoint was taken out of routing. Requests still went to the group's other endpoints and waited there for steps that were not made.

The router now lets a further endpoint of a group have work only while the latest report of the group's first endpoint does not say that it failed. A first endpoint without a link says nothing either way.

--- a/carawayhub/routing/candidate.py
+++ b/carawayhub/routing/candidate.py
@@ -33,6 +33,8 @@
         failures: Attempts that failed one after the other.
         leaving: Whether the platform's list of VMs says that it is leaving or gone.
         permit_until: Reading of the clock until which it may be sent work.
+        leader: The endpoint with rank 0 of its lock-step group, None where it is itself that, or
+            alone, or the leader was never heard.
     """
 
     __slots__ = (
@@ -47,6 +49,7 @@
         "blocks",
         "endpoint",
         "failures",
+        "leader",
         "leaving",
         "load",
         "pace",
@@ -62,6 +65,7 @@
         self.pace = 0.0
         self.failures = 0
         self.leaving = False
+        self.leader: Candidate | None = None
         self.permit_until = -math.inf
         self._report: EndpointReport | None = None
         self._asked_at = -math.inf
@@ -140,7 +144,24 @@
             return False
         if self.leaving or self.endpoint.state is EndpointState.LEAVING:
             return False
-        return now < self.permit_until
+        return now < self.permit_until and not self.group_failed
+
+    @property
+    def group_failed(self) -> bool:
+        """Whether the agent beside rank 0 says that the group of this endpoint cannot step.
+
+        Only that agent knows. Without this, work would go to the group's other endpoints, whose
+        engines answer their own agents well, and would wait there for steps that are not made. A
+        leader without a link says nothing either way.
+        """
+        return self.leader is not None and self.leader.failed
+
+    @property
+    def failed(self) -> bool:
+        """Whether its agent can be heard and says that it takes no work for a failure."""
+        report = self._report
+        heard = report is not None and self._lost_at == -math.inf
+        return heard and report is not None and report.state is ServingState.FAILED
 
     def progressed(self, now: float) -> None:
         """Note that bytes of an answer arrived."""
@@ -275,6 +296,8 @@
                 return Condition.STARTING, report.reason or "its agent says that it is starting"
             case ServingState.FAILED:
                 return Condition.FAILED, report.reason or "its agent says that it failed"
+        if self.leader is not None and self.leader.failed:
+            return Condition.FAILED, f"its group cannot step, says {self.leader.name}"
         if now >= self.permit_until:
             return Condition.EXPIRED, "its link is gone or its permit has run out"
         if self.ejected(now):
--- a/carawayhub/routing/pool.py
+++ b/carawayhub/routing/pool.py
@@ -101,6 +101,11 @@
     def invalidate(self) -> None:
         """Have the next refresh work everything out again."""
         self._refreshed_at = None
+    @property
+    def broken(self) -> bool:
+        """Whether a lock-step group among them is known not to step."""
+        return any(candidate.group_failed for group in self._heard or () for candidate in group)
+
         self._heard = None
 
     def refresh(self, now: float, wall: float) -> None:
--- a/carawayhub/routing/router.py
+++ b/carawayhub/routing/router.py
@@ -5,6 +5,7 @@
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
+from carawayhub.config.leaders import group_leaders
 from carawayhub.config.model import Configuration, Endpoint
 from carawayhub.errors import RequestError
 from carawayhub.peers.messages import EndpointReport
@@ -49,6 +50,7 @@
         "_cfg",
         "_clock",
         "_domain",
+        "_leaders",
         "_leaving",
         "_pools",
         "_pools_of",
@@ -65,6 +67,7 @@
         self._cfg: Configuration | None = None
         self._candidates: dict[str, Candidate] = {}
         self._catalogue: Catalogue | None = None
+        self._leaders: dict[str, str] = {}
         self._leaving: frozenset[str] = frozenset()
         self._pools: dict[tuple[Target, tuple[str, ...]], Pool] = {}
         self._pools_of: dict[tuple[Target, str], Pool] = {}
@@ -81,6 +84,8 @@
         }
         for name, candidate in self._candidates.items():
             candidate.endpoint = cfg.endpoints[name]
+        self._leaders = group_leaders(cfg)
+        self._set_leaders()
         self._catalogue = Catalogue(cfg)
         self._pools = {}
         self._pools_of = {}
@@ -128,8 +133,9 @@
 
         Raises:
             RequestError: ``NOT_SERVED`` or ``NOT_ALLOWED`` where nothing is declared for it,
-                ``DEADLINE_PASSED``, ``NO_ENDPOINT`` where none is usable, ``OVERLOADED`` where all
-                usable ones are full for its priority.
+                ``DEADLINE_PASSED``, ``NO_ENDPOINT`` where none is usable, ``GROUP_BROKEN`` where
+                that is so because a lock-step group cannot step, ``OVERLOADED`` where all usable
+                ones are full for its priority.
         """
         now = self._clock.monotonic()
         if now >= query.deadline:
@@ -222,8 +228,13 @@
             return None
         candidate = self._candidates[name] = Candidate(endpoint)
         candidate.leaving = name in self._leaving
+        self._set_leaders()
         return candidate
 
+    def _set_leaders(self) -> None:
+        for name, candidate in self._candidates.items():
+            candidate.leader = self._candidates.get(self._leaders.get(name, ""))
+
     def _provider_shares(self, cfg: Configuration, model: str) -> ProviderShares:
         wanted = {row.provider: row.share for row in cfg.shares[model]}
         known = self._shares.get(model)
@@ -316,7 +327,9 @@
     def _refusal(self, pool: Pool, exclude: frozenset[str]) -> RequestError:
         usable = [c for tiers in pool.tiers.values() for tier in tiers for c in tier.members]
         left = [c for c in usable if c.name not in exclude]
-        code = Code.OVERLOADED if left else Code.NO_ENDPOINT
+        if left:
+            return RequestError(Code.OVERLOADED, retry_after=self._retry_after())
+        code = Code.GROUP_BROKEN if not usable and pool.broken else Code.NO_ENDPOINT
         return RequestError(code, retry_after=self._retry_after())
 
     def _retry_after(self) -> float:
