Join membership and the VM list to the processes, each in a module of its own

An agent that woke from a pause took a heartbeat that had lain in its socket for a check of its configuration. A run-once request that lay in a socket while an entry was paused could be older than its key's memory. Change: the VM list comes from watchers and peers; membership judges peers and is reset by a pause; knowledge, exchange of heartbeats, role and member are modules of their own. A heartbeat repeats the peer's count of pauses, so only one sent after the pause confirms. For five seconds after a pause an entry answers run-once requests as unknown; a body must be whole within 30 s.

--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -174,7 +174,9 @@
                         return _refused(req, Refuse(Code.RUN_STILL_RUNNING, RETRY_AFTER))
                 case Ask(look_up=question):
                     look_ups += 1
-                    if look_ups > LOOK_UPS or not await self._look_up(question):
+                    if look_ups > LOOK_UPS:
+                        return _refused(req, Refuse(Code.RUN_STILL_RUNNING, RETRY_AFTER))
+                    if not await self._look_up(question):
                         return _refused(req, Refuse(Code.RUN_HOME_UNREACHABLE, RETRY_AFTER))
                 case Refuse() as refusal:
                     return _refused(req, refusal)
--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -7,8 +7,9 @@
 from anyio.abc import TaskGroup
 from loguru import logger
 
+from carawayhub.addresses import Address
 from carawayhub.agent.gate import Gate
-from carawayhub.agent.grouptask import GroupTask
+from carawayhub.agent.grouptask import GroupTask, Seat
 from carawayhub.agent.homes import Homes
 from carawayhub.agent.keys import KeyKeeper
 from carawayhub.agent.ledger import Ledger
@@ -36,6 +37,7 @@
 from carawayhub.platform.ports import VmList
 from carawayhub.process.host import Host
 from carawayhub.process.operators import Operators
+from carawayhub.process.role import WantedPeer
 from carawayhub.process.runtime import Runtime
 from carawayhub.process.status import EndpointStatus, ProcessStatus
 from carawayhub.settings import AgentSettings
@@ -61,7 +63,7 @@
         self._ledger = Ledger(clock, slot, identity.incarnation)
         self._epochs = Epochs(clock, identity.name, identity.incarnation)
         self._reporter = Reporter(
-            identity.name, identity.vm, identity.incarnation, clock, runtime.audit, member.changed
+            identity.name, identity.vm, identity.incarnation, clock, runtime.audit, member.announce
         )
         homes = Homes(clock, slot, identity.incarnation)
         self._keys = KeyKeeper(homes, self._ledger, member.calls, clock, runtime.rng, runtime.audit)
@@ -74,12 +76,20 @@
             TicketOffice(settings.system_key),
             self._keys,
             self._reporter,
-            member.pauses,
+            member.knowledge.pauses,
             self._upstream,
             tasks,
         )
+        source = Address.parse(settings.peer_listen).host
         self._group = GroupTask(
-            identity.name, self._reporter, clock, runtime.rng, runtime.audit, tasks
+            Seat(identity.name, identity.address, source),
+            member.knowledge.pauses.check,
+            member.knowledge.checked,
+            self._reporter,
+            clock,
+            runtime.rng,
+            runtime.audit,
+            tasks,
         )
         self._watch_scope: anyio.CancelScope | None = None
         self._watched: tuple[str, bool] | None = None
@@ -112,13 +122,11 @@
         """
         runtime = self.runtime
         await runtime.stop.wait()
-        runtime.member.leaving = True
         self._reporter.stopping()
         self._keys.close()
-        runtime.member.changed.notify()
-        fleet = runtime.member.configuration
-        permit = 0.0 if fleet is None else fleet.fleet.permit_ttl
-        await anyio.sleep(permit + runtime.member.intervals().heartbeat)
+        runtime.member.leave()
+        permit = runtime.member.knowledge.fleet.permit_ttl
+        await anyio.sleep(permit + runtime.member.heartbeat_interval())
         while self._busy():
             await anyio.sleep(DRAIN_POLL)
         whole = await self._keys.hand_over(runtime.clock.monotonic() + HANDOVER_BOUND)
@@ -165,7 +173,7 @@
         if endpoint is not None:
             self._follow(cfg, endpoint)
 
-    def peers(self, cfg: Configuration, vms: VmList | None) -> Iterable[Peer]:
+    def peers(self, cfg: Configuration, vms: VmList | None) -> Iterable[WantedPeer]:
         """Return no peers: entries open the links."""
         return ()
 
@@ -180,6 +188,9 @@
     def lost(self, peer: Peer) -> None:
         """Take nothing: an agent opens no links."""
 
+    def members_changed(self) -> None:
+        """Take nothing: an agent opens no links."""
+
     def heard(self, peer: Hello, heartbeat: Heartbeat) -> None:
         """Take nothing: what counts of an entry's heartbeat is its version."""
 
--- a/carawayhub/agent/reporter.py
+++ b/carawayhub/agent/reporter.py
@@ -1,5 +1,6 @@
 """What an agent knows of its endpoint and reports to entries."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -11,7 +12,6 @@
 from carawayhub.errors import PlatformError
 from carawayhub.output.audit import AuditTrail, Subject
 from carawayhub.peers.messages import CacheEvents, EndpointReport, Hello, ServingState
-from carawayhub.peers.signal import Signal
 from carawayhub.platform.ports import VmList, VmState
 
 POLL_INTERVAL = 0.25
@@ -62,7 +62,7 @@
         incarnation: The agent's.
         clock: Source of time.
         audit: Takes changes of state.
-        changed: Notified when entries must hear of a change at once.
+        announce: Called when entries must hear of a change at once.
     """
 
     def __init__(
@@ -72,14 +72,14 @@
         incarnation: int,
         clock: Clock,
         audit: AuditTrail,
-        changed: Signal,
+        announce: Callable[[], None],
     ) -> None:
         self._endpoint = endpoint
         self._vm = vm
         self._incarnation = incarnation
         self._clock = clock
         self._audit = audit
-        self._changed = changed
+        self._announce = announce
         self._leaving = _LeavingSources()
         self._heard = _Heard()
         self._cfg: Configuration | None = None
@@ -207,7 +207,7 @@
                 standing.state.value,
                 standing.reason or "it answers",
             )
-            self._changed.notify()
+            self._announce()
 
     def _judge(self) -> Standing:
         leaving = self._leaving.reason()
--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -31,6 +31,7 @@
 MODELS_PATH = "/v1/models"
 STOPPING_RETRY_AFTER = 0.5
 CONFIRM_WAIT = 1.0
+DOUBT_SECONDS = 5.0
 USUAL_TOKENS = 256.0
 
 
@@ -80,7 +81,7 @@
 class EntryParts:
     """The parts that a request passes through.
 
-    ``confirmed`` waits for at most the seconds given until nothing that a pause of this process put
+    ``doubted`` says whether a pause of this process put in doubt what it knows; ``confirmed`` waits for at most the seconds given until nothing that a pause of this process put
     in doubt is unchecked, and says whether that is so.
     """
 
@@ -92,6 +93,7 @@
     directory: EntryDirectory
     metrics: Metrics
     ready: Callable[[], bool]
+    doubted: Callable[[], bool]
     confirmed: Callable[[float], Awaitable[bool]]
 
 
@@ -108,6 +110,7 @@
         self._cfg: Configuration | None = None
         self._by_key: dict[str, Organisation] = {}
         self.accepting = True
+        self._doubt_until = 0.0
         self.running = 0
 
     def configure(self, cfg: Configuration) -> None:
@@ -153,6 +156,7 @@
         if path == ENTRIES_PATH and scope["method"] == "GET":
             await send_reply(send, self._entries(scope), caller_id)
             return
+        self._note_pause()
         if not await self._parts.confirmed(CONFIRM_WAIT):
             raise RequestError(Code.PAUSED, retry_after=STOPPING_RETRY_AFTER)
         organisation = self._organisation(headers)
@@ -165,6 +169,8 @@
             await send_reply(send, reply, caller_id)
             return
         call = await self._read_call(scope, headers, receive, request_id, caller_id, organisation)
+        if not call.repeatable and self._parts.clock.monotonic() < self._doubt_until:
+            raise RequestError(Code.PAUSED, retry_after=STOPPING_RETRY_AFTER).unvouched()
         await self._answer(call, receive, send)
 
     def _ready_configuration(self) -> Configuration:
@@ -174,6 +180,17 @@
             raise RequestError(Code.NOT_READY, retry_after=1.0)
         return self._cfg
 
+    def _note_pause(self) -> None:
+        """Take run-once requests for doubtful for a while after a pause of this process.
+
+        A request that lay in a socket while the process was paused may be far older than it looks:
+        its key may have expired at the agent that ran an earlier attempt, and a run now would be
+        the second one. The time since the caller sent it cannot be known, so for as long as such
+        requests may still come out of the sockets they are answered "unknown".
+        """
+        if self._parts.doubted():
+            self._doubt_until = self._parts.clock.monotonic() + DOUBT_SECONDS
+
     def _entries(self, scope: Scope) -> Reply:
         query = parse_qs(scope["query_string"].decode("latin-1"))
         domain = query.get("failure_domain", [None])[0]
--- a/carawayhub/entry/calls.py
+++ b/carawayhub/entry/calls.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import anyio
 import msgspec
 
 from carawayhub.clock import Clock
@@ -30,6 +31,9 @@
 COMPLETIONS_PATH = "/v1/completions"
 MODEL_PATHS = frozenset({CHAT_PATH, COMPLETIONS_PATH})
 
+BODY_TIMEOUT = 30.0
+"""Seconds for a whole request; how late an idempotency key may reach its agent builds on it."""
+
 _ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,64}\Z")
 
 
@@ -197,6 +201,14 @@
     declared = headers.text(b"content-length")
     if declared.isdigit() and int(declared) > MAX_BODY_BYTES:
         raise RequestError(Code.BODY_TOO_LARGE, f"{declared} bytes, at most {MAX_BODY_BYTES}")
+    try:
+        with anyio.fail_after(BODY_TIMEOUT):
+            return await _read_parts(receive)
+    except TimeoutError as exc:
+        raise RequestError(Code.BODY_MALFORMED, f"not whole after {BODY_TIMEOUT:.0f} s") from exc
+
+
+async def _read_parts(receive: Receive) -> bytes:
     parts: list[bytes] = []
     size = 0
     while True:
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -8,19 +8,20 @@
 
 from carawayhub.addresses import Address
 from carawayhub.agent.tickets import TicketOffice
-from carawayhub.config.model import Configuration
+from carawayhub.config.model import Configuration, Endpoint, EndpointState, EntryNode
 from carawayhub.endpoints.upstream import Upstream
 from carawayhub.entry.app import EntryApp, EntryParts
 from carawayhub.entry.relay import Relay
 from carawayhub.entry.reports import Reports
 from carawayhub.entry.runonce import RunOnce
 from carawayhub.fleet.linkplan import agents_of_entry, plan_key
+from carawayhub.fleet.membership import Member, MemberState
 from carawayhub.fleet.neighbours import entry_nodes, gossip_neighbours
 from carawayhub.http import HttpServer, bind
 from carawayhub.limits.admission import Admission
 from carawayhub.limits.retries import RetryBudget
 from carawayhub.output.audit import Subject
-from carawayhub.peers.links import Peer
+from carawayhub.peers.links import Peer, peer_key
 from carawayhub.peers.messages import (
     EndpointReport,
     Heartbeat,
@@ -32,6 +33,7 @@
 from carawayhub.platform.ports import VmList, VmState
 from carawayhub.process.host import Host
 from carawayhub.process.operators import Operators
+from carawayhub.process.role import WantedPeer
 from carawayhub.process.runtime import Runtime
 from carawayhub.process.status import EndpointStatus, ProcessStatus
 from carawayhub.routing.directory import EntryDirectory
@@ -40,6 +42,7 @@
 from carawayhub.settings import EntrySettings
 
 DRAIN_POLL = 0.05
+AWAY_STATES = frozenset({MemberState.SUSPECT, MemberState.LEAVING, MemberState.GONE})
 FULL_MESH = 16
 """Entries up to which each has a link to each other, which limits and answers profit from."""
 
@@ -77,11 +80,10 @@
                 self._directory,
                 metrics,
                 lambda: runtime.member.ready,
-                runtime.member.confirmed,
+                runtime.member.knowledge.pauses.check,
+                runtime.member.knowledge.checked,
             )
         )
-        self._away: set[str] = set()
-        self._listed_leaving: set[str] = set()
         self._demand: tuple[OrganisationDemand, ...] = ()
         self._agents: tuple[str, ...] = ()
         self._plan_key = 0
@@ -114,9 +116,7 @@
         """
         runtime = self.runtime
         await runtime.stop.wait()
-        member = runtime.member
-        member.leaving = True
-        member.changed.notify()
+        runtime.member.leave()
         self._update_away()
         deadline = self._directory.kept_until(runtime.clock.monotonic())
         runtime.audit.record(
@@ -135,7 +135,7 @@
     async def _tick(self) -> None:
         """Move the shares of limits and watch for changes worth an audit entry."""
         while True:
-            await anyio.sleep(self.runtime.member.intervals().heartbeat)
+            await anyio.sleep(self.runtime.member.heartbeat_interval())
             self._demand = self._admission.tick()
             self._audit_endpoints()
 
@@ -162,28 +162,19 @@
         self._app.configure(cfg)
         self._update_away()
 
-    def peers(self, cfg: Configuration, vms: VmList | None) -> Iterable[Peer]:
+    def peers(self, cfg: Configuration, vms: VmList | None) -> Iterable[WantedPeer]:
         """Return the entries and agents to open links to."""
         name = self.runtime.identity.name
         for neighbour in _entry_peers(cfg, vms, name):
-            address = Address.parse(cfg.entries[neighbour].peer_address)
-            yield Peer(neighbour, ProcessRole.ENTRY, address)
+            yield _wanted_entry(cfg.entries[neighbour])
         key = plan_key(cfg, vms, name)
         if key != self._plan_key:
             self._agents, self._plan_key = agents_of_entry(cfg, vms, name), key
         for endpoint in self._agents:
-            address = Address.parse(cfg.endpoints[endpoint].agent)
-            yield Peer(endpoint, ProcessRole.AGENT, address)
+            yield _wanted_agent(cfg.endpoints[endpoint])
 
     def listed(self, vms: VmList) -> None:
         """Take a VM list."""
-        cfg = self.runtime.member.configuration
-        if cfg is None:
-            return
-        states = {vm.name: vm.state for vm in vms.vms}
-        self._listed_leaving = {
-            entry.name for entry in cfg.entries.values() if states.get(entry.vm) is VmState.LEAVING
-        }
         self._update_away()
 
     def replied(self, peer: Peer, reply: HeartbeatReply, asked_at: float) -> None:
@@ -191,22 +182,21 @@
         if reply.report is not None:
             self._router.observe(reply.report, asked_at)
             self._reports.observe(reply.report, asked_at)
-            return
-        self._set_away(peer.name, reply.leaving)
 
     def lost(self, peer: Peer) -> None:
         """Note that a peer cannot be reached."""
         if peer.role is ProcessRole.AGENT:
             self._router.lost(peer.name)
             self._reports.lost(peer.name)
-            return
-        self._set_away(peer.name, True)
+
+    def members_changed(self) -> None:
+        """Leave entries out of answers that are suspect, leaving or gone."""
+        self._update_away()
 
     def heard(self, peer: Hello, heartbeat: Heartbeat) -> None:
         """Take a heartbeat of another entry."""
         if peer.role is ProcessRole.ENTRY:
             self._admission.hear(peer.name, peer.incarnation, heartbeat.demand)
-            self._set_away(peer.name, heartbeat.leaving)
 
     def report(self, peer: Hello) -> EndpointReport | None:
         """Return None: an entry has no endpoint."""
@@ -218,22 +208,28 @@
             return ()
         return self._admission.shares.for_peer(peer.name, self._demand)
 
-    def _set_away(self, entry: str, away: bool) -> None:
-        changed = away != (entry in self._away)
-        if not changed:
-            return
-        if away:
-            self._away.add(entry)
-        else:
-            self._away.discard(entry)
-        self._update_away()
-
     def _update_away(self) -> None:
-        away = self._away | self._listed_leaving
+        """Work out anew which entries no answer may name.
+
+        With a process that is itself cut off all others look away; the directory then names all
+        that are declared.
+        """
+        knowledge, identity = self.runtime.member.knowledge, self.runtime.identity
+        cfg = knowledge.configuration
+        if cfg is None:
+            return
+        away = {name for name, entry in cfg.entries.items() if self._is_away(entry)}
         if self.runtime.member.leaving:
-            away = away | {self.runtime.identity.name}
+            away.add(identity.name)
         self._directory.set_away(away)
 
+    def _is_away(self, entry: EntryNode) -> bool:
+        knowledge = self.runtime.member.knowledge
+        if _listed_leaving(knowledge.vms.current, entry.vm):
+            return True
+        key = peer_key(ProcessRole.ENTRY, entry.name)
+        return knowledge.membership.state(key) in AWAY_STATES
+
     # What operators see.
 
     def _operators(self) -> Operators:
@@ -269,6 +265,24 @@
     return gossip_neighbours(own, entry_nodes(cfg, vms, own))
 
 
+def _wanted_entry(entry: EntryNode) -> WantedPeer:
+    peer = Peer(entry.name, ProcessRole.ENTRY, Address.parse(entry.peer_address))
+    leaving = entry.state is EndpointState.LEAVING
+    return WantedPeer(peer, Member(peer.key, entry.vm, entry.failure_domain, leaving))
+
+
+def _wanted_agent(endpoint: Endpoint) -> WantedPeer:
+    peer = Peer(endpoint.name, ProcessRole.AGENT, Address.parse(endpoint.agent))
+    leaving = endpoint.state is EndpointState.LEAVING
+    return WantedPeer(peer, Member(peer.key, endpoint.vm, endpoint.failure_domain, leaving))
+
+
+def _listed_leaving(vms: VmList | None, name: str) -> bool:
+    if vms is None:
+        return False
+    return any(vm.name == name and vm.state is VmState.LEAVING for vm in vms.vms)
+
+
 def _row(row: EndpointRow) -> EndpointStatus:
     return EndpointStatus(
         name=row.endpoint,
--- a/carawayhub/peers/links.py
+++ b/carawayhub/peers/links.py
@@ -164,7 +164,7 @@
         except Exception as exc:
             # A library may fail in ways that it does not document when a connection breaks under
             # it. One link that fails so must not end the process and with it all other links.
-            logger.bind(peer=self.peer.name).opt(exception=exc).error("link failed unexpectedly")
+            logger.bind(peer=self.peer.name, error=repr(exc)).warning("link failed unexpectedly")
             return reached, _reason(exc)
         finally:
             channel.close()
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -108,7 +108,9 @@
         sequence: Number of this heartbeat on this link, from 1.
         version: Configuration version in force at the sender.
         digest: Its digest.
+        echo: ``pauses`` of the last reply that the sender had from this peer.
         service_age: Seconds since the platform's service was last heard, as the sender knows.
+        vms: Number of the newest VM list that the sender has, 0 for none.
         leaving: Whether the sender is stopping.
         demand: What the sender's callers ask for, by organisation; only between entries.
     """
@@ -116,7 +118,9 @@
     sequence: int
     version: int
     digest: str
+    echo: int = 0
     service_age: float = inf
+    vms: int = 0
     leaving: bool = False
     demand: tuple["OrganisationDemand", ...] = ()
 
@@ -126,9 +130,12 @@
 
     Attributes:
         sequence: Number of the heartbeat that it answers, 0 for none.
+        incarnation: Random number drawn when the sender started.
+        pauses: Pauses that the sender has noticed of itself; the next heartbeat repeats it.
         version: Configuration version in force at the sender.
         digest: Its digest.
         service_age: Seconds since the platform's service was last heard, as the sender knows.
+        vms: Number of the newest VM list that the sender has, 0 for none.
         leaving: Whether the sender is stopping.
         report: State of the sender's endpoint; none from an entry.
     """
@@ -136,7 +143,10 @@
     sequence: int
     version: int
     digest: str
+    incarnation: int = 0
+    pauses: int = 0
     service_age: float = inf
+    vms: int = 0
     leaving: bool = False
     report: EndpointReport | None = None
 
--- a/carawayhub/process/runtime.py
+++ b/carawayhub/process/runtime.py
@@ -92,7 +92,7 @@
     def status(self) -> ProcessStatus:
         """Return the part of the status page that every process has."""
         member, identity = self.member, self.identity
-        held = member.sync.in_force
+        held = member.knowledge.sync.in_force
         return ProcessStatus(
             name=identity.name,
             role=identity.role.value,
@@ -100,9 +100,11 @@
             failure_domain=identity.failure_domain,
             version=held.version,
             digest=held.digest,
-            newest_known=member.sync.newest_known().version,
+            newest_known=member.knowledge.sync.newest_known().version,
             ready=member.ready,
             leaving=member.leaving,
             unreached=member.startup_state().unreached,
-            refusals=tuple(f"{id.version}: {error}" for id, error in member.sync.refusals.items()),
+            refusals=tuple(
+                f"{id.version}: {error}" for id, error in member.knowledge.sync.refusals.items()
+            ),
         )
