--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -81,8 +81,8 @@
 class EntryParts:
     """The parts that a request passes through.
 
-    ``doubted`` says whether a pause of this process put in doubt what it knows; ``confirmed`` waits for at most the seconds given until nothing that a pause of this process put
-    in doubt is unchecked, and says whether that is so.
+    ``doubted`` says whether a pause of this process put in doubt what it knows. ``confirmed`` waits
+    for at most the seconds given until nothing of that is unchecked, and says whether that is so.
     """
 
     clock: Clock
