Keep a mass start within the read budget and count a watcher's reads

A process that starts may take itself for the one that watches until it knows the others. Forty such processes would read all files of the service at once although peers have them; they leave peers time now, the more the more files there are.

A version whose files could not be read was not asked for again before the watch timed out; it is asked for at once.

--- a/benchmarks/virtual_time.py
+++ b/benchmarks/virtual_time.py
@@ -13,6 +13,8 @@
 
 import anyio
 
+LONGEST_RUN = 3_600.0
+
 OWNER: ContextVar[str] = ContextVar("owner", default="")
 
 
@@ -83,5 +85,15 @@
 
 
 def run(function: Callable[..., Awaitable[Any]], *args: Any) -> Any:
-    """Run an async function on virtual time and return its result."""
-    return anyio.run(function, *args, backend_options={"loop_factory": VirtualTimeLoop})
+    """Run an async function on virtual time and return its result.
+
+    Raises:
+        TimeoutError: It has not ended within ``LONGEST_RUN`` virtual seconds. Something that waits
+            for ever would otherwise never be noticed, since virtual time goes on without end.
+    """
+
+    async def bounded() -> Any:
+        with anyio.fail_after(LONGEST_RUN):
+            return await function(*args)
+
+    return anyio.run(bounded, backend_options={"loop_factory": VirtualTimeLoop})
--- a/carawayhub/fleet/sync.py
+++ b/carawayhub/fleet/sync.py
@@ -120,6 +120,12 @@
         """The newest version the service was seen to publish, refused ones included."""
         return self._published
 
+    def watch_after(self) -> int:
+        """Return the version above which the service has something new for this process."""
+        if self._wanted(self._published):
+            return self.in_force.version
+        return max(self.in_force.version, self._published.version)
+
     @property
     def refusals(self) -> dict[VersionId, CarawayhubError]:
         """Versions that may not come into force and why, oldest first."""
@@ -272,12 +278,14 @@
     async def _fetch_missing(self, manifest: Manifest, service: ServiceFiles) -> int:
         # The read budget may stretch this over a long time, so peers may bring the version, or a
         # later one, meanwhile; the lock is left to them.
-        missing = self._missing(manifest)
-        for digest in missing:
+        fetched = 0
+        for digest in self._missing(manifest):
             if not self._wanted(manifest.id):
                 break
-            self._contents.add(digest, await service.file(digest))
-        return len(missing)
+            if digest not in self._contents:
+                self._contents.add(digest, await service.file(digest))
+                fetched += 1
+        return fetched
 
     def _missing(self, manifest: Manifest) -> list[str]:
         wanted = dict.fromkeys(manifest.files.values())
--- a/carawayhub/fleet/watchers.py
+++ b/carawayhub/fleet/watchers.py
@@ -29,12 +29,14 @@
 SILENCE_MARGIN = 4.0
 SERVICE_UNHEARD = 20.0
 STAND_BY_CHECK = 5.0
-FLEET_READS_PER_SECOND = 800.0
+FLEET_READS_PER_SECOND = 600.0
 STEP_IN_READS_PER_SECOND = 100.0
 LARGEST_RATE = 100.0
 FALLBACKS_PER_SECOND = 50.0
 SMALLEST_BURST = 5.0
 BURST_SECONDS = 0.25
+LEAVE_A_FILE = 0.01
+LONGEST_LEAVE = 5.0
 EMPTY_ANSWER_PAUSE = 1.0
 
 
@@ -133,6 +135,7 @@
         "_clock",
         "_fleet_size",
         "_name",
+        "_published_files",
         "_rng",
         "_sync",
         "_updated",
@@ -157,6 +160,7 @@
         self._updated = Signal()
         self._watchers: frozenset[str] = frozenset()
         self._fleet_size = 1
+        self._published_files = 0
         self.service = BudgetedService(service, self._budget)
 
     @property
@@ -182,13 +186,21 @@
             down: Candidates held for suspect or gone.
             fleet_size: Processes in the fleet, over which single reads are spread.
         """
-        self._watchers = choose_watchers(candidates, down)
+        known = tuple(candidates)
+        self._watchers = choose_watchers(known, down)
         self._fleet_size = max(1, fleet_size)
-        readers = len(self._watchers) if self.on_duty else self._fleet_size
+        # A process that starts may know no candidate but itself, and so may all others that start
+        # at the same moment.
+        chosen = self.on_duty and len(known) > 1
+        readers = len(self._watchers) if chosen else self._fleet_size
         rate = min(LARGEST_RATE, FLEET_READS_PER_SECOND / max(1, readers))
         self._budget.resize(rate, max(SMALLEST_BURST, BURST_SECONDS * rate))
         self._updated.notify()
 
+    def reading_time(self) -> float:
+        """Return seconds in which the watchers together can read all published files."""
+        return self._published_files * len(self._watchers) / FLEET_READS_PER_SECOND
+
     def fallback_jitter(self) -> float:
         """Return seconds to wait before files are read that peers should have brought."""
         return self._rng.uniform(0, self._fleet_size / FALLBACKS_PER_SECOND)
@@ -200,22 +212,43 @@
     async def run(self) -> None:
         """Watch, or stand by, until cancelled."""
         await anyio.sleep(self.start_jitter())
+        left = False
         while True:
-            if self.on_duty:
+            if self.on_duty and not left and self._sync.in_force.version == 0:
+                left = await self._leave_to_peers()
+            elif self.on_duty:
                 await self._watch()
             else:
                 await self._stand_by()
 
+    async def _leave_to_peers(self) -> bool:
+        """Give peers time to bring the first configuration, the more the larger it is.
+
+        Returns:
+            Whether the service told how large it is.
+
+        When a failure domain restarts, each of its processes may take itself for a watcher until it
+        knows the others. Reading all files at once they would overrun the service, although peers
+        elsewhere have every file.
+        """
+        if not await self.note():
+            await anyio.sleep(self._backoff.next())
+            return False
+        self._backoff.reset()
+        with anyio.move_on_after(min(LONGEST_LEAVE, self._published_files * LEAVE_A_FILE)):
+            while self._sync.in_force.version == 0:
+                await self._sync.learned.wait()
+        return True
+
     async def _watch(self) -> None:
-        after = max(self._sync.in_force.version, self._sync.newest_published.version)
+        after = self._sync.watch_after()
         asked_at = self._clock.monotonic()
         if not await self.read(after, WATCH_WAIT):
             await anyio.sleep(self._backoff.next())
             return
         self._backoff.reset()
         waited = self._clock.monotonic() - asked_at
-        newest = max(self._sync.in_force.version, self._sync.newest_published.version)
-        if newest <= after and waited < WATCH_WAIT / 2:
+        if self._sync.watch_after() <= after and waited < WATCH_WAIT / 2:
             # A service that answers a watch at once with nothing new, as a stale one may, would
             # be asked again without end.
             await anyio.sleep(EMPTY_ANSWER_PAUSE + self._rng.random())
@@ -228,6 +261,7 @@
         """Learn which version is published, fetch nothing; return whether the service answered."""
         try:
             published = await self.service.manifest(0, 0.0)
+            self._published_files = len(published.files)
             self._sync.note_published(Manifest.of(published.version, published.files))
         except (CarawayhubError, TimeoutError, ValueError):
             return False
--- a/tests/test_fleet_watchers.py
+++ b/tests/test_fleet_watchers.py
@@ -22,6 +22,7 @@
     """One process: its synchronisation, its watcher and its start."""
 
     def __init__(self, name: str, network: FakeNetwork, service: FakeService) -> None:
+        self.name = name
         self.clock = LoopClock()
         self.sync = ConfigSync(
             network.calls_of(name), PlainAcceptor(), self.clock, random.Random(name)
@@ -198,6 +199,37 @@
 
         run(story)
 
+    def test_a_failure_domain_that_restarts_reads_few_files(self) -> None:
+        """The service breaks down after a power cut in one failure domain.
+
+        Forty processes start at once, none of which knows the others, and each takes itself for
+        the one that watches. All files are with peers elsewhere, whose links come up a second
+        later.
+        """
+
+        async def story() -> None:
+            service, old = watching()
+            service.publish(1, {f"{number}.json": bytes([number]) for number in range(200)})
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(old.watcher.run)
+                await until_in_force(old, 1)
+                service.forget_reads()
+                fresh = [Process(f"new-{number}", NETWORKS[-1], service) for number in range(40)]
+                for process in fresh:
+                    process.watcher.update([Candidate(process.name, "x")], fleet_size=400)
+                    tasks.start_soon(process.sync.run)
+                    tasks.start_soon(process.watcher.run)
+                await anyio.sleep(1)
+                for process in fresh:
+                    process.sync.heard("a", old.sync.in_force)
+                for process in fresh:
+                    await until_in_force(process, 1)
+                self.assertEqual(service.file_calls.total(), 0)
+                self.assertLess(service.peak(), 120)
+                tasks.cancel_scope.cancel()
+
+        run(story)
+
     def test_with_the_service_down_peers_suffice(self) -> None:
         async def story() -> None:
             service, old = watching()
@@ -267,6 +299,12 @@
     return service, process
 
 
+async def until_in_force(process: Process, version: int) -> None:
+    with anyio.fail_after(600):
+        while process.sync.in_force.version < version:
+            await anyio.sleep(0.05)
+
+
 def listing(number: int, *names: str, leaving: str = "") -> VmList:
     states = {True: VmState.LEAVING, False: VmState.LIVE}
     return VmList(
