Measure membership, and evict nobody when a cut-off process is back

python -m benchmarks.membership drives the product's membership over fakes of links: deaths, silent connections, a failure domain, the process cut off or stopped, and a flapping peer, beside plain rules on the same events.

It showed that a process cut off for 90 s declared 28 of 101 well peers gone: while it was coming back most of them answered, it no longer held itself for cut off, and the rest had been suspect for longer than the limit. Their time begins anew now: 0 of 101. The test evaluates after each return, as the measurement does.

Judging oneself after each heartbeat cost 0.20% of a core at 101 links and 0.58% at 400; it is done on a change of state only: 0.09% and 0.10%.

--- a/carawayhub/fleet/membership.py
+++ b/carawayhub/fleet/membership.py
@@ -143,8 +143,8 @@
             self._flaps.returned(name)
         record.excused = False
         self._mark(record, LeavingSource.ITSELF, leaving or LeavingSource.ITSELF in record.leaving)
-        self._settle(record, "answered")
-        self._judge_self()
+        if self._settle(record, "answered"):
+            self._judge_self()
         return True
 
     def failed(self, name: str, reason: str) -> None:
@@ -239,10 +239,12 @@
         elif record.state is MemberState.LEAVING and not record.leaving:
             self._enter(record, MemberState.ALIVE, f"{source.value} no longer says leaving")
 
-    def _settle(self, record: _Record, reason: str) -> None:
+    def _settle(self, record: _Record, reason: str) -> bool:
         state = MemberState.LEAVING if record.leaving else MemberState.ALIVE
-        if record.state is not state:
-            self._enter(record, state, reason)
+        if record.state is state:
+            return False
+        self._enter(record, state, reason)
+        return True
 
     def _compare(self, record: _Record) -> None:
         if self._vms is None:
@@ -263,14 +265,18 @@
         # When this process itself is cut off, peers in all failure domains stop answering at once.
         # When a rack or a failure domain fails, its peers alone do. Taking the first for the second
         # would evict a healthy fleet.
+        was_isolated = self._isolated
         self._isolated = (
             len(suspects) >= FEWEST_SUSPECTS
             and len(suspects) * 2 > len(counted)
             and len(suspect_domains) * 2 > len(domains)
         )
-        if self._isolated:
+        if self._isolated or was_isolated:
+            # Suspicion from that time says nothing of the peers: it neither counts as flapping
+            # nor towards being gone when most are back and some have yet to be reached.
             for record in suspects:
                 record.excused = True
+                record.suspected_at = self._clock.monotonic()
 
     def _enter(self, record: _Record, state: MemberState, reason: str) -> None:
         before, record.state = record.state, state
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -58,12 +58,13 @@
         for _ in range(5):
             for name in self.names[:8]:
                 self.members.failed(name, "no route")
-            self.clock.advance(GONE_AFTER / 2)
+            self.clock.advance(2 * GONE_AFTER)
             self.members.evaluate()
             self.assertTrue(self.members.isolated)
             for name in self.names:
                 self.assertIsNot(self.members.state(name), MemberState.GONE)
                 self.members.heard(name, incarnation=1)
+                self.members.evaluate()
         self.assertFalse(self.members.isolated)
         self.assertTrue(all(self.members.usable(name) for name in self.names))
 
