Refuse by known load only, and recover from a storm in less time

Cause: a test written to tell the herd's guard from its absence met a refusal at idle endpoints. An entry that had sent little took one request of its own for up to 32 of all entries, which filled an endpoint past its ceiling.

Change: ceilings, spill-over and the load shown go by reports and own requests; what others may have sent sways comparisons only, by 16 at most. A window needs four waits.

--- a/carawayhub/limits/adaptive.py
+++ b/carawayhub/limits/adaptive.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 WINDOW_SECONDS = 0.25
-MIN_SAMPLES = 8
+MIN_SAMPLES = 4
 LOW_QUANTILE = 0.25
 FIRST_LIMIT = 8.0
 MIN_LIMIT = 4.0
--- a/carawayhub/limits/admission.py
+++ b/carawayhub/limits/admission.py
@@ -173,7 +173,7 @@
         """Raise unless rate and concurrency of the organisation leave room; spends nothing."""
         wait = account.rate_wait(now)
         if wait is None or wait > 0.0:
-            raise self._refuse(Code.RATE_EXCEEDED, wait if wait is not None else MAX_RETRY_SECONDS)
+            raise self._refuse(Code.RATE_EXCEEDED, OVERLOAD_RETRY_SECONDS if wait is None else wait)
         if not account.has_slot():
             account.refused_slot()
             raise self._refuse(Code.CONCURRENCY_EXCEEDED, CONCURRENCY_RETRY_SECONDS)
--- a/carawayhub/limits/shares.py
+++ b/carawayhub/limits/shares.py
@@ -131,6 +131,11 @@
             name for name, shared in self._organisations.items() if len(shared.place.members) > 1
         )
 
+    @property
+    def started(self) -> bool:
+        """Whether this entry holds its parts; before, it admits single requests only."""
+        return self._ticks > 0 and self._started(self._peers)
+
     def neighbours(self) -> frozenset[str]:
         """Return the other entries whose demand this one needs to hear, and that need its own."""
         return self._cells.neighbours(self._own)
--- a/carawayhub/routing/candidate.py
+++ b/carawayhub/routing/candidate.py
@@ -227,7 +227,7 @@
             failure_domain=self.endpoint.failure_domain,
             condition=condition,
             reason=reason,
-            load=self.load.value,
+            load=self.load.known,
             own=self.load.own,
             capacity=self.capacity,
             weight=self.weight if self.permitted(now) else 0.0,
--- a/carawayhub/routing/load.py
+++ b/carawayhub/routing/load.py
@@ -5,7 +5,7 @@
 MAX_EVENTS = 4096
 GAIN = 0.2
 MIN_OWN = 0.1
-MAX_ENTRIES = 32.0
+MAX_ENTRIES = 16.0
 
 
 class LoadEstimate:
@@ -18,7 +18,9 @@
 
     Attributes:
         own: Requests of this entry that are in flight.
-        value: Estimated requests of all entries at the endpoint.
+        known: Requests at the endpoint that were reported or are this entry's own.
+        value: The same with what the other entries are likely to have sent since; for comparing
+            endpoints, not for refusing work.
     """
 
     __slots__ = (
@@ -28,12 +30,14 @@
         "_reported",
         "_sampled_at",
         "_unseen",
+        "known",
         "own",
         "value",
     )
 
     def __init__(self) -> None:
         self.own = 0.0
+        self.known = 0.0
         self.value = 0.0
         self._mean_own = 0.0
         self._mean_reported = 0.0
@@ -82,6 +86,7 @@
         self._update()
 
     def _update(self) -> None:
+        self.known = max(self.own, self._reported + self._unseen)
         self.value = max(self.own, self._reported + self._unseen * self._entries())
 
     def _entries(self) -> float:
--- a/carawayhub/routing/pool.py
+++ b/carawayhub/routing/pool.py
@@ -21,16 +21,19 @@
     Attributes:
         members: The endpoints.
         mean: Estimated load for each unit of weighted capacity, over all members.
+        fullness: The same of the load that is known.
     """
 
-    __slots__ = ("_cumulative", "_homes", "mean", "members")
+    __slots__ = ("_cumulative", "_homes", "fullness", "mean", "members")
 
     def __init__(self, members: list[Candidate]) -> None:
         self.members = members
         room = [candidate.capacity * candidate.weight for candidate in members]
         self._cumulative = list(accumulate(room))
         load = sum(candidate.load.value for candidate in members)
+        known = sum(candidate.load.known for candidate in members)
         self.mean = load / self._cumulative[-1]
+        self.fullness = known / self._cumulative[-1]
         self._homes: dict[int, Candidate] = {}
 
     def draw(self, rng: random.Random) -> Candidate:
@@ -98,14 +101,14 @@
         self.tiers: Mapping[str, list[Tier]] = {}
         self.nearby: Mapping[str, Tier] = {}
 
-    def invalidate(self) -> None:
-        """Have the next refresh work everything out again."""
-        self._refreshed_at = None
     @property
     def broken(self) -> bool:
         """Whether a lock-step group among them is known not to step."""
         return any(candidate.group_failed for group in self._heard or () for candidate in group)
 
+    def invalidate(self) -> None:
+        """Have the next refresh work everything out again."""
+        self._refreshed_at = None
         self._heard = None
 
     def refresh(self, now: float, wall: float) -> None:
--- a/carawayhub/routing/query.py
+++ b/carawayhub/routing/query.py
@@ -91,7 +91,7 @@
         failure_domain: Where it stands.
         condition: Whether and how well it serves.
         reason: What led to the condition.
-        load: Estimated requests at the endpoint.
+        load: Requests at the endpoint that were reported or are this entry's own.
         own: Requests of this entry among them.
         capacity: Requests it can run at once.
         weight: Its part of new work against a healthy endpoint of the same size, 1.0 for full.
--- a/carawayhub/routing/router.py
+++ b/carawayhub/routing/router.py
@@ -170,7 +170,7 @@
         capacity = sum(candidate.capacity for candidate in members)
         if capacity == 0:
             return None
-        return sum(candidate.load.value for candidate in members) / capacity
+        return sum(candidate.load.known for candidate in members) / capacity
 
     def begin(self, endpoint: str, cost: float = 1.0) -> InFlight:
         """Count an attempt that is about to be sent; ``cost`` is 1.0 for an ordinary request."""
@@ -281,8 +281,10 @@
         would send everything across at once, and back again with the next report.
         """
         for index, tier in enumerate(tiers[:-1]):
-            spill = (tier.mean - SPILL_FROM) / (SPILL_FULL - SPILL_FROM)
-            if spill <= 0.0 or tiers[index + 1].mean >= tier.mean or self._rng.random() >= spill:
+            spill = (tier.fullness - SPILL_FROM) / (SPILL_FULL - SPILL_FROM)
+            if spill <= 0.0 or tiers[index + 1].fullness >= tier.fullness:
+                return index
+            if self._rng.random() >= spill:
                 return index
         return len(tiers) - 1
 
@@ -346,7 +348,7 @@
 def _open(candidate: Candidate, exclude: frozenset[str], limit: float, now: float) -> bool:
     if candidate.name in exclude or not candidate.permitted(now):
         return False
-    return candidate.load.value < limit * candidate.capacity
+    return candidate.load.known < limit * candidate.capacity
 
 
 def _fullness(candidate: Candidate) -> float:
--- a/tests/test_limits_shares.py
+++ b/tests/test_limits_shares.py
@@ -171,9 +171,11 @@
         world.rounds(10, [200.0, 200.0, 200.0, 200.0])
         world.replace(world.names[0])
         self.assertEqual(world.claims()[world.names[0]], 0.0)
+        self.assertFalse(world.shares[world.names[0]].started)
         most = world.rounds(12, [200.0, 200.0, 200.0, 200.0])
         self.assertLessEqual(most, RATE * 1.0001)
         self.assertAlmostEqual(world.claims()[world.names[0]], RATE / 4, delta=0.5)
+        self.assertTrue(world.shares[world.names[0]].started)
 
     @settings(derandomize=True, max_examples=150, deadline=None)
     @given(
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -188,7 +188,7 @@
         self.assertIsNone(without.recovery_seconds)
         row = run_storm(controller=True, budget=True)
         assert row.recovery_seconds is not None
-        self.assertLessEqual(row.recovery_seconds, 12.0)
+        self.assertLessEqual(row.recovery_seconds, 9.0)
         self.assertGreater(row.goodput_after, 0.85 * STORM_FACTOR * CAPACITY)
 
 
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -41,6 +41,42 @@
         self.assertGreater(sent[idle], 70 / 12)
         self.assertLess(sent[idle], 24)
 
+    def test_a_popular_prefix_does_not_bury_its_holder(self) -> None:
+        """All requests with one prompt wait at one endpoint while the others have room.
+
+        Seven entries know that it holds the prefix. None sees what the others send it before the
+        next report, so each thinks it below the bound.
+        """
+        cfg = configuration(12)
+        clock = ManualClock(1000.0)
+        worlds = [RouterWorld(cfg, seed, clock) for seed in range(7)]
+        holder, blocks = worlds[0].names[0], (11, 12, 13, 14)
+        for _ in range(20):
+            self._past_traffic(worlds)
+        for world in worlds:
+            world.hear_all(running=8)
+            world.hear(holder, running=8, cache=CacheEvents(first=0, added=blocks))
+        clock.advance(0.1)
+        sent: Counter[str] = Counter()
+        for _ in range(10):
+            for world in worlds:
+                choice = world.router.choose(query(prefix_blocks=blocks))
+                world.router.begin(choice.endpoint)
+                sent[choice.endpoint] += 1
+        self.assertGreaterEqual(sent[holder], 7)
+        self.assertLess(sent[holder], 25)
+
+    def test_a_quiet_entry_does_not_refuse_for_what_others_may_send(self) -> None:
+        """Callers of one entry are refused although the endpoints have room.
+
+        The entry has sent nothing for a while and others have. It takes each request of its own
+        for a sign of many, which may sway a choice but must not fill an endpoint.
+        """
+        world = RouterWorld(configuration(2))
+        for _ in range(10):
+            world.hear_all(running=8)
+        self.assertEqual(world.pile(60).total(), 60)
+
     def _past_traffic(self, worlds: list[RouterWorld]) -> None:
         """Let each entry have a request at each endpoint when a report of seven is sampled."""
         tokens = [(world, world.router.begin(name)) for world in worlds for name in world.names]
@@ -268,16 +304,22 @@
         """
         world = RouterWorld(configuration(4))
         world.hear_all(running=8)
-        flapping = world.names[3]
+        once, often = world.names[2:]
         for _ in range(5):
-            world.router.lost(flapping)
-            self.assertFalse(world.router.permitted(flapping))
+            world.router.lost(often)
+            self.assertFalse(world.router.permitted(often))
             world.clock.advance(0.5)
-            world.hear(flapping, running=0)
-        self.assertLess(world.spread(1000)[flapping], 120)
+            world.hear(often, running=0)
+        world.router.lost(once)
+        world.hear(once, running=0)
+        world.clock.advance(2.0)
+        world.hear_all()
+        sent = world.pile(80)
+        self.assertGreater(sent[once], 20)
+        self.assertLess(sent[often], 10)
         world.clock.advance(33.0)
-        world.hear(flapping, running=8)
-        self.assertGreater(world.spread(1000)[flapping], 180)
+        world.hear_all()
+        self.assertGreater(world.pile(80)[often], 15)
 
 
 class Domains(unittest.TestCase):
