Drop the recheck after a pause, which heartbeats do by their echo

The links carry a count of pauses back and forth now, which tells an exchange that began after a pause from one that waited in a buffer, so nothing calls ConfigSync.recheck. It goes with its test; the same story is held by the links' echo.

--- a/carawayhub/fleet/sync.py
+++ b/carawayhub/fleet/sync.py
@@ -11,14 +11,11 @@
 * ``forget(peer)`` when a link to it is lost,
 * ``run()`` as a task: fetches what peers have,
 * ``published(manifest, service)`` from the watcher: fetches what the service has,
-* ``recheck(peers)`` after a pause of the process,
 * ``manifest(req)`` and ``files(req)`` to answer peers,
 * ``in_force``, ``service_age()`` for its own heartbeats, and ``changed`` to send them at once.
 """
 
-import contextlib
 import random
-from collections.abc import Iterable
 
 import anyio
 
@@ -52,7 +49,6 @@
 NEVER = float("inf")
 REFUSALS_KEPT = 64
 NOTES_KEPT = 256
-PEERS_RECHECKED = 3
 
 
 class ConfigSync:
@@ -171,36 +167,6 @@
         """Answer a peer that asks for contents."""
         return self._contents.serve(req)
 
-    async def recheck(self, peers: Iterable[str]) -> bool:
-        """Ask some peers what they have in force; call after a pause of this process.
-
-        Heartbeats that came in during a pause wait in the socket's buffer and are read after it,
-        although they tell of the time before. Only an exchange that begins after the pause shows
-        what holds now.
-
-        Returns:
-            Whether a peer answered and nothing newer is known than what is in force.
-        """
-        answers: list[VersionId] = []
-
-        async def ask(peer: str) -> None:
-            held = self.in_force
-            req = ManifestRequest(
-                document=Document.CONFIGURATION,
-                base_version=held.version,
-                base_digest=held.digest,
-            )
-            with contextlib.suppress(PeerError):
-                reply = await self._peers.manifest(peer, req)
-                answers.append(VersionId(reply.version, reply.digest))
-                self.heard(peer, answers[-1])
-
-        known = sorted(peers)
-        async with anyio.create_task_group() as tasks:
-            for peer in self._rng.sample(known, min(PEERS_RECHECKED, len(known))):
-                tasks.start_soon(ask, peer)
-        return bool(answers) and not any(self._wanted(id) for id in answers)
-
     async def run(self) -> None:
         """Fetch each newer version that a peer has, until cancelled."""
         while True:
--- a/tests/test_fleet_sync.py
+++ b/tests/test_fleet_sync.py
@@ -280,33 +280,6 @@
 
         run(story)
 
-    def test_after_a_pause_only_an_exchange_begun_after_it_counts(self) -> None:
-        """An entry that was stopped for 20 s goes on by keys that were withdrawn meanwhile.
-
-        Heartbeats from the time of the pause wait in its sockets and name the version it has in
-        force, which looks as if nothing had changed. Asked now, a peer names the newer one.
-        """
-
-        async def story() -> None:
-            fleet = Fleet("a", "b")
-            await fleet.publish_at("a", 1, ONE)
-            await fleet.publish_at("b", 1, ONE)
-            waiting = fleet["a"].in_force
-            await fleet.publish_at("a", 2, {"30-new.json": b"{}"})
-
-            fleet["b"].heard("a", waiting)
-            self.assertFalse(await fleet["b"].recheck({"a"}))
-
-            async def steps() -> None:
-                await until(lambda: fleet["b"].in_force.version == 2)
-                self.assertTrue(await fleet["b"].recheck({"a"}))
-                fleet.network.unreachable.add("a")
-                self.assertFalse(await fleet["b"].recheck({"a"}))
-
-            await fleet.running("b", then=steps)
-
-        run(story)
-
 
 class CompressionTest(unittest.TestCase):
     """What a damaged or hostile content may cost."""
