--- a/benchmarks/dissemination.py
+++ b/benchmarks/dissemination.py
@@ -167,7 +167,7 @@
         mark = _Mark(fleet)
         published = await _change(fleet, tasks, changes, disturb)
         rates = mark.rates()
-        await anyio.sleep(IN_FORCE_LIMIT)
+        await _all_in_force(fleet)
         row = _row(scenario, fleet, published, rates)
         tasks.cancel_scope.cancel()
     return row
@@ -187,6 +187,13 @@
     return published
 
 
+async def _all_in_force(fleet: Fleet) -> None:
+    newest = fleet.service.version
+    with anyio.move_on_after(IN_FORCE_LIMIT):
+        while any(node.sync.in_force.version < newest for node in fleet.nodes.values()):
+            await anyio.sleep(0.5)
+
+
 def _pull(scenario: str, shape: Shape, changes: int) -> Row:
     row: Row = run_virtual(_pull_changes, scenario, shape, changes)
     return row
@@ -203,7 +210,7 @@
         mark = _Mark(fleet)
         published = await _change(fleet, tasks, changes, None)
         rates = mark.rates()
-        await anyio.sleep(IN_FORCE_LIMIT)
+        await _all_in_force(fleet)
         row = _row(scenario, fleet, published, rates)
         tasks.cancel_scope.cancel()
     return row
