--- a/tests/test_fleet_pauses.py
+++ b/tests/test_fleet_pauses.py
@@ -1,13 +1,28 @@
 """How a process notices that it was paused."""
 
+import random
 import unittest
+from unittest.mock import Mock
 
 import anyio
 
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.clock import ManualClock
 from carawayhub.fleet.pauses import Belief, PauseDetector
+from carawayhub.output.audit import AuditTrail
+from carawayhub.peers.messages import Heartbeat, Hello, ProcessRole
+from carawayhub.process.addressbook import AddressBook
+from carawayhub.process.exchange import Exchange
+from carawayhub.process.identity import Identity
+from carawayhub.process.knowledge import Knowledge
 
+ENTRY = Hello(
+    name="brest-1",
+    role=ProcessRole.ENTRY,
+    incarnation=7,
+    failure_domain="brest",
+    address="127.0.0.1:7000",
+)
 BOTH = frozenset({Belief.CONFIGURATION, Belief.MEMBERSHIP})
 
 
@@ -62,3 +77,48 @@
                 tasks.cancel_scope.cancel()
 
         run(story)
+
+
+class EchoTest(unittest.TestCase):
+    """What an agent, which opens no links, takes for a sign that its configuration is current."""
+
+    def test_heartbeats_that_waited_in_the_socket_confirm_nothing(self) -> None:
+        """An agent that was stopped for 20 s runs a booking for an endpoint that has left.
+
+        Heartbeats sent during the stop waited in its socket. They name the version that it has in
+        force, as if nothing newer existed. Only one that repeats the count of pauses, which the
+        agent's reply after the stop tells, was sent after it.
+        """
+
+        async def story() -> None:
+            clock = ManualClock()
+            exchange, knowledge = agent(clock)
+            exchange.reply(ENTRY, heartbeat(1, echo=0))
+            clock.advance(20)
+            for sequence in range(2, 40):
+                reply = exchange.reply(ENTRY, heartbeat(sequence, echo=0))
+            self.assertTrue(knowledge.pauses.check())
+            exchange.reply(ENTRY, heartbeat(40, echo=reply.pauses))
+            self.assertFalse(knowledge.pauses.check())
+
+        run(story)
+
+
+def heartbeat(sequence: int, echo: int) -> Heartbeat:
+    return Heartbeat(sequence=sequence, version=0, digest="", echo=echo)
+
+
+def agent(clock: ManualClock) -> tuple[Exchange, Knowledge]:
+    identity = Identity(
+        name="endpoint-1",
+        role=ProcessRole.AGENT,
+        incarnation=1,
+        vm="vm-1",
+        failure_domain="brest",
+        region="bretagne",
+        address="127.0.0.1:7001",
+    )
+    book, audit = AddressBook(Mock()), AuditTrail("endpoint-1", clock)
+    knowledge = Knowledge.empty(identity, book, Mock(), clock, random.Random(1), audit)
+    role = Mock(report=Mock(return_value=None))
+    return Exchange(identity, knowledge, role, book, clock), knowledge
