--- a/tests/test_routing_directory.py
+++ b/tests/test_routing_directory.py
@@ -30,6 +30,14 @@
         firsts = Counter(self.directory.answer(None).addresses[0] for _ in range(900))
         self.assertEqual(set(firsts.values()), {100})
 
+    def test_an_unknown_failure_domain_counts_as_none(self) -> None:
+        firsts = Counter(self.directory.answer("nowhere").addresses[0] for _ in range(900))
+        self.assertEqual(set(firsts.values()), {100})
+
+    def test_a_directory_without_entries_names_none(self) -> None:
+        empty = EntryDirectory(self.clock, random.Random(3))
+        self.assertEqual(empty.answer("domain-a").addresses, ())
+
     def test_an_answer_names_another_domain_and_never_all_entries(self) -> None:
         for _ in range(50):
             addresses = self.directory.answer("domain-b").addresses
@@ -44,15 +52,18 @@
         self.assertEqual(sizes, {1: 1, 2: 2, 3: 2, 4: 3})
 
     def test_preferred_entries_come_first_where_enough_of_them_serve(self) -> None:
-        preferred = [f"entry-00{index}" for index in range(5)]
+        preferred = frozenset(f"entry-00{index}" for index in range(5))
         wanted = {self.cfg.entries[name].address for name in preferred}
         for _ in range(50):
             self.assertLessEqual(
                 set(self.directory.answer("domain-a", preferred).addresses), wanted
             )
-        self.directory.set_away(preferred[:3])
+        self.directory.set_away(sorted(preferred)[:3])
         others = set(self.directory.answer("domain-a", preferred).addresses) - wanted
         self.assertTrue(others)
+        self.directory.set_away(sorted(preferred))
+        for _ in range(50):
+            self.assertFalse(set(self.directory.answer("domain-a", preferred).addresses) & wanted)
 
     def test_the_wall_time_until_which_an_answer_may_be_kept(self) -> None:
         answer = self.directory.answer(None)
