Have a paused agent check its configuration before it orders its ranks

An agent that was stopped woke in the middle of a change and went on giving orders, for a group that a newer configuration may have given to another. Orders and decisions now wait until a peer was heard that knows no newer configuration. An agent at another address than the configuration names for its endpoint decides nothing. Orders go out from the agent's own IP number, interval and horizon come from the configuration, and a decider that replaces one of a formed group does not take the group out of routing while it reads the ranks for the first time.

--- a/carawayhub/agent/grouptask.py
+++ b/carawayhub/agent/grouptask.py
@@ -1,32 +1,73 @@
 """The lock-step group that an agent decides for: the one whose rank 0 its endpoint holds."""
 
 import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
 
+from carawayhub.agent.checked_rank import CheckedRank
 from carawayhub.agent.rank_client import HttpRank
 from carawayhub.agent.reporter import Reporter
 from carawayhub.clock import Clock
 from carawayhub.config.model import Configuration, EndpointState, ModelGroup
 from carawayhub.endpoints.counters import EngineCounters
 from carawayhub.groups.decider import DeciderOptions, GroupDecider
-from carawayhub.groups.policy import Policy, Situation
+from carawayhub.groups.policy import Policy, PolicyOptions, Situation
 from carawayhub.groups.popularity import ExpertCounters
+from carawayhub.groups.ranks import RankPort
 from carawayhub.groups.staging import fair_rate
 from carawayhub.groups.status import GroupStatus
 from carawayhub.output.audit import AuditTrail
 from carawayhub.process.status import GroupStatusRow
 
 WATCH_INTERVAL = 0.25
+CHECK_WAIT = 60.0
+HANDOVER_GRACE = 2.0
 GIVER_HEADER = "carawayhub-giver"
+PAUSED_REASON = "its agent was paused and has not checked its configuration since"
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """Which agent this is.
+
+    Attributes:
+        endpoint: Name of its endpoint.
+        address: ``ip:port`` at which it takes calls.
+        source: IP number to connect from, empty for any.
+    """
+
+    endpoint: str
+    address: str
+    source: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class _Plan:
+    """What a decider is made of; one is replaced where this changes.
+
+    Attributes:
+        group: The group.
+        urls: Address of each of its endpoints, in the order of their ranks.
+        options: Timing and staging rate.
+        horizon: Seconds for which a better balance is expected to last.
+    """
+
+    group: ModelGroup
+    urls: tuple[str, ...]
+    options: DeciderOptions
+    horizon: float
 
 
 class GroupTask:
     """Runs the decider of one group for as long as the configuration says that it is this agent's.
 
     Args:
-        endpoint: Name of this agent's endpoint.
+        seat: Which agent this is.
+        paused: Whether a pause of this process put in doubt what it knows.
+        checked: Waits some seconds for that doubt to end; returns whether it did.
         reporter: Told when the group cannot step, so that entries send it nothing.
         clock: Source of time.
         rng: Source of the decider's number and of jitter.
@@ -36,54 +77,60 @@
 
     __slots__ = (
         "_audit",
+        "_checked",
         "_clock",
-        "_endpoint",
-        "_group",
-        "_places",
+        "_paused",
+        "_plan",
         "_reporter",
         "_rng",
         "_scope",
+        "_seat",
         "_status",
         "_tasks",
     )
 
     def __init__(
         self,
-        endpoint: str,
+        seat: Seat,
+        paused: Callable[[], bool],
+        checked: Callable[[float], Awaitable[bool]],
         reporter: Reporter,
         clock: Clock,
         rng: random.Random,
         audit: AuditTrail,
         tasks: TaskGroup,
     ) -> None:
-        self._endpoint = endpoint
+        self._seat = seat
+        self._paused = paused
+        self._checked = checked
         self._reporter = reporter
         self._clock = clock
         self._rng = rng
         self._audit = audit
         self._tasks = tasks
-        self._group: ModelGroup | None = None
-        self._places: tuple[str, ...] = ()
+        self._plan: _Plan | None = None
         self._scope: anyio.CancelScope | None = None
         self._status: GroupStatus | None = None
 
     def configured(self, cfg: Configuration) -> None:
         """Begin, change or end the task as a version that came into force says."""
-        wanted = led_group(cfg, self._endpoint)
-        places = () if wanted is None else tuple(cfg.endpoints[n].url for n in wanted.endpoints)
-        if wanted == self._group and places == self._places:
+        plan = _plan(cfg, self._seat)
+        if plan == self._plan:
             return
-        self._places = places
+        before, self._plan = self._plan, plan
+        goes_on = before is not None and plan is not None and before.urls == plan.urls
+        goes_on = goes_on and self._status is not None and self._status.formed
         if self._scope is not None:
             self._scope.cancel()
             self._scope = None
-        self._group = wanted
         self._status = None
-        self._reporter.set_out_of_step("")
-        if wanted is not None:
+        if not goes_on:
+            first = "the ranks of its group are not in one formation yet"
+            self._reporter.set_out_of_step("" if plan is None else first)
+        if plan is not None:
             self._scope = anyio.CancelScope()
-            self._reporter.set_out_of_step("the ranks of its group are not in one formation yet")
-            self._tasks.start_soon(self._decide, cfg, wanted, self._scope)
+            silent = self._clock.monotonic() + (HANDOVER_GRACE if goes_on else 0.0)
+            self._tasks.start_soon(self._decide, cfg, plan, self._scope, silent)
 
     def rows(self) -> tuple[GroupStatusRow, ...]:
         """Return the group's row on the status page, nothing without a group."""
@@ -96,60 +143,85 @@
             skew=status.skew,
             decision=status.changing or status.decision,
             reason=status.reason,
-            out_of_routing="" if status.formed else _why_not_formed(status),
+            out_of_routing=self._why_out_of_step(status),
         )
         return (row,)
 
     async def _decide(
-        self, cfg: Configuration, group: ModelGroup, scope: anyio.CancelScope
+        self, cfg: Configuration, plan: _Plan, scope: anyio.CancelScope, silent_until: float
     ) -> None:
-        ports = rank_ports(cfg, group, self._endpoint)
-        signals = _Signals(cfg, group, self._reporter)
+        group = plan.group
+        clients = rank_clients(plan, self._seat)
+        ports: list[RankPort] = [CheckedRank(client, self._checked) for client in clients]
+        signals = _Signals(cfg, group, self._reporter, self._checked)
         decider = GroupDecider(
             group,
             cfg.version,
             ports,
-            Policy(group, self._clock),
+            Policy(group, self._clock, options=PolicyOptions(horizon=plan.horizon)),
             signals,
             self._clock,
             self._audit,
             self._rng,
-            DeciderOptions(staging_rate=_staging_rate(cfg)),
+            plan.options,
         )
         self._status = decider.status
         with scope:
             try:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(decider.run)
-                    tasks.start_soon(self._follow, decider.status)
+                    tasks.start_soon(self._follow, decider.status, silent_until)
             finally:
                 with anyio.CancelScope(shield=True):
                     await signals.close()
-                    for port in ports:
-                        await port.close()
+                    for client in clients:
+                        await client.close()
 
-    async def _follow(self, status: GroupStatus) -> None:
-        """Keep the report in line with the decider's view of the group."""
+    async def _follow(self, status: GroupStatus, silent_until: float) -> None:
+        """Keep the report in line with the decider's view of the group.
+
+        A decider that replaces one of a formed group, as when a weight was changed, has not read
+        the ranks yet: until ``silent_until`` it does not take the group out of routing.
+        """
         while True:
-            self._reporter.map_number = status.map_number
-            self._reporter.skew = status.skew
-            self._reporter.set_out_of_step("" if status.formed else _why_not_formed(status))
+            if status.formed or self._clock.monotonic() >= silent_until:
+                self._reporter.map_number = status.map_number
+                self._reporter.skew = status.skew
+                self._reporter.set_out_of_step(self._why_out_of_step(status))
             await anyio.sleep(WATCH_INTERVAL)
 
+    def _why_out_of_step(self, status: GroupStatus) -> str:
+        if status.formed:
+            return ""
+        return PAUSED_REASON if self._paused() else _why_not_formed(status)
+
 
 class _Signals:
     """What this agent knows of its group; see ``GroupSignals``."""
 
-    __slots__ = ("_cfg", "_counters", "_group", "_reporter")
+    __slots__ = ("_cfg", "_checked", "_counters", "_group", "_reporter")
 
-    def __init__(self, cfg: Configuration, group: ModelGroup, reporter: Reporter) -> None:
+    def __init__(
+        self,
+        cfg: Configuration,
+        group: ModelGroup,
+        reporter: Reporter,
+        checked: Callable[[float], Awaitable[bool]],
+    ) -> None:
+        self._checked = checked
         self._cfg = cfg
         self._group = group
         self._reporter = reporter
         self._counters = EngineCounters(cfg.endpoints[group.endpoints[0]].url)
 
     async def counters(self) -> ExpertCounters | None:
-        """Return the newest counters, None where there are none."""
+        """Return the newest counters, None where there are none.
+
+        A decision follows at once. A paused agent may have been replaced, or its group changed, so
+        it waits here until it has checked its configuration; a new one ends the decider.
+        """
+        while not await self._checked(CHECK_WAIT):
+            pass
         return await self._counters.read()
 
     def situation(self) -> Situation:
@@ -168,34 +240,42 @@
         await self._counters.close()
 
 
-def led_group(cfg: Configuration, endpoint: str) -> ModelGroup | None:
-    """Return the lock-step group whose rank 0 an endpoint holds, None for none.
+def led_group(cfg: Configuration, seat: Seat) -> ModelGroup | None:
+    """Return the lock-step group whose rank 0 an agent's endpoint holds, None for none.
 
-    A group of a single rank has nothing to agree on and needs no decider.
+    A group of a single rank has nothing to agree on and needs no decider. An agent at another
+    address than the configuration names is that of a VM that was replaced: it decides nothing.
     """
     for group in cfg.groups.values():
-        if group.ranks > 1 and group.endpoints[0] == endpoint:
-            return group
+        if group.ranks > 1 and group.endpoints[0] == seat.endpoint:
+            return group if cfg.endpoints[seat.endpoint].agent == seat.address else None
     return None
 
 
-def rank_ports(cfg: Configuration, group: ModelGroup, giver: str) -> list[HttpRank]:
-    """Return a port to each rank; ranks are spread evenly over the endpoints, in order.
+def rank_clients(plan: _Plan, seat: Seat) -> list[HttpRank]:
+    """Return a client of each rank; ranks are spread evenly over the endpoints, in order.
 
     Each order names its giver, for engines that check who gives it.
     """
-    each = group.ranks // len(group.endpoints)
-    headers = {GIVER_HEADER: giver}
-    return [
-        HttpRank(cfg.endpoints[group.endpoints[rank // each]].url, rank, headers)
-        for rank in range(group.ranks)
-    ]
-
-
-def _staging_rate(cfg: Configuration) -> float:
-    """Return the bytes a second that one group may fetch from the weight store."""
-    changing = sum(group.ranks > 1 for group in cfg.groups.values())
-    return fair_rate(cfg.fleet.weight_store_rate, max(1, changing))
+    ranks = plan.group.ranks
+    each = ranks // len(plan.urls)
+    headers = {GIVER_HEADER: seat.endpoint}
+    return [HttpRank(plan.urls[rank // each], rank, headers, seat.source) for rank in range(ranks)]
+
+
+def _plan(cfg: Configuration, seat: Seat) -> _Plan | None:
+    group = led_group(cfg, seat)
+    if group is None:
+        return None
+    sharing = sum(each.ranks > 1 for each in cfg.groups.values())
+    interval = cfg.fleet.decision_interval
+    options = DeciderOptions(
+        watch_interval=min(DeciderOptions().watch_interval, interval),
+        decision_interval=interval,
+        staging_rate=fair_rate(cfg.fleet.weight_store_rate, sharing),
+    )
+    urls = tuple(cfg.endpoints[name].url for name in group.endpoints)
+    return _Plan(group, urls, options, cfg.fleet.gain_horizon)
 
 
 def _why_not_formed(status: GroupStatus) -> str:
--- a/carawayhub/standins/rankgroup.py
+++ b/carawayhub/standins/rankgroup.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -16,7 +17,6 @@
 from carawayhub.clock import SystemClock
 from carawayhub.errors import GroupError
 from carawayhub.groups.maps import MapId
-from carawayhub.groups.orders import RankState
 from carawayhub.standins.checker import StepSample
 from carawayhub.standins.drift import DriftingCounters
 from carawayhub.standins.faults import RankFault
@@ -102,6 +102,7 @@
         router.add("POST", "/hold/{}", self._hold)
         router.add("GET", "/control/states", self._list_states)
         router.add("GET", "/control/steps", self._list_steps)
+        router.add("GET", "/control/givers", self._list_givers)
         router.add("POST", "/control/ranks/{}/fault", self._set_fault)
         router.add("POST", "/control/ranks/{}/deliver", self._deliver)
         router.add("POST", "/control/ranks/{}/repeat", self._repeat)
@@ -199,6 +200,11 @@
     async def _list_steps(self, req: Request) -> Reply:
         return json_reply(self.samples(req.query.get("name", "group")))
 
+    async def _list_givers(self, req: Request) -> Reply:
+        """Answer with the orders of each decider that reached a rank, by its random number."""
+        given = Counter(order.term.decider for port in self.ports for order in port.given)
+        return json_reply({str(decider): count for decider, count in given.items()})
+
     async def _set_fault(self, req: Request) -> Reply:
         self.set_fault(int(req.parts[0]), msgspec.json.decode(req.body, type=RankFault))
         return json_reply({})
@@ -218,8 +224,3 @@
     async def _set_hot(self, req: Request) -> Reply:
         self.counters.hot = msgspec.json.decode(req.body, type=int | None)
         return json_reply({})
-
-
-def decode_states(body: bytes) -> list[RankState]:
-    """Return the states that ``/control/states`` gave."""
-    return msgspec.json.decode(body, type=list[RankState])
