Begin no run-once request past its deadline on a slow path

Cause: an entry told the agent only how much time was left when it sent a request, and the agent counted it from the arrival. A booking with 400 ms to go that took 600 ms to arrive was begun 200 ms after its visitor had given up. Ruled out: the entry's cancelling of the call, which comes later still, half a second after the deadline, and over the same path.

An agent now adds its clock to each report, and an entry says the deadline in terms of that clock as well. The report's way to the entry makes the figure too early, never too late, so nothing rests on clocks of two machines being the same; the agent takes the earlier of the two deadlines.

--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -131,7 +131,7 @@
 
     async def run(self, sender: str, req: RunRequest) -> RunReply:
         """Answer an entry that sends a run-once request."""
-        deadline = self._clock.monotonic() + req.remaining
+        deadline = min(self._clock.monotonic() + req.remaining, req.deadline)
         try:
             claim = self._claim(req)
             if isinstance(claim, Refuse):
--- a/carawayhub/agent/reporter.py
+++ b/carawayhub/agent/reporter.py
@@ -166,6 +166,7 @@
             skew=self.skew,
             reason=self._standing.reason,
             cache=self._news(peer),
+            reading=self._clock.monotonic(),
         )
 
     def _news(self, peer: Hello) -> CacheEvents:
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -181,7 +181,7 @@
         """Take what a peer reports."""
         if reply.report is not None:
             self._router.observe(reply.report, asked_at)
-            self._reports.observe(reply.report, asked_at)
+            self._reports.observe(reply.report, asked_at, self.runtime.clock.monotonic())
 
     def lost(self, peer: Peer) -> None:
         """Note that a peer cannot be reached."""
--- a/carawayhub/entry/reports.py
+++ b/carawayhub/entry/reports.py
@@ -1,16 +1,24 @@
 """What agents last reported, for choices that are not the router's."""
 
 from dataclasses import dataclass
+from math import inf
 
 from carawayhub.peers.messages import EndpointReport, ServingState
 
 
 @dataclass(frozen=True, slots=True)
 class HeardReport:
-    """A report and the clock reading until which its permit lasts."""
+    """A report and what it means on this process's clock.
+
+    Attributes:
+        report: The report.
+        permit_until: Clock reading until which its permit lasts.
+        heard_at: Clock reading when it came.
+    """
 
     report: EndpointReport
     permit_until: float
+    heard_at: float
 
 
 class Reports:
@@ -21,9 +29,10 @@
     def __init__(self) -> None:
         self._heard: dict[str, HeardReport] = {}
 
-    def observe(self, report: EndpointReport, asked_at: float) -> None:
-        """Take a report that answers a heartbeat sent at clock reading ``asked_at``."""
-        self._heard[report.endpoint] = HeardReport(report, asked_at + report.permit)
+    def observe(self, report: EndpointReport, asked_at: float, heard_at: float) -> None:
+        """Take a report that came at ``heard_at`` and answers a heartbeat sent at ``asked_at``."""
+        permit_until = asked_at + report.permit
+        self._heard[report.endpoint] = HeardReport(report, permit_until, heard_at)
 
     def lost(self, endpoint: str) -> None:
         """Drop what is known: the agent cannot be reached."""
@@ -34,6 +43,17 @@
         heard = self._heard.get(endpoint)
         return None if heard is None else heard.report
 
+    def on_agents_clock(self, endpoint: str, reading: float) -> float:
+        """Return what the agent's clock has reached by the time this process's reads ``reading``.
+
+        Guards against a request that is long on its way: told only how much time was left when it
+        was sent, the agent would begin it past its caller's deadline. The agent's clock read
+        ``report.reading`` some time before the report came, so the sum falls short of the truth by
+        the time the report took, and a deadline given so is never too late.
+        """
+        heard = self._heard.get(endpoint)
+        return inf if heard is None else heard.report.reading + reading - heard.heard_at
+
     def serving(self, endpoint: str, now: float) -> EndpointReport | None:
         """Return the latest report if it lets new work go to the endpoint at ``now``."""
         heard = self._heard.get(endpoint)
--- a/carawayhub/entry/runonce.py
+++ b/carawayhub/entry/runonce.py
@@ -229,6 +229,7 @@
             headers=headers,
             body=call.body,
             remaining=left,
+            deadline=self._reports.on_agents_clock(place.endpoint, call.deadline),
         )
 
 
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -57,6 +57,8 @@
         skew: Busiest rank's load over the mean, 1.0 for none.
         reason: Why it is not serving, empty where it is.
         cache: Prefix-cache events since the report before.
+        reading: The agent's clock when it made the report, by which an entry can say a deadline in
+            terms of that clock.
     """
 
     endpoint: str
@@ -74,6 +76,7 @@
     skew: float = 1.0
     reason: str = ""
     cache: CacheEvents = field(default_factory=lambda: CacheEvents(first=0))
+    reading: float = 0.0
 
 
 class ProcessRole(Enum):
@@ -187,6 +190,7 @@
         headers: Headers for the endpoint.
         body: Body of the request.
         remaining: Seconds until its deadline.
+        deadline: The same as a reading of the agent's clock, as far as the entry knows that clock.
     """
 
     request_id: str
@@ -201,6 +205,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     remaining: float
+    deadline: float = inf
 
 
 class RunReply(msgspec.Struct, frozen=True, kw_only=True):
