--- a/tests/stories.py
+++ b/tests/stories.py
@@ -61,10 +61,12 @@
 
     Attributes:
         shape: What the fleet is made of.
+        mended: Whether the fleet is made whole after each test; not where it has one test only.
         fleet: The fleet.
     """
 
     shape: ClassVar[FleetShape] = FleetShape()
+    mended: ClassVar[bool] = True
     fleet: ClassVar[ProcessFleet]
     _portal: ClassVar[BlockingPortal]
 
@@ -84,7 +86,8 @@
             with anyio.fail_after(STORY_S):
                 await method()
         finally:
-            await _mend(self.fleet)
+            if self.mended:
+                await _mend(self.fleet)
 
     @property
     def engines(self) -> list[str]:
--- a/tests/unguarded.py
+++ b/tests/unguarded.py
@@ -206,5 +206,38 @@
     replace(Fence, "admit", lambda self, key: None)
 
 
+@guard("time-left")
+def _time_left() -> None:
+    from carawayhub.agent import gate
+    from carawayhub.constants import DEADLINE_HEADER
+    from carawayhub.entry import relay
+
+    replace(relay, "DROPPED_HEADERS", relay.DROPPED_HEADERS - {DEADLINE_HEADER})
+    replace(relay, "DEADLINE_HEADER", b"x-unread")
+    replace(gate, "_DROPPED_HEADERS", gate._DROPPED_HEADERS - {DEADLINE_HEADER.decode()})
+    replace(gate, "DEADLINE_HEADER", b"x-unread")
+
+
+@guard("agents-deadline")
+def _agents_deadline() -> None:
+    from carawayhub.entry.reports import Reports
+
+    replace(Reports, "on_agents_clock", lambda self, endpoint, reading: float("inf"))
+
+
+@guard("retries")
+def _retries() -> None:
+    from carawayhub.limits.retries import RetryBudget, RetryDecision, RetryVerdict
+
+    replace(RetryBudget, "decide", lambda self, query: RetryDecision(RetryVerdict.BUDGET, 0.0))
+
+
+@guard("retry-budget")
+def _retry_budget() -> None:
+    from carawayhub.limits.bucket import TokenBucket
+
+    replace(TokenBucket, "spend", lambda self, amount, now: True)
+
+
 if __name__ == "__main__":
     _main()
