Notice a lost rank while weights are staged

With the links between two failure domains cut in the middle of staging, the agent beside rank 0 did not report its group as out of step: the decider waited for the staging alone, up to its deadline of 900 s, while requests were still sent to a group that might not step. A process test found it when a decision happened to fall into the cut; the story in memory did not end within 30 s.

Staging now runs beside the same watch that runs between changes, and ends when the group breaks.

--- a/carawayhub/groups/decider.py
+++ b/carawayhub/groups/decider.py
@@ -254,7 +254,7 @@
         if not was_formed and state.formation is not None:
             self._record(GroupFormed(formation=state.formation.id, first_map=self._current.id))
 
-    async def _watch(self) -> None:
+    async def _watch(self, *, deciding: bool = True) -> None:
         """Decide at each interval; return when the ranks have to be read again.
 
         Only rank 0 is read often: no rank steps without it, so a rank that waits for a verdict or
@@ -272,7 +272,7 @@
             if still >= STILL_LOOKS:
                 return
             entered = replies[0].state.entered
-            if self._clock.monotonic() >= self._decide_at:
+            if deciding and self._clock.monotonic() >= self._decide_at:
                 self._decide_at = self._clock.monotonic() + self._options.decision_interval
                 await self.decide_once()
 
@@ -281,7 +281,7 @@
         new = decision.map
         self.status.changing = f"staging map {new.id}"
         try:
-            await self._stage(current, new)
+            await self._stage_under_watch(current, new)
             verdict = await self._switch(current, new)
         except GroupError as exc:
             self._record(MapKept(before=current.id, wanted=new.id, reason=str(exc)))
@@ -328,6 +328,37 @@
         patience = self._options.lost_after
         return await settle(self._ports, handling, self._clock, agree_by, patience)
 
+    async def _stage_under_watch(self, old: ExpertMap, new: ExpertMap) -> None:
+        """Stage ``new``, unless the group breaks meanwhile.
+
+        Staging may take minutes. A rank that is lost then would otherwise hold it up until its
+        deadline, while the group cannot step and requests are still sent to it.
+        """
+        failures: list[GroupError] = []
+
+        async def watch() -> None:
+            try:
+                await self._watch_until_broken()
+            except GroupError as exc:
+                failures.append(exc)
+                tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(watch)
+            try:
+                await self._stage(old, new)
+            except GroupError as exc:
+                failures.append(exc)
+            tasks.cancel_scope.cancel()
+        if failures:
+            raise failures[0]
+
+    async def _watch_until_broken(self) -> None:
+        while True:
+            await self._watch(deciding=False)
+            if not formed(await self._read(), self._group.ranks):
+                raise GroupError(Code.GROUP_BROKEN, "a rank left the formation while staging")
+
     async def _stage(self, old: ExpertMap | None, new: ExpertMap) -> None:
         staging = Staging(
             term=self._term,
--- a/tests/test_groups_staging.py
+++ b/tests/test_groups_staging.py
@@ -105,6 +105,28 @@
             self.assertLess(bench.store.refusals, 5)
         self.assertEqual(bench.group.two_maps(), ())
 
+    async def test_rank_lost_while_staging_takes_the_group_out(self):
+        """A rank dies while weights are staged, which takes minutes; callers wait for nothing.
+
+        The group cannot step from then on. A decider that saw to the staging alone would report
+        it as formed until the deadline of the staging, and requests would go on to be sent.
+        """
+        bench = GroupBench()
+        decider = bench.decider()
+        async with bench.stepping(), bench.running(decider):
+            await bench.until_on(bench.FIRST)
+            bench.store.refuse_all = True
+            decider.chooser.rows = bench.SECOND
+            await bench.until(lambda: bench.store.refusals > 0)
+            decider.ports[1].cut = True
+            bench.ranks[1].stalled = True
+            await bench.until(lambda: not decider.status.formed)
+            decider.ports[1].cut = bench.ranks[1].stalled = bench.store.refuse_all = False
+            bench.ranks[1].restart()
+            await bench.until_on(bench.SECOND)
+            self.assertTrue(decider.status.formed)
+        self.assertEqual(bench.group.two_maps(), ())
+
     async def test_rank_that_never_prepares(self):
         """One rank cannot be told what to stage: the change is given up, the old map goes on."""
         bench = GroupBench()
