Measure what routing and limits cost one entry at the planned size

Cause: slopes for an answer to a caller, a report, a configuration and status rows came from a trial script that is not in the repository.

Change: benchmarks.routing measures them at 5,400 endpoints and 780 entries, benchmarks.limits the time that a configuration takes.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -8,7 +8,7 @@
 import random
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import asdict, dataclass
 
 import msgspec
@@ -76,12 +76,16 @@
     Attributes:
         tick_us: Processor time of one tick in microseconds, hearing all peers included.
         peers: Entries it exchanges demand with.
+        first_ms: Processor time of the first configuration in milliseconds.
+        again_ms: The same of one with the same entries and limits.
         bytes_to_peer: Size of what one heartbeat to one peer carries.
     """
 
     entries: int
     organisations: int
     peers: int
+    first_ms: float
+    again_ms: float
     tick_us: float
     bytes_to_peer: int
 
@@ -264,7 +268,8 @@
     limits = Limits(rate=200.0, burst=200.0, concurrency=200)
     cfg = fake_configuration(2, entries, dict.fromkeys(names, limits))
     admission = Admission(timeline.clock, random.Random(SEED), min(cfg.entries))
-    admission.configure(cfg)
+    first_ms = _milliseconds(lambda: admission.configure(cfg))
+    again_ms = _milliseconds(lambda: admission.configure(cfg))
     others = admission.shares.neighbours()
     rows = admission.tick()
     spent = time.process_time()
@@ -275,7 +280,14 @@
         rows = admission.tick()
     spent = time.process_time() - spent
     most = max(len(msgspec.msgpack.encode(admission.shares.for_peer(n, rows))) for n in others)
-    return CostRow(entries, organisations, len(others), round(1e6 * spent / rounds, 0), most)
+    tick_us = round(1e6 * spent / rounds, 0)
+    return CostRow(entries, organisations, len(others), first_ms, again_ms, tick_us, most)
+
+
+def _milliseconds(work: Callable[[], object]) -> float:
+    spent = time.process_time()
+    work()
+    return round(1e3 * (time.process_time() - spent), 2)
 
 
 def _busiest(times: Sequence[float], begin: float, end: float) -> float:
@@ -337,11 +349,11 @@
             f"{row.entries:>7}  {row.limit:<12} {row.phase:<10} {row.used:>6.1%} "
             f"{row.over:>5}% {row.over_requests:>9} {row.share_error:>11}%"
         )
-    print("\nentries  organisations  peers  tick us  bytes to a peer")
+    print("\nentries  organisations  peers  first ms  again ms  tick us  bytes to a peer")
     for cost in result.costs:
         print(
-            f"{cost.entries:>7} {cost.organisations:>14} {cost.peers:>6} {cost.tick_us:>8} "
-            f"{cost.bytes_to_peer:>16}"
+            f"{cost.entries:>7} {cost.organisations:>14} {cost.peers:>6} "
+            f"{cost.first_ms:>9} {cost.again_ms:>9} {cost.tick_us:>8} {cost.bytes_to_peer:>16}"
         )
     return 0
 
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -10,7 +10,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import asdict, dataclass
 from typing import Protocol
 
@@ -27,6 +27,7 @@
 )
 from carawayhub.config.model import Configuration, Limits
 from carawayhub.peers.messages import CacheEvents, EndpointReport
+from carawayhub.routing.directory import EntryDirectory
 from carawayhub.routing.query import InFlight, RouteQuery
 from carawayhub.routing.router import Router
 
@@ -47,6 +48,9 @@
 TOKENS = 100
 EVENT_LOSS = 0.03
 SEED = 7
+PLANNED_ENDPOINTS = 5400
+PLANNED_ENTRIES = 780
+PLANNED_LINKS = 83
 SHARES = {"provider-a": 62.0, "provider-b": 31.0, "provider-c": 7.0}
 
 
@@ -195,6 +199,14 @@
     choose_us: float
 
 
+@dataclass(slots=True)
+class SlopeRow:
+    """Processor time of one piece of work at the planned size, in microseconds."""
+
+    work: str
+    microseconds: float
+
+
 class Trial:
     """One run of one policy at one lag."""
 
@@ -344,6 +356,42 @@
     return CostRow(endpoints, prefix_blocks, round(1e6 * spent / rounds, 1))
 
 
+def run_slopes() -> list[SlopeRow]:
+    """Measure what routing costs one entry at the planned size, besides choices."""
+    cfg = fake_configuration(PLANNED_ENDPOINTS, PLANNED_ENTRIES, {"org": Limits()})
+    timeline = Timeline()
+    router = Router(timeline.clock, random.Random(SEED), DOMAINS[0], REGION)
+    router.configure(cfg)
+    directory = EntryDirectory(timeline.clock, random.Random(SEED))
+    directory.configure(cfg)
+    reports = [
+        FakeEngine(timeline, name, CAPACITY, 1.0, CACHE_BLOCKS).report(0.0, PERMIT_SECONDS)
+        for name in sorted(cfg.endpoints)[:PLANNED_LINKS]
+    ]
+
+    def hear_all() -> None:
+        timeline.clock.advance(REPORT_SECONDS)
+        for report in reports:
+            router.observe(report, timeline.now)
+
+    return [
+        SlopeRow("one report taken", _microseconds(hear_all, 50) / PLANNED_LINKS),
+        SlopeRow("a configuration taken, router", _microseconds(lambda: router.configure(cfg), 20)),
+        SlopeRow(
+            "an answer to a caller", _microseconds(lambda: directory.answer(DOMAINS[0]), 2000)
+        ),
+        SlopeRow("status rows, heard only", _microseconds(lambda: router.states(True), 50)),
+        SlopeRow("status rows, all declared", _microseconds(router.states, 5)),
+    ]
+
+
+def _microseconds(work: Callable[[], object], rounds: int) -> float:
+    spent = time.process_time()
+    for _ in range(rounds):
+        work()
+    return round(1e6 * (time.process_time() - spent) / rounds, 1)
+
+
 @dataclass(slots=True)
 class Result:
     """All rows of the benchmark."""
@@ -351,13 +399,14 @@
     policies: list[PolicyRow]
     shares: list[ShareRow]
     costs: list[CostRow]
+    slopes: list[SlopeRow]
 
 
 def run(lags: Sequence[float] = LAGS, policies: Sequence[str] = POLICIES) -> Result:
     """Run everything."""
     rows = [run_policy(policy, lag) for lag in lags for policy in policies]
     costs = [run_cost(endpoints, blocks) for endpoints in (12, 200) for blocks in (0, 20)]
-    return Result(rows, run_shares(), costs)
+    return Result(rows, run_shares(), costs, run_slopes())
 
 
 def main(argv: list[str]) -> int:
@@ -378,6 +427,9 @@
     print("\nendpoints  prefix blocks  choose us")
     for cost in result.costs:
         print(f"{cost.endpoints:>9} {cost.prefix_blocks:>14} {cost.choose_us:>10}")
+    print(f"\nat {PLANNED_ENDPOINTS} endpoints, {PLANNED_LINKS} of them linked       us")
+    for slope in result.slopes:
+        print(f"{slope.work:<36} {slope.microseconds:>8.1f}")
     return 0
 
 
