--- a/benchmarks/rebalance.py
+++ b/benchmarks/rebalance.py
@@ -14,7 +14,9 @@
 import sys
 import time
 from collections.abc import Sequence
-from dataclasses import asdict, dataclass
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, dataclass, replace
+from typing import Any
 
 from benchmarks.popularity_traces import FULL_SIZE, TODAY, TRACES, Size, Trace
 from benchmarks.rebalance_strategies import (
@@ -29,9 +31,9 @@
 )
 from carawayhub.clock import ManualClock
 from carawayhub.config.model import ModelGroup
-from carawayhub.groups.balance import rank_loads
+from carawayhub.groups.decisions import Effort, PolicyOptions, Situation
+from carawayhub.groups.loads import rank_loads
 from carawayhub.groups.maps import ExpertMap, moved_bytes
-from carawayhub.groups.policy import PolicyOptions, Situation
 from carawayhub.groups.popularity import ExpertCounters
 from carawayhub.groups.recompute import recomputed_row
 from carawayhub.groups.stragglers import Straggler
@@ -40,6 +42,7 @@
 TOKENS = 1_000_000
 LOST_REPORTS = 0.05
 STAGING_SECONDS = 30.0
+DECISION_SECONDS = 30.0
 EXPERT_BYTES = 44_000_000
 STAGING_RATE = 1_000_000_000.0
 ORACLE_EVERY = 4
@@ -80,44 +83,63 @@
     )
 
 
-def strategies(size: Size, clock: ManualClock) -> dict[str, Strategy]:
+def options_of(size: Size, trace: Trace, **changes: Any) -> PolicyOptions:
+    """Return options whose effort is what a group of the real number of layers can spend.
+
+    A decision of the trace stands for all that are taken in its time, one every half minute.
+    """
+    spacing = trace.interval * trace.decide_every
+    part = size.layers / size.real_layers * max(1.0, spacing / DECISION_SECONDS)
+    whole = Effort()
+    effort = Effort(
+        steps=round(whole.steps * part),
+        searches=min(size.layers, max(1, round(whole.searches * part))),
+    )
+    return replace(PolicyOptions(effort=effort), **changes)
+
+
+def strategies(size: Size, trace: Trace, clock: ManualClock) -> dict[str, Strategy]:
     """Return the strategies of the table by name."""
     skew_first, cost_first = group_of(size, SKEW_FIRST), group_of(size, COST_FIRST)
-    horizon = PolicyOptions().horizon
-    counts = {"layers": size.layers, "experts": size.experts}
+    options = options_of(size, trace)
+    untested = options_of(size, trace, certainty=0.0)
+    deviation = DeviationPopularity(layers=size.layers, experts=size.experts)
     return {
         "never": Never(),
         "full": Full(group_of(size)),
         "threshold": Full(group_of(size), THRESHOLD),
-        "policy, skew first": WithPolicy(skew_first, clock),
-        "policy, cost first": WithPolicy(cost_first, clock),
-        "  skew first, paper's deviation": WithPolicy(
-            skew_first, clock, popularity=DeviationPopularity(**counts)
-        ),
-        "  skew first, no noise test": WithPolicy(skew_first, clock, PolicyOptions(certainty=0.0)),
-        "  paper's point, skew first": IndifferencePoint(skew_first, horizon, STAGING_RATE),
-        "  paper's point, cost first": IndifferencePoint(cost_first, horizon, STAGING_RATE),
+        "policy, skew first": WithPolicy(skew_first, clock, options),
+        "policy, cost first": WithPolicy(cost_first, clock, options),
+        "  skew first, paper's deviation": WithPolicy(skew_first, clock, options, deviation),
+        "  skew first, no noise test": WithPolicy(skew_first, clock, untested),
+        "  paper's point, skew first": IndifferencePoint(skew_first, options.horizon, STAGING_RATE),
+        "  paper's point, cost first": IndifferencePoint(cost_first, options.horizon, STAGING_RATE),
     }
 
 
-def run(sizes: Sequence[Size] = (TODAY, FULL_SIZE), only: str = "") -> list[Row]:
-    """Replay every trace at every size under every strategy."""
-    rows: list[Row] = []
-    for size in sizes:
-        for number, make in enumerate(TRACES):
-            if only and make.__name__ != only:
-                continue
-            trace = make(size, SEED + number)
-            clock_names = strategies(size, ManualClock())
-            rows.extend(replay(size, trace, name) for name in clock_names)
-            rows.append(oracle(size, trace))
-    return rows
+def run(sizes: Sequence[Size] = (TODAY, FULL_SIZE), only: str = "", seed: int = SEED) -> list[Row]:
+    """Replay every trace at every size under every strategy, in two processes."""
+    jobs = [
+        (size, number, seed)
+        for size in sizes
+        for number, make in enumerate(TRACES)
+        if only in ("", make.__name__)
+    ]
+    with ProcessPoolExecutor(max_workers=2) as pool:
+        return [row for rows in pool.map(_replay_all, jobs) for row in rows]
+
+
+def _replay_all(job: tuple[Size, int, int]) -> list[Row]:
+    size, number, seed = job
+    trace = TRACES[number](size, seed + number)
+    names = strategies(size, trace, ManualClock())
+    return [*(replay(size, trace, name) for name in names), oracle(size, trace)]
 
 
 def replay(size: Size, trace: Trace, name: str) -> Row:
     """Run one strategy over one trace."""
     clock = ManualClock()
-    strategy = strategies(size, clock)[name]
+    strategy = strategies(size, trace, clock)[name]
     group = group_of(size)
     slots = size.experts // size.ranks + size.spare_slots
     layers = [recomputed_row(row, ranks=size.ranks, slots=slots) for row in trace.start]
@@ -255,8 +277,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--json", action="store_true", help="print JSON")
     parser.add_argument("--trace", default="", help="only this trace")
+    parser.add_argument("--seed", type=int, default=SEED, help="another set of traces")
     args = parser.parse_args(argv)
-    rows = run(only=args.trace)
+    rows = run(only=args.trace, seed=args.seed)
     if args.json:
         print(json.dumps([asdict(row) for row in rows], indent=1))
         return 0
--- a/benchmarks/rebalance_strategies.py
+++ b/benchmarks/rebalance_strategies.py
@@ -5,9 +5,11 @@
 
 from carawayhub.clock import ManualClock
 from carawayhub.config.model import ModelGroup
-from carawayhub.groups.balance import LayerBalance, layer_skew
+from carawayhub.groups.balance import LayerBalance
+from carawayhub.groups.decisions import Keep, PolicyOptions, Rebalance, Situation
+from carawayhub.groups.loads import layer_skew
 from carawayhub.groups.maps import ExpertMap
-from carawayhub.groups.policy import Keep, Policy, PolicyOptions, Rebalance, Situation
+from carawayhub.groups.policy import Policy
 from carawayhub.groups.popularity import ExpertCounters, Popularity
 from carawayhub.groups.recompute import matched_row, recomputed_row
 
--- a/carawayhub/groups/balance.py
+++ b/carawayhub/groups/balance.py
@@ -1,25 +1,19 @@
-"""Balance of one layer: the load of each rank and small steps that lower the busiest one.
+"""Small steps that lower the load of the busiest rank in one layer.
 
-A layer's placement is a row as in :class:`carawayhub.groups.maps.ExpertMap`: the expert in each
-slot, rank by rank. An expert's load is split evenly over the ranks that hold it. Loads are scaled
-so that the mean rank has 1.0; the skew of a layer is then the load of its busiest rank.
-
-All ranks wait for the busiest one in every layer, so a step takes as long as the sum of these
-maxima over the layers, and the step-time skew of a map is their mean: 1.0 is perfect balance.
+Loads and skew are those of :mod:`carawayhub.groups.loads`. A step is judged by what it takes from a
+steep norm of the loads for each expert that must be fetched.
 """
 
-import math
-from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from functools import lru_cache
 
-COOL_RANKS = 16
+from carawayhub.groups.loads import Stage, rank_loads
+
+COOL_RANKS = 8
 SHIFT_RANKS = 6
 COLD_EXPERTS = 4
 DROP_PRICE = 0.25
 LEAST_PROGRESS = 1e-9
-LAYOUTS_KEPT = 256
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,75 +44,6 @@
 Step = Place | Swap | Shift
 
 
-@dataclass(frozen=True, slots=True)
-class Stage:
-    """A layer after some steps.
-
-    Attributes:
-        row: The placement.
-        skew: Load of the busiest rank over the mean.
-        fetches: Experts that ranks must load to get here from the start.
-        busiest: The busiest rank.
-    """
-
-    row: tuple[int, ...]
-    skew: float
-    fetches: int
-    busiest: int
-
-
-@dataclass(frozen=True, slots=True)
-class _Layout:
-    held: tuple[tuple[int, ...], ...]
-    holders: dict[int, int]
-
-
-@lru_cache(maxsize=LAYOUTS_KEPT)
-def _layout(row: tuple[int, ...], ranks: int) -> _Layout:
-    slots = len(row) // ranks
-    held = tuple(tuple(set(row[at : at + slots])) for at in range(0, len(row), slots))
-    return _Layout(held, Counter(expert for experts in held for expert in experts))
-
-
-def rank_loads(row: tuple[int, ...], shares: Sequence[float], ranks: int) -> list[float]:
-    """Return each rank's load with mean 1.0.
-
-    Args:
-        row: Expert in each slot, rank by rank.
-        shares: Share of each expert; they add up to one.
-        ranks: Ranks of the group.
-    """
-    layout = _layout(row, ranks)
-    holders = layout.holders
-    part = [share * ranks / holders[expert] for expert, share in enumerate(shares)]
-    return [sum([part[expert] for expert in experts]) for experts in layout.held]
-
-
-def load_error(row: tuple[int, ...], errors: Sequence[float], ranks: int, rank: int) -> float:
-    """Return the standard error of one rank's load, from those of the shares."""
-    layout = _layout(row, ranks)
-    parts = [errors[expert] * ranks / layout.holders[expert] for expert in layout.held[rank]]
-    return math.hypot(*parts)
-
-
-def layer_skew(row: tuple[int, ...], shares: Sequence[float], ranks: int) -> float:
-    """Return the load of the busiest rank over the mean."""
-    return max(rank_loads(row, shares, ranks))
-
-
-def stage_of(
-    row: tuple[int, ...], origin: tuple[int, ...], shares: Sequence[float], ranks: int
-) -> Stage:
-    """Return what ``row`` is worth when it replaces ``origin``."""
-    loads = rank_loads(row, shares, ranks)
-    busiest = max(range(ranks), key=loads.__getitem__)
-    before, after = _layout(origin, ranks).held, _layout(row, ranks).held
-    fetches = sum(
-        len(set(new).difference(old)) for old, new in zip(before, after, strict=True) if new != old
-    )
-    return Stage(row, loads[busiest], fetches, busiest)
-
-
 class LayerBalance:
     """A layer's placement that is improved step by step.
 
--- a/carawayhub/groups/outcomes.py
+++ b/carawayhub/groups/outcomes.py
@@ -2,23 +2,22 @@
 
 While a change is young, every new interval of counters is laid over both the map before and the
 map after it. The difference in skew is the gain that came true; it needs no trial and no clock of
-another machine, and holds under the load model of :mod:`carawayhub.groups.balance`.
+another machine, and holds under the load model of :mod:`carawayhub.groups.loads`.
 """
 
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from carawayhub.groups.balance import layer_skew
+from carawayhub.groups.loads import layer_skew
 from carawayhub.groups.maps import ExpertMap
 from carawayhub.groups.popularity import Popularity
 
-MOST_OPEN = 8
+MOST_OPEN = 4
 LEAST_KEPT = 0.05
 LEAST_GONE = 0.01
 MOST_WINDOWS = 16.0
-# The part kept at which the lifetime equals the window.
-START_KEPT = 0.73
+MOST_FACTOR = 8.0
 LEARNING_RATE = 0.3
 RECOVERY_SECONDS = 3600.0
 
@@ -59,34 +58,40 @@
         window: Seconds for which a change is measured.
     """
 
-    __slots__ = ("_finished", "_kept", "_kept_at", "_open", "_ranks", "_window")
+    __slots__ = ("_finished", "_learnt_at", "_lifetime", "_open", "_ranks", "_window")
 
     def __init__(self, ranks: int, window: float) -> None:
         self._ranks = ranks
         self._window = window
         self._open: list[_Open] = []
         self._finished: list[Outcome] = []
-        self._kept = START_KEPT
-        self._kept_at = 0.0
+        self._lifetime = window
+        self._learnt_at = 0.0
 
     def lifetime(self, now: float) -> float:
-        """Return for how long a gain lasts, in seconds, as far as past changes tell.
+        """Return for how long a gain lasts, in seconds, as far as past changes tell."""
+        if self._lifetime >= self._window:
+            return self._lifetime
+        # A group whose changes failed would otherwise never make the change that could show that
+        # times are better: a short lifetime climbs back within hours without changes.
+        age = max(0.0, now - self._learnt_at)
+        return self._window - (self._window - self._lifetime) * math.exp(-age / RECOVERY_SECONDS)
+
+    def _learn(self, item: "_Open", measured: float, now: float) -> None:
+        """Take in what one change tells.
 
-        With a gain that fades exponentially, the part that came true over the window gives the
-        time after which it has faded to 1/e; this is that relation in a form that is cheap and a
-        tenth too high at most.
+        With a gain that fades exponentially, the part kept on average over a time gives the time
+        after which it has faded to 1/e; this is that relation in a form that is cheap and at most
+        a fifth too high.
         """
-        kept = self._kept_now(now)
+        kept = min(1.0, max(LEAST_KEPT, measured / item.expected))
         gone = max(1.0 - kept, LEAST_GONE)
-        return self._window * min(MOST_WINDOWS, kept * (1.0 + kept / (2.0 * gone)))
-
-    def _kept_now(self, now: float) -> float:
-        if self._kept >= START_KEPT:
-            return self._kept
-        # A group whose changes failed would otherwise never make the change that could show that
-        # times are better: the part climbs back within hours without changes.
-        age = max(0.0, now - self._kept_at)
-        return START_KEPT - (START_KEPT - self._kept) * math.exp(-age / RECOVERY_SECONDS)
+        factor = min(MOST_FACTOR, kept * (1.0 + kept / (2.0 * gone)))
+        seen = (now - item.started) * factor
+        mixed = (1.0 - LEARNING_RATE) * math.log(self.lifetime(now))
+        mixed += LEARNING_RATE * math.log(max(1.0, seen))
+        self._lifetime = min(MOST_WINDOWS * self._window, math.exp(mixed))
+        self._learnt_at = now
 
     def start(self, old: ExpertMap, new: ExpertMap, expected: float, now: float) -> None:
         """Begin to measure a change."""
@@ -140,6 +145,4 @@
         del self._finished[:-MOST_OPEN]
         if item.expected <= 0 or not item.gains:
             return
-        kept = min(1.0, max(LEAST_KEPT, measured / item.expected))
-        self._kept = (1.0 - LEARNING_RATE) * self._kept_now(now) + LEARNING_RATE * kept
-        self._kept_at = now
+        self._learn(item, measured, now)
--- a/carawayhub/groups/policy.py
+++ b/carawayhub/groups/policy.py
@@ -16,134 +16,30 @@
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
-from enum import Enum
 
 from carawayhub.clock import Clock
 from carawayhub.config.model import ModelGroup
-from carawayhub.groups.balance import (
-    LayerBalance,
-    Stage,
-    layer_skew,
-    load_error,
-    rank_loads,
-    stage_of,
+from carawayhub.groups.balance import LayerBalance
+from carawayhub.groups.decisions import (
+    Decision,
+    Keep,
+    PolicyOptions,
+    Reason,
+    Rebalance,
+    Situation,
 )
+from carawayhub.groups.loads import Stage, layer_skew, load_error, rank_loads, stage_of
 from carawayhub.groups.maps import ExpertMap
 from carawayhub.groups.outcomes import Outcome, Outcomes
 from carawayhub.groups.popularity import ExpertCounters, Observation, Popularity
 from carawayhub.groups.recompute import matched_row, recomputed_row
-from carawayhub.groups.stragglers import Straggler
 
 STALE_SECONDS_LEAST = 60.0
 STALE_INTERVALS = 5
 STEPS_PER_LAYER = 8
-STEPS_PER_DECISION = 96
-WHOLES_PER_DECISION = 16
-SHIFTS_PER_LAYER = 2
-LAYERS_WITH_SHIFTS = 8
 LEAST_SECONDS = 1e-9
 
 
-class Reason(Enum):
-    """Why a map stays or changes; the value is the text for operators."""
-
-    DRAINING = "the group drains"
-    CHANGING = "a change is under way"
-    LEARNING = "too few counters so far"
-    STALE = "the counters are too old"
-    BALANCED = "no layer's gain exceeds the noise and the cost of one move"
-    STRAGGLER = "a rank is slow at an ordinary load: a matter of health, moves would not help"
-    NOT_WORTH_IT = "the gain over the horizon is below the cost"
-    SURGE = "the gain does not cover the cost in a surge"
-    GAIN = "the gain over the horizon exceeds the cost"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Situation:
-    """What the decision must know of the group beside popularity.
-
-    Attributes:
-        draining: Whether the group or one of its endpoints is leaving.
-        changing: Whether a change of its map is under way.
-        utilisation: Part of its capacity in use, from 0 to 1 or above.
-        running: Requests that run on it.
-        step_seconds: Recent mean time of one step.
-        staging_rate: Bytes a second that the weight store can give this group.
-        routable: Part of the gain that routing can reach by itself, from 0 to 1.
-        stragglers: Ranks known to be slow at an ordinary load.
-    """
-
-    draining: bool = False
-    changing: bool = False
-    utilisation: float = 0.5
-    running: int = 32
-    step_seconds: float = 0.006
-    staging_rate: float = 1_000_000_000.0
-    routable: float = 0.0
-    stragglers: tuple[Straggler, ...] = ()
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PolicyOptions:
-    """What a decision assumes.
-
-    Attributes:
-        horizon: Seconds over which a better balance is expected to last at first, and for which
-            each change is measured; from then on the measurements tell how long gains last.
-        longest_staging: Seconds for which the weight store may work for one change.
-        certainty: Standard errors by which a gain must exceed zero.
-        surge_from: Utilisation from which the group is in a surge.
-        surge_price: Factor on all costs in a surge.
-    """
-
-    horizon: float = 900.0
-    certainty: float = 5.0
-    surge_from: float = 0.85
-    surge_price: float = 2.0
-    longest_staging: float = 30.0
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Keep:
-    """Leave the map as it is.
-
-    Attributes:
-        reason: Why.
-        skew: Step-time skew estimated now.
-    """
-
-    reason: Reason
-    skew: float
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Rebalance:
-    """Change to another map.
-
-    Attributes:
-        reason: Why.
-        map: The new map.
-        skew: Step-time skew estimated now.
-        expected_skew: Step-time skew expected under the new map.
-        gain_seconds: Step time saved over the horizon, less what noise may explain.
-        cost_seconds: Cost of the change.
-        fetches: Experts that ranks must load.
-        bytes: Their size.
-    """
-
-    reason: Reason
-    map: ExpertMap
-    skew: float
-    expected_skew: float
-    gain_seconds: float
-    cost_seconds: float
-    fetches: int
-    bytes: int
-
-
-Decision = Keep | Rebalance
-
-
 @dataclass(frozen=True, slots=True)
 class _LayerPlan:
     layer: int
@@ -153,6 +49,14 @@
     fetches: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Terms:
+    """Weighted seconds that a skew lower by 1.0 in one layer saves, and that one fetch costs."""
+
+    second: float
+    price: float
+
+
 class Policy:
     """Decides for one group; its memory is soft state that a new process learns again.
 
@@ -163,7 +67,16 @@
         popularity: The estimator; a plain one where None.
     """
 
-    __slots__ = ("_clock", "_group", "_options", "_outcomes", "_popularity", "_seen_at", "_spacing")
+    __slots__ = (
+        "_clock",
+        "_group",
+        "_options",
+        "_outcomes",
+        "_popularity",
+        "_seen_at",
+        "_spacing",
+        "_turn",
+    )
 
     def __init__(
         self,
@@ -180,6 +93,7 @@
         self._outcomes = Outcomes(group.ranks, self._options.horizon)
         self._seen_at = -math.inf
         self._spacing = 0.0
+        self._turn = 0
 
     @property
     def horizon(self) -> float:
@@ -243,6 +157,10 @@
             return Reason.DRAINING
         if situation.changing:
             return Reason.CHANGING
+        if self._group.skew_weight <= 0.0:
+            return Reason.NO_WEIGHT
+        if situation.staging_rate <= 0.0:
+            return Reason.NO_STAGING
         if not self._popularity.ready:
             return Reason.LEARNING
         # A paused process, or one cut off from its engine, holds an estimate of the past. Its
@@ -258,35 +176,54 @@
         self, current: ExpertMap, skews: Sequence[float], situation: Situation
     ) -> list[_LayerPlan]:
         """Return what is worth doing in each layer, from the most skewed on."""
-        second = self._seconds_per_skew(_mean(skews), situation)
-        price = self._price_of_fetch(situation)
-        ranks = self._group.ranks
+        terms = _Terms(
+            second=self._seconds_per_skew(_mean(skews), situation),
+            price=self._price_of_fetch(situation),
+        )
+        steps_left = self._options.effort.steps
+        self._turn += 1
         plans = []
-        steps_left = STEPS_PER_DECISION
-        wholes_left = WHOLES_PER_DECISION
-        layers_left = LAYERS_WITH_SHIFTS
         for layer in sorted(range(len(skews)), key=lambda index: -skews[index]):
-            if steps_left <= 0 or (skews[layer] - 1.0) * second <= LEAST_SECONDS:
+            if steps_left <= 0 or (skews[layer] - 1.0) * terms.second <= LEAST_SECONDS:
                 break
-            errors = self._popularity.errors(layer)
-            balance = LayerBalance(current.layers[layer], self._popularity.mean(layer), ranks)
-            start = balance.stage()
-            doubt = self._options.certainty * load_error(start.row, errors, ranks, start.busiest)
-            if (start.skew - 1.0 - doubt) * second <= price:
+            if not self._may_pay(current.layers[layer], layer, skews[layer], terms):
                 continue
-            shifts = SHIFTS_PER_LAYER if layers_left > 0 else 0
-            stages = list(balance.stages(min(steps_left, STEPS_PER_LAYER), shifts=shifts))
-            steps_left -= len(stages)
-            layers_left -= 1
-            plan = self._best_stage(layer, start, stages, second, price)
-            if plan is None and wholes_left and (start.skew - 1.0) * second > ranks * price:
-                wholes_left -= 1
-                whole = self._whole(start.row, layer)
-                plan = self._best_stage(layer, start, [whole], second, price)
+            most = min(steps_left, STEPS_PER_LAYER)
+            plan, taken = self._plan_layer(current.layers[layer], layer, most, terms)
+            steps_left -= taken
             if plan is not None:
                 plans.append(plan)
         return plans
 
+    def _may_pay(self, row: tuple[int, ...], layer: int, skew: float, terms: "_Terms") -> bool:
+        """Return whether an even layer would be worth one fetch, noise taken off."""
+        ranks = self._group.ranks
+        loads = rank_loads(row, self._popularity.mean(layer), ranks)
+        busiest = max(range(ranks), key=loads.__getitem__)
+        error = load_error(row, self._popularity.errors(layer), ranks, busiest)
+        return (skew - 1.0 - self._options.certainty * error) * terms.second > terms.price
+
+    def _plan_layer(
+        self, row: tuple[int, ...], layer: int, most: int, terms: "_Terms"
+    ) -> tuple[_LayerPlan | None, int]:
+        """Return the best that can be done in a layer, and the steps that were tried."""
+        thorough = self._is_thorough(layer)
+        balance = LayerBalance(row, self._popularity.mean(layer), self._group.ranks)
+        start = balance.stage()
+        stages = list(balance.stages(most, shifts=1 if thorough else 0))
+        plan = self._best_stage(layer, start, stages, terms)
+        # A whole placement is a last resort: it moves most of a layer, and while that is staged no
+        # urgent step can be taken.
+        least = self._group.ranks * terms.price
+        if plan is None and thorough and (start.skew - 1.0) * terms.second > least:
+            plan = self._best_stage(layer, start, [self._whole(row, layer)], terms)
+        return plan, max(1, len(stages))
+
+    def _is_thorough(self, layer: int) -> bool:
+        """Return whether it is this layer's turn for the slow searches."""
+        period = -(-self._group.layers // self._options.effort.searches)
+        return (layer + self._turn) % period == 0
+
     def _whole(self, row: tuple[int, ...], layer: int) -> Stage:
         """Return a placement from nothing, for a layer that small steps leave far from even."""
         ranks = self._group.ranks
@@ -295,7 +232,7 @@
         return stage_of(matched_row(new, row, ranks=ranks), row, shares, ranks)
 
     def _best_stage(
-        self, layer: int, start: Stage, stages: Sequence[Stage], second: float, price: float
+        self, layer: int, start: Stage, stages: Sequence[Stage], terms: "_Terms"
     ) -> _LayerPlan | None:
         ranks = self._group.ranks
         errors = self._popularity.errors(layer)
@@ -306,7 +243,7 @@
             gain = start.skew - stage.skew
             after = load_error(stage.row, errors, ranks, stage.busiest)
             certain = gain - self._options.certainty * math.hypot(before, after)
-            value = certain * second - stage.fetches * price
+            value = certain * terms.second - stage.fetches * terms.price
             if value > best_value:
                 best_value = value
                 best = _LayerPlan(layer, stage.row, gain, certain, stage.fetches)
--- a/carawayhub/groups/popularity.py
+++ b/carawayhub/groups/popularity.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 DEFAULT_TIME_CONSTANT = 120.0
-MIN_SAMPLES = 4
+MIN_SAMPLES = 8
 NOISE_WEIGHT = 0.05
 CLIP = 3.0
 # Standard deviation of a normal sample over the mean absolute difference of two.
--- a/tests/test_rebalance_balance.py
+++ b/tests/test_rebalance_balance.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from carawayhub.groups.balance import LayerBalance, layer_skew, rank_loads
+from carawayhub.groups.balance import LayerBalance
+from carawayhub.groups.loads import layer_skew, rank_loads
 from carawayhub.groups.maps import even_map
 from carawayhub.groups.recompute import matched_row, recomputed_row
 
