--- a/carawayhub/limits/adaptive.py
+++ b/carawayhub/limits/adaptive.py
@@ -29,7 +29,7 @@
 
     When a low quantile of the waits of a short window is above what is allowed, a queue stands:
     the limit is cut in proportion. A limit that is used up without such a queue grows, by steps
-    that grow more slowly than the limit, so that the limits of several entries draw even.
+    that grow more slowly than the limit, so that the limits of several entries converge.
 
     What is allowed is the same ``WAIT_SECONDS`` at all entries, or three times the wait of the
     idle target where that is longer. A bound that followed each entry's own estimate alone would
@@ -80,7 +80,7 @@
     ) -> None:
         """Take a request that ended without an answer.
 
-        Guards against both lies of a failure: one that comes at once would pass for an idle
+        Guards against two misreadings of a failure: one that comes at once would pass for an idle
         target and, as the new base, make every true wait look like a queue; and an endpoint that
         answers nothing would leave no waits at all. So a failure counts only above the base.
         """
--- a/carawayhub/routing/candidate.py
+++ b/carawayhub/routing/candidate.py
@@ -180,8 +180,8 @@
     def ended(self, cost: float, ok: bool, now: float) -> None:
         """Count the end of a request.
 
-        Guards against an endpoint that refuses at once: it looks idle and would draw all work.
-        After ``FAILURES_TO_EJECT`` failures in a row it gets only a trickle for a time that
+        Guards against an endpoint that refuses at once: it looks idle and would get all work.
+        After ``FAILURES_TO_EJECT`` failures in a row it gets few requests for a time that
         doubles with each further failure; one success ends that.
         """
         self.load.ended(cost, now)
@@ -258,7 +258,7 @@
     def _regained(self, now: float) -> None:
         """Hold back an endpoint whose link comes and goes.
 
-        Guards against flapping: each return would draw a burst to an endpoint that is about to go
+        Guards against flapping: each return would send a burst to an endpoint that is about to go
         again. The time until full work doubles with each loss within a minute.
         """
         if now - self._settled_at > FLAP_MEMORY_SECONDS:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -90,7 +90,7 @@
         self.assertLess(limit.value, before / 2)
 
     def test_a_target_that_became_slower_for_good_is_learned_anew(self) -> None:
-        """Goodput stays at a trickle after prompts became ten times longer.
+        """Goodput stays at a fraction after prompts became ten times longer.
 
         Without a queue every wait is above three times the wait of before, and stays there however
         far the limit is cut.
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -41,7 +41,7 @@
         self.assertGreater(sent[idle], 70 / 12)
         self.assertLess(sent[idle], 24)
 
-    def test_a_popular_prefix_does_not_bury_its_holder(self) -> None:
+    def test_a_popular_prefix_does_not_overload_its_holder(self) -> None:
         """All requests with one prompt wait at one endpoint while the others have room.
 
         Seven entries know that it holds the prefix. None sees what the others send it before the
@@ -70,7 +70,7 @@
         """Callers of one entry are refused although the endpoints have room.
 
         The entry has sent nothing for a while and others have. It takes each request of its own
-        for a sign of many, which may sway a choice but must not fill an endpoint.
+        for a sign of many, which may change a choice but must not fill an endpoint.
         """
         world = RouterWorld(configuration(2))
         for _ in range(10):
@@ -241,7 +241,7 @@
         self.assertEqual(rows[a], Condition.SLOW)
         self.assertEqual(rows[c], Condition.SERVING)
 
-    def test_a_stalled_engine_gets_a_trickle(self) -> None:
+    def test_a_stalled_engine_gets_few_requests(self) -> None:
         world = RouterWorld(configuration(4))
         world.hear_all(step_seconds=0.006, running=4, tokens_rate=600.0)
         stalled = world.names[1]
@@ -259,7 +259,7 @@
         world.clock.advance(5.0)
         self.assertLess(world.spread(1000)[silent], 60)
 
-    def test_an_endpoint_that_fails_at_once_does_not_draw_the_work(self) -> None:
+    def test_an_endpoint_that_fails_at_once_does_not_get_the_work(self) -> None:
         """Most requests fail although one endpoint of four is broken.
 
         It refuses at once, so it is always the least loaded.
--- a/tests/test_routing_directory.py
+++ b/tests/test_routing_directory.py
@@ -81,8 +81,8 @@
             for _ in range(50):
                 self.assertFalse(hidden & set(self.directory.answer(domain).addresses))
 
-    def test_a_domain_that_lost_most_entries_does_not_bury_the_last(self) -> None:
-        """The one entry left of a failure domain breaks down under all its callers.
+    def test_a_domain_that_lost_most_entries_does_not_overload_the_last(self) -> None:
+        """The one entry left of a failure domain is overloaded by all its callers.
 
         Two of the domain's three entries are suspected. Only a third of its callers may still be
         sent to the last; the others spread over the other domains.
