Prove one map in each step with real processes and ranks

Six stories, each with ranks that check fencing numbers and with ranks that ignore them: a stalled rank; lost orders and replies, and all orders again; the agent beside rank 0 killed between agreement and verdict; its VM frozen, replaced and woken; links cut inside the group; an engine lost with a stream in flight.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -255,10 +255,10 @@
         handle = _endpoint_handle(fleet, endpoint)
         fleet.endpoints[endpoint.name] = handle
         settings = fleet.plan.agent_settings(endpoint)
-        fleet.daemons[endpoint.name] = _daemon_handle(fleet, endpoint.node, "agent", settings)
+        fleet.daemons[endpoint.name] = daemon_handle(fleet, endpoint.node, "agent", settings)
     for node in fleet.plan.entries:
         settings = fleet.plan.entry_settings(node)
-        fleet.daemons[node.name] = _daemon_handle(fleet, node, "entry", settings)
+        fleet.daemons[node.name] = daemon_handle(fleet, node, "entry", settings)
     for handle in (*fleet.endpoints.values(), *fleet.daemons.values()):
         handle.start()
 
@@ -276,9 +276,10 @@
     return ProcessHandle(endpoint.name, command, fleet.folder / f"{endpoint.name}.endpoint.log")
 
 
-def _daemon_handle(
+def daemon_handle(
     fleet: ProcessFleet, node: NodePlan, role: str, settings: dict[str, Any]
 ) -> ProcessHandle:
+    """Return the process of an entry or agent with these settings; it is not started."""
     path = fleet.folder / f"{node.name}.json"
     path.write_bytes(to_json(settings))
     command = [*_starter(), role, "--settings", str(path)]
--- /dev/null
+++ b/tests/test_promises_groups.py
@@ -0,0 +1,348 @@
+"""All ranks of a group use one map in each step, whatever fails between agent, engines and ranks.
+
+Entries, agents, engines and the ranks are processes; the ranks write down each step with its map.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+import httpcore
+import msgspec
+
+from carawayhub.codes import Code
+from carawayhub.groups.orders import RankState
+from carawayhub.standins.asks import Generate
+from carawayhub.standins.checker import Evidence, StepSample, check
+from carawayhub.standins.faults import RankFault
+from carawayhub.standins.fleet import to_json
+from carawayhub.standins.fleetshape import FleetShape, LockStepShape, NodePlan
+from carawayhub.standins.records import Result
+from tests.processes import daemon_handle
+from tests.stories import FleetTestCase, publish_everywhere, request, until
+
+CHAT = "/v1/chat/completions"
+MODEL = "assistant"
+ALL = range(4)
+TOLD_NOT_RUN = frozenset({Code.GROUP_BROKEN, Code.NO_ENDPOINT})
+Kind = TypeVar("Kind")
+
+
+def lock_step(checks_fencing: bool) -> FleetShape:
+    """Return a fleet of one group: four ranks behind two engines in two failure domains."""
+    group = LockStepShape(
+        model=MODEL, checks_fencing=checks_fencing, checks_giver=True, decision_interval_s=0.25
+    )
+    return FleetShape(
+        failure_domains=("attica", "patra"), entries=2, engines=0, services=0, lock_step=group
+    )
+
+
+class GroupTest(FleetTestCase):
+    """The stories where ranks check fencing numbers."""
+
+    shape = lock_step(checks_fencing=True)
+
+    async def _tell(self, method: Callable[[], Awaitable[None]]) -> None:
+        async def told() -> None:
+            try:
+                await method()
+            finally:
+                await self.faults({rank: RankFault() for rank in ALL})
+
+        await super()._tell(told)
+
+    @property
+    def leader(self) -> str:
+        """Name of the endpoint with rank 0 and of its agent."""
+        return self.fleet.plan.lock_step[0].name
+
+    @property
+    def follower(self) -> str:
+        """Name of the endpoint with the other ranks."""
+        return self.fleet.plan.lock_step[1].name
+
+    # What is done to the ranks and read from them, around all links.
+
+    async def ranks(self, path: str, value: Any = None) -> None:
+        """Switch something at the ranks."""
+        await self._ask("POST", path, msgspec.json.encode(value))
+
+    async def faults(self, faults: dict[int, RankFault]) -> None:
+        """Replace what is wrong with some ranks."""
+        for rank, fault in faults.items():
+            await self.ranks(f"/control/ranks/{rank}/fault", fault)
+
+    async def read(self, path: str, kind: type[Kind]) -> Kind:
+        """Return something that the ranks tell of themselves."""
+        return msgspec.json.decode(await self._ask("GET", path), type=kind)
+
+    async def states(self) -> list[RankState]:
+        """Return the state of each rank."""
+        return await self.read("/control/states", list[RankState])
+
+    async def _ask(self, method: str, path: str, content: bytes | None = None) -> bytes:
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f"http://{self.fleet.plan.ranks}{path}"
+            response = await pool.request(method, url, content=content)
+        self.assertEqual(response.status, 200, response.content)
+        return response.content
+
+    async def assert_one_map_and_steps(self) -> None:
+        """Fail unless the group steps on, and no step was ever made under two maps."""
+        entered = [state.entered for state in await self.states()]
+        formations = [state.formation for state in await self.states()]
+        self.assertEqual(len({str(each) for each in formations}), 1)
+        await until(lambda: self._all_beyond(max(entered) + 5), "the group steps")
+        steps = await self.read("/control/steps", list[StepSample])
+        self.assertEqual(check(Evidence(steps=steps)).findings, [])
+        self.assertEqual({step.rank for step in steps}, set(ALL))
+
+    async def _all_beyond(self, step: int) -> bool:
+        return all(state.entered >= step for state in await self.states())
+
+    # What makes the agent beside rank 0 change the map.
+
+    async def map_number(self) -> int:
+        """Return the number of the map in force at all ranks, 0 where they differ."""
+        found = {state.map for state in await self.states()}
+        only = found.pop()
+        return only.number if only is not None and not found else 0
+
+    async def provoke(self) -> int:
+        """Make an expert hot and have a new agent, which soon decides; return the map's number."""
+        number = await self.map_number()
+        await self.ranks("/control/hot", number % self.shape_of_group.experts)
+        agent = self.fleet.daemons[self.leader]
+        agent.kill()
+        agent.start()
+        return number
+
+    @property
+    def shape_of_group(self) -> LockStepShape:
+        """What the group is made of."""
+        assert self.shape.lock_step is not None
+        return self.shape.lock_step
+
+    async def until_map_beyond(self, number: int) -> None:
+        """Wait until all ranks step on a newer map."""
+
+        async def newer() -> bool:
+            return await self.map_number() > number
+
+        await until(newer, f"a map after {number}")
+
+    async def until_armed(self, ranks: int) -> None:
+        """Wait until so many ranks have agreed to a change and have no verdict."""
+
+        async def armed() -> bool:
+            waiting = [each.armed and not each.committed for each in await self.states()]
+            return sum(map(bool, waiting)) >= ranks
+
+        await until(armed, f"{ranks} ranks are armed")
+
+    async def until_routed(self, routed: bool = True) -> None:
+        """Wait until all entries may send the group requests, or may not."""
+
+        async def seen() -> bool:
+            for entry in self.entries:
+                rows = (await self.fleet.status(entry))["endpoints"]
+                if any((row["condition"] == "serving") is not routed for row in rows):
+                    return False
+            return True
+
+        await until(seen, f"routed: {routed}")
+
+    async def assert_refused_as_not_run(self) -> None:
+        """Fail unless all entries refuse a request for the group and nothing of it runs."""
+        before = len(self.runs())
+        message = {"role": "user", "content": "which screw holds the lid"}
+        body = {"model": MODEL, "messages": [message], "max_tokens": 4}
+        for entry in self.entries:
+            answer = await request(self.address(entry), CHAT, msgspec.json.encode(body))
+            self.assertEqual(answer.error["outcome"], "not_run", answer.body)
+            self.assertIn(answer.error["code"], TOLD_NOT_RUN)
+        self.assertEqual(len(self.runs()), before)
+
+    async def assert_answers(self) -> None:
+        """Fail unless a request for the group is answered whole."""
+        async with self.caller("after").open() as caller:
+            record = await caller.call(Generate(model=MODEL, prompt="after", max_tokens=8))
+        self.assert_whole([record])
+
+    # The stories.
+
+    async def test_stalled_rank_holds_the_group_up_and_takes_the_new_map_with_it(self) -> None:
+        """A rank stalls, and a change of the map is agreed on meanwhile.
+
+        The group cannot step without the rank, so callers wait. The stalled rank still answers
+        orders. When it goes on, it must enter the step of the switch under the new map as the
+        others do.
+        """
+        await self.faults({3: RankFault(stalled=True)})
+        number = await self.provoke()
+
+        async def committed() -> bool:
+            return all(state.committed for state in await self.states())
+
+        await until(committed, "the change is committed")
+        self.assertEqual(await self.map_number(), number)
+        await self.faults({3: RankFault()})
+        await self.until_map_beyond(number)
+        await self.assert_one_map_and_steps()
+        await self.until_routed()
+        await self.assert_answers()
+
+    async def test_lost_and_repeated_orders_change_the_map_once(self) -> None:
+        """Orders and replies are lost on the way, and all orders ever given come again later.
+
+        The map must change all the same, once for all ranks, and no order of the past may move a
+        rank back to an old map.
+        """
+        lost = ("prepare", "fetch", "arm", "commit")
+        await self.faults({1: RankFault(lose=lost), 2: RankFault(lose_reply=lost)})
+        number = await self.provoke()
+        await self.until_map_beyond(number)
+        newest = await self.map_number()
+        for rank in ALL:
+            await self.ranks(f"/control/ranks/{rank}/repeat")
+        await self.assert_one_map_and_steps()
+        self.assertGreaterEqual(await self.map_number(), newest)
+        await self.until_routed()
+        await self.assert_answers()
+
+    async def test_agent_killed_between_agreement_and_verdict(self) -> None:
+        """Three ranks have agreed to a change, the fourth was not reached, and the decider dies.
+
+        The three wait at the step of the switch. The new agent must find the change, settle it
+        for all, and have the group step. The order that was held back comes last and must do
+        nothing.
+        """
+        await self.faults({3: RankFault(hold=("arm", "withdraw"))})
+        await self.provoke()
+        await self.until_armed(3)
+        self.fleet.daemons[self.leader].kill()
+        self.fleet.daemons[self.leader].start()
+        await self.faults({3: RankFault()})
+        await self.until_routed()
+        await self.assert_one_map_and_steps()
+        await self.ranks("/control/ranks/3/deliver")
+        await self.assert_one_map_and_steps()
+        await self.assert_answers()
+
+    async def test_paused_agent_of_a_replaced_vm_gives_no_order_when_it_wakes(self) -> None:
+        """A VM is frozen in the middle of a change, is replaced, and comes back.
+
+        Its agent still believes that the group is its own, with a change half done. Meanwhile the
+        agent of the new VM has settled the change and made others. The old one must give no more
+        orders: it cannot confirm that its configuration is still the newest.
+        """
+        await self.faults({3: RankFault(hold=("arm", "withdraw"))})
+        await self.provoke()
+        await self.until_armed(3)
+        old = self.fleet.daemons[self.leader]
+        old.pause()
+        new = self._replacement()
+        new.start()
+        try:
+            await self._publish_agent(new.name)
+            await self.faults({3: RankFault()})
+            await self.until_routed()
+            await self.assert_one_map_and_steps()
+            given = await self.read("/control/givers", dict[str, int])
+            old.resume()
+            await self._until_orders_of_another(given)
+            after = await self.read("/control/givers", dict[str, int])
+            self.assertEqual(self._grown(given, after), 1)
+            await self.assert_one_map_and_steps()
+            await self.assert_answers()
+        finally:
+            new.kill()
+            old.kill()
+
+    async def test_links_cut_inside_the_group(self) -> None:
+        """The two failure domains of the group lose each other while nothing is armed.
+
+        The agent beside rank 0 cannot reach half of the ranks. They have nothing to wait for, so
+        the group steps on under its map. Each side keeps its callers told; when the cut heals the
+        group is routed to again, in the same formation.
+        """
+        formation = (await self.states())[0].formation
+        self.fleet.plan.partition(self.fleet.proxy, ["attica"], ["patra"])
+
+        async def noticed() -> bool:
+            return bool((await self.fleet.status(self.leader))["groups"][0]["out_of_routing"])
+
+        await until(noticed, "the agent misses ranks")
+        await self.assert_one_map_and_steps()
+        self.fleet.plan.heal(self.fleet.proxy)
+        await self.until_routed()
+        await self.assert_one_map_and_steps()
+        self.assertEqual((await self.states())[0].formation, formation)
+        await self.assert_answers()
+
+    async def test_lost_engine_takes_the_group_out_of_routing_until_it_is_back(self) -> None:
+        """The engine of half of the ranks dies with a stream in flight, and starts again.
+
+        The stream must not look whole. Requests are refused as not run while the group cannot
+        step, at the other engine too. Then all ranks join anew, under the map the others had.
+        """
+        number = await self.map_number()
+        engine = self.fleet.endpoints[self.follower]
+        records = []
+        async with self.caller("cut").open() as caller, anyio.create_task_group() as tasks:
+
+            async def call() -> None:
+                ask = Generate(model=MODEL, prompt="long", max_tokens=2000)
+                records.append(await caller.call(ask))
+
+            tasks.start_soon(call)
+            await until(lambda: any(run.started for run in self.runs()), "the stream runs")
+            engine.kill()
+            await self.until_routed(False)
+            await self.assert_refused_as_not_run()
+            engine.start()
+        self.assert_whole(records, completed=False)
+        self.assertIn(records[0].result, (Result.CUT, Result.UNKNOWN), records[0].attempts)
+        await self.until_routed()
+        self.assertGreaterEqual(await self.map_number(), number)
+        await self.assert_one_map_and_steps()
+        await self.assert_answers()
+
+    # The agent of a VM that replaces that of rank 0.
+
+    def _replacement(self) -> Any:
+        plan = self.fleet.plan
+        (old,) = (each for each in plan.endpoints if each.name == self.leader)
+        host = f"127.{plan.subnet}.230.1"
+        node = NodePlan("replacement", old.node.failure_domain, host, host)
+        settings = plan.agent_settings(old) | {
+            "vm": "replacement",
+            "peer_listen": f"{host}:7000",
+            "peer_address": f"{host}:7000",
+            "operator_listen": node.operators,
+        }
+        return daemon_handle(self.fleet, node, "agent", settings)
+
+    async def _publish_agent(self, vm: str) -> None:
+        change = {"vm": vm, "agent": f"127.{self.fleet.plan.subnet}.230.1:7000"}
+        step = to_json({"endpoints": {self.leader: change}})
+        await publish_everywhere(self.fleet, "60-replaced.json", step, self.entries)
+
+    async def _until_orders_of_another(self, given: dict[str, int], orders: int = 40) -> None:
+        """Wait until some decider gave many more orders."""
+
+        async def more() -> bool:
+            now = await self.read("/control/givers", dict[str, int])
+            return any(count - given.get(name, 0) >= orders for name, count in now.items())
+
+        await until(more, "the decider goes on")
+
+    def _grown(self, before: dict[str, int], after: dict[str, int]) -> int:
+        return sum(count > before.get(name, 0) for name, count in after.items())
+
+
+class UncheckedFencingTest(GroupTest):
+    """The same stories where ranks ignore fencing numbers."""
+
+    shape = lock_step(checks_fencing=False)
