Join what limits and routing offer to the entry

Cause: the entry counted as ready before its limits were divided, so the first second of a fleet refused calls by rate (2020 with a retry-after of 11 to 15 s was seen); long answers at idle endpoints could cut the overload limit, since it was not told the endpoints' load; a VM that the list calls leaving stayed in use until its agent said so. Change: readiness waits for the division; admission sees the router's load; the VM list reaches the router; links to all entries that share limits; /v1/entries sends a caller with a key to the entries of its organisation.

--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -154,7 +154,7 @@
         cfg = self._ready_configuration()
         path = scope["path"]
         if path == ENTRIES_PATH and scope["method"] == "GET":
-            await send_reply(send, self._entries(scope), caller_id)
+            await send_reply(send, self._entries(scope, headers), caller_id)
             return
         self._note_pause()
         if not await self._parts.confirmed(CONFIRM_WAIT):
@@ -191,10 +191,18 @@
         if self._parts.doubted():
             self._doubt_until = self._parts.clock.monotonic() + DOUBT_SECONDS
 
-    def _entries(self, scope: Scope) -> Reply:
+    def _entries(self, scope: Scope, headers: Headers) -> Reply:
+        """Answer which entries to use; a key is not needed, but one that is known helps.
+
+        A caller with a key is sent to the entries that divide its organisation's limits.
+        """
         query = parse_qs(scope["query_string"].decode("latin-1"))
         domain = query.get("failure_domain", [None])[0]
-        found = self._parts.directory.answer(domain)
+        preferred: frozenset[str] = frozenset()
+        if headers.text(b"authorization"):
+            organisation = self._organisation(headers)
+            preferred = self._parts.admission.shares.entries_for(organisation.name)
+        found = self._parts.directory.answer(domain, preferred)
         addresses = [EntryAddress(address) for address in found.addresses]
         return json_reply(EntriesBody(addresses, found.keep_until, found.ttl))
 
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -60,7 +60,8 @@
         self.runtime = runtime
         self._listen = bind(Address.parse(settings.listen))
         self._router = Router(clock, rng, identity.failure_domain, identity.region)
-        self._admission = Admission(clock, rng, identity.name)
+        self._admission = Admission(clock, rng, identity.name, self._router.load_of)
+        runtime.waits_for = self._waits_for
         self._retries = RetryBudget(clock, rng)
         self._directory = EntryDirectory(clock, rng)
         self._reports = Reports()
@@ -79,7 +80,7 @@
                 self._run_once,
                 self._directory,
                 metrics,
-                lambda: runtime.member.ready,
+                runtime.ready,
                 runtime.member.knowledge.pauses.check,
                 runtime.member.knowledge.checked,
             )
@@ -140,7 +141,7 @@
             self._audit_endpoints()
 
     def _audit_endpoints(self) -> None:
-        for row in self._router.states():
+        for row in self._router.states(heard_only=True):
             before = self._rows.get(row.endpoint)
             condition = row.condition.value
             if before is not None and before != condition:
@@ -160,12 +161,14 @@
         self._relay.configure(cfg)
         self._run_once.configure(cfg)
         self._app.configure(cfg)
+        self._update_leaving()
         self._update_away()
 
     def peers(self, cfg: Configuration, vms: VmList | None) -> Iterable[WantedPeer]:
         """Return the entries and agents to open links to."""
         name = self.runtime.identity.name
-        for neighbour in _entry_peers(cfg, vms, name):
+        sharing = self._admission.shares.neighbours() & cfg.entries.keys()
+        for neighbour in sorted(_entry_peers(cfg, vms, name) | sharing):
             yield _wanted_entry(cfg.entries[neighbour])
         key = plan_key(cfg, vms, name)
         if key != self._plan_key:
@@ -175,6 +178,7 @@
 
     def listed(self, vms: VmList) -> None:
         """Take a VM list."""
+        self._update_leaving()
         self._update_away()
 
     def replied(self, peer: Peer, reply: HeartbeatReply, asked_at: float) -> None:
@@ -191,6 +195,7 @@
 
     def members_changed(self) -> None:
         """Leave entries out of answers that are suspect, leaving or gone."""
+        self._admission.set_gone(self._gone_entries())
         self._update_away()
 
     def heard(self, peer: Hello, heartbeat: Heartbeat) -> None:
@@ -208,6 +213,33 @@
             return ()
         return self._admission.shares.for_peer(peer.name, self._demand)
 
+    def _waits_for(self) -> str:
+        """Return that limits are not divided yet: until then each organisation gets little."""
+        started = self._admission.shares.started
+        return "" if started else "waits to hear how the other entries divide the limits"
+
+    def _gone_entries(self) -> frozenset[str]:
+        cfg = self.runtime.member.configuration
+        if cfg is None:
+            return frozenset()
+        state = self.runtime.member.knowledge.membership.state
+        return frozenset(
+            name
+            for name in cfg.entries
+            if state(peer_key(ProcessRole.ENTRY, name)) is MemberState.GONE
+        )
+
+    def _update_leaving(self) -> None:
+        """Stop using endpoints whose VM the list says is leaving, before their agents say so."""
+        knowledge = self.runtime.member.knowledge
+        cfg, vms = knowledge.configuration, knowledge.vms.current
+        if cfg is None or vms is None:
+            return
+        leaving = {vm.name for vm in vms.vms if vm.state is VmState.LEAVING}
+        self._router.set_leaving(
+            [name for name, endpoint in cfg.endpoints.items() if endpoint.vm in leaving]
+        )
+
     def _update_away(self) -> None:
         """Work out anew which entries no answer may name.
 
@@ -258,11 +290,11 @@
     logger.info("stopped")
 
 
-def _entry_peers(cfg: Configuration, vms: VmList | None, own: str) -> tuple[str, ...]:
+def _entry_peers(cfg: Configuration, vms: VmList | None, own: str) -> set[str]:
     """Return the entries to link with: all of a small fleet, chosen neighbours of a large one."""
     if len(cfg.entries) <= FULL_MESH:
-        return tuple(sorted(name for name in cfg.entries if name != own))
-    return gossip_neighbours(own, entry_nodes(cfg, vms, own))
+        return set(cfg.entries) - {own}
+    return set(gossip_neighbours(own, entry_nodes(cfg, vms, own)))
 
 
 def _wanted_entry(entry: EntryNode) -> WantedPeer:
--- a/carawayhub/process/runtime.py
+++ b/carawayhub/process/runtime.py
@@ -2,6 +2,7 @@
 
 import random
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from loguru import logger
@@ -34,6 +35,8 @@
         metrics: Its measurements.
         member: It as a member of the fleet.
         host: What it runs in.
+        waits_for: Says what the process itself still waits for before it may serve, empty for
+            nothing.
         stop: Whether it was asked to stop.
         peer_socket: Listening socket for links and calls.
         operator_socket: Listening socket for operators.
@@ -49,6 +52,7 @@
     peer_socket: socket.socket
     operator_socket: socket.socket
     host: Host
+    waits_for: Callable[[], str] = lambda: ""
     stop: StopRequest = field(default_factory=StopRequest)
 
     @classmethod
@@ -87,8 +91,14 @@
         elif not member.ready:
             state = member.startup_state()
             reason = f"waits for peers or service; not reached: {', '.join(state.unreached)}"
+        else:
+            reason = self.waits_for()
         return HealthBody(name=self.identity.key, ready=not reason, reason=reason)
 
+    def ready(self) -> bool:
+        """Return whether the process has what it needs to serve."""
+        return self.member.ready and not self.waits_for()
+
     def status(self) -> ProcessStatus:
         """Return the part of the status page that every process has."""
         member, identity = self.member, self.identity
@@ -101,7 +111,7 @@
             version=held.version,
             digest=held.digest,
             newest_known=member.knowledge.sync.newest_known().version,
-            ready=member.ready,
+            ready=self.ready(),
             leaving=member.leaving,
             unreached=member.startup_state().unreached,
             refusals=tuple(
