Call an entry ready only once it holds its parts of the limits

Cause: an entry counted as started when it had heard all others, but its claims move with the next tick, half a second later. Until then it held no part of any rate, and although it called itself ready it refused all but single requests with code 2020. Ruled out: the bucket's depth, which follows the part, and the concurrency, whose code is another.

An entry now counts as started after the tick in which it claimed.

--- a/carawayhub/limits/shares.py
+++ b/carawayhub/limits/shares.py
@@ -82,6 +82,7 @@
 
     __slots__ = (
         "_cells",
+        "_claimed",
         "_clock",
         "_interval",
         "_organisations",
@@ -105,6 +106,7 @@
         self._organisations: dict[str, _Shared] = {}
         self._peers: dict[str, _Peer] = {}
         self._ticks = 0
+        self._claimed = False
         self.divided: tuple[str, ...] = ()
 
     def configure(self, cfg: Configuration, gone: Collection[str] = frozenset()) -> None:
@@ -133,8 +135,12 @@
 
     @property
     def started(self) -> bool:
-        """Whether this entry holds its parts; before, it admits single requests only."""
-        return self._ticks > 0 and self._started(self._peers)
+        """Whether this entry has claimed its parts; before, it admits single requests only.
+
+        Having heard all others is not enough: the claims move with the next tick, and until then
+        an entry that calls itself ready would refuse requests that are well within every limit.
+        """
+        return self._claimed
 
     def neighbours(self) -> frozenset[str]:
         """Return the other entries whose demand this one needs to hear, and that need its own."""
@@ -166,6 +172,7 @@
         self._ticks += 1
         for name in self.divided:
             self._move(name, self._organisations[name], demand.get(name, _NO_DEMAND), now)
+        self._claimed = self._claimed or self._started(self._peers)
         return tuple(self._row(name, demand.get(name, _NO_DEMAND)) for name in self.divided)
 
     def for_peer(
--- a/tests/test_limits_shares.py
+++ b/tests/test_limits_shares.py
@@ -177,6 +177,22 @@
         self.assertAlmostEqual(world.claims()[world.names[0]], RATE / 4, delta=0.5)
         self.assertTrue(world.shares[world.names[0]].started)
 
+    def test_an_entry_has_not_started_before_it_holds_a_part(self) -> None:
+        """A fleet starts, and the first callers are refused although nobody has used anything.
+
+        An entry that called itself ready as soon as it had heard the others would refuse all but
+        single requests until its next tick, half a second later.
+        """
+        world = ShareWorld(2)
+        first, second = world.names
+        shares = world.shares[first]
+        shares.tick({})
+        shares.hear(second, 1, ())
+        self.assertEqual((shares.started, world.claims()[first]), (False, 0.0))
+        shares.tick({})
+        self.assertTrue(shares.started)
+        self.assertGreater(world.claims()[first], 0.0)
+
     @settings(derandomize=True, max_examples=150, deadline=None)
     @given(
         size=st.integers(2, 7),
