--- a/carawayhub/groups/decisions.py
+++ b/carawayhub/groups/decisions.py
@@ -57,8 +57,8 @@
         searches: Layers that get the slow searches in one decision; the layers take turns.
     """
 
-    steps: int = 180
-    searches: int = 15
+    steps: int = 140
+    searches: int = 12
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,6 +72,8 @@
         certainty: Standard errors by which a gain must exceed zero.
         surge_from: Utilisation from which the group is in a surge.
         surge_price: Factor on all costs in a surge.
+        staging_price: Seconds of step time that a second of the weight store's work is worth at
+            equal weights; below 1, since steps run on meanwhile.
         effort: How much one decision may search.
     """
 
@@ -80,6 +82,7 @@
     surge_from: float = 0.85
     surge_price: float = 2.0
     longest_staging: float = 30.0
+    staging_price: float = 0.5
     effort: Effort = field(default_factory=Effort)
 
 
--- a/carawayhub/groups/policy.py
+++ b/carawayhub/groups/policy.py
@@ -255,8 +255,12 @@
         return self._group.skew_weight * saved / skew / self._group.layers
 
     def _price_of_fetch(self, situation: Situation) -> float:
-        seconds = self._group.expert_bytes / situation.staging_rate
-        return self._group.rebalancing_weight * seconds * self._surge_factor(situation)
+        return self._group.rebalancing_weight * self._staging_cost(1, situation)
+
+    def _staging_cost(self, fetches: int, situation: Situation) -> float:
+        """Return what the weight store's work for ``fetches`` is worth in seconds of step time."""
+        seconds = fetches * self._group.expert_bytes / situation.staging_rate
+        return seconds * self._options.staging_price * self._surge_factor(situation)
 
     def _surge_factor(self, situation: Situation) -> float:
         in_surge = situation.utilisation >= self._options.surge_from
@@ -292,7 +296,8 @@
         surge = self._surge_factor(situation)
         switch = situation.step_seconds * (1 + situation.running) * surge
         value = sum(plan.certain_gain for plan in plans) * second
-        cost = fetches * self._price_of_fetch(situation) + self._group.rebalancing_weight * switch
+        cost_seconds = self._staging_cost(fetches, situation) + switch
+        cost = self._group.rebalancing_weight * cost_seconds
         if value <= cost:
             refusal = Reason.SURGE if surge > 1.0 else Reason.NOT_WORTH_IT
             return Keep(reason=refusal, skew=skew)
@@ -306,7 +311,7 @@
             skew=skew,
             expected_skew=skew - sum(plan.gain for plan in plans) / self._group.layers,
             gain_seconds=value / self._group.skew_weight,
-            cost_seconds=fetches * size / situation.staging_rate + switch,
+            cost_seconds=cost_seconds,
             fetches=fetches,
             bytes=fetches * size,
         )
