Wait for the settled step in the stories of a lost decider

The engine that dies is now that of rank 0, so that the other one's agent still reports that it serves: without the router's look at the leader the story fails.

--- a/tests/test_promises_groups.py
+++ b/tests/test_promises_groups.py
@@ -57,11 +57,6 @@
         """Name of the endpoint with rank 0 and of its agent."""
         return self.fleet.plan.lock_step[0].name
 
-    @property
-    def follower(self) -> str:
-        """Name of the endpoint with the other ranks."""
-        return self.fleet.plan.lock_step[1].name
-
     # What is done to the ranks and read from them, around all links.
 
     async def ranks(self, path: str, value: Any = None) -> None:
@@ -132,14 +127,16 @@
 
         await until(newer, f"a map after {number}")
 
-    async def until_armed(self, ranks: int) -> None:
-        """Wait until so many ranks have agreed to a change and have no verdict."""
+    async def until_armed(self, ranks: int) -> int:
+        """Wait until so many ranks have agreed to a change; return the step of the switch."""
+        steps: list[int] = []
 
         async def armed() -> bool:
-            waiting = [each.armed and not each.committed for each in await self.states()]
-            return sum(map(bool, waiting)) >= ranks
+            steps[:] = [each.armed.step for each in await self.states() if each.armed]
+            return len(steps) >= ranks
 
         await until(armed, f"{ranks} ranks are armed")
+        return steps[0]
 
     async def until_routed(self, routed: bool = True) -> None:
         """Wait until all entries may send the group requests, or may not."""
@@ -220,10 +217,11 @@
         """
         await self.faults({3: RankFault(hold=("arm", "withdraw"))})
         await self.provoke()
-        await self.until_armed(3)
+        step = await self.until_armed(3)
         self.fleet.daemons[self.leader].kill()
         self.fleet.daemons[self.leader].start()
         await self.faults({3: RankFault()})
+        await until(lambda: self._all_beyond(step + 1), "the group steps past the switch")
         await self.until_routed()
         await self.assert_one_map_and_steps()
         await self.ranks("/control/ranks/3/deliver")
@@ -239,7 +237,7 @@
         """
         await self.faults({3: RankFault(hold=("arm", "withdraw"))})
         await self.provoke()
-        await self.until_armed(3)
+        step = await self.until_armed(3)
         old = self.fleet.daemons[self.leader]
         old.pause()
         new = self._replacement()
@@ -247,6 +245,7 @@
         try:
             await self._publish_agent(new.name)
             await self.faults({3: RankFault()})
+            await until(lambda: self._all_beyond(step + 1), "the group steps past the switch")
             await self.until_routed()
             await self.assert_one_map_and_steps()
             given = await self.read("/control/givers", dict[str, int])
@@ -284,11 +283,12 @@
     async def test_lost_engine_takes_the_group_out_of_routing_until_it_is_back(self) -> None:
         """The engine of half of the ranks dies with a stream in flight, and starts again.
 
-        The stream must not look whole. Requests are refused as not run while the group cannot
-        step, at the other engine too. Then all ranks join anew, under the map the others had.
+        The stream must not look whole. The other engine still answers its agent, which reports
+        that it serves; requests must be refused as not run all the same, since the group cannot
+        step. Then all ranks join anew, under the map the others had.
         """
         number = await self.map_number()
-        engine = self.fleet.endpoints[self.follower]
+        engine = self.fleet.endpoints[self.leader]
         records = []
         async with self.caller("cut").open() as caller, anyio.create_task_group() as tasks:
 
