Plan for experts on the move instead of where the mean still is

A moving mean trails a rise, so changes were sized for the past. The smoothed, signed distance of the samples to the mean is now added where it is eight times what noise leaves in it.

--- a/carawayhub/groups/policy.py
+++ b/carawayhub/groups/policy.py
@@ -119,7 +119,7 @@
     def loads(self, current: ExpertMap) -> tuple[float, ...]:
         """Return each rank's load over all layers, with mean 1.0."""
         layers = [
-            rank_loads(row, self._popularity.mean(layer), self._group.ranks)
+            rank_loads(row, self._popularity.expected(layer), self._group.ranks)
             for layer, row in enumerate(current.layers)
         ]
         return tuple(_mean(loads) for loads in zip(*layers, strict=True))
@@ -148,7 +148,7 @@
 
     def _layer_skews(self, current: ExpertMap) -> list[float]:
         return [
-            layer_skew(row, self._popularity.mean(layer), self._group.ranks)
+            layer_skew(row, self._popularity.expected(layer), self._group.ranks)
             for layer, row in enumerate(current.layers)
         ]
 
@@ -198,7 +198,7 @@
     def _may_pay(self, row: tuple[int, ...], layer: int, skew: float, terms: "_Terms") -> bool:
         """Return whether an even layer would be worth one fetch, noise taken off."""
         ranks = self._group.ranks
-        loads = rank_loads(row, self._popularity.mean(layer), ranks)
+        loads = rank_loads(row, self._popularity.expected(layer), ranks)
         busiest = max(range(ranks), key=loads.__getitem__)
         error = load_error(row, self._popularity.errors(layer), ranks, busiest)
         return (skew - 1.0 - self._options.certainty * error) * terms.second > terms.price
@@ -208,7 +208,7 @@
     ) -> tuple[_LayerPlan | None, int]:
         """Return the best that can be done in a layer, and the steps that were tried."""
         thorough = self._is_thorough(layer)
-        balance = LayerBalance(row, self._popularity.mean(layer), self._group.ranks)
+        balance = LayerBalance(row, self._popularity.expected(layer), self._group.ranks)
         start = balance.stage()
         stages = list(balance.stages(most, shifts=1 if thorough else 0))
         plan = self._best_stage(layer, start, stages, terms)
@@ -227,7 +227,7 @@
     def _whole(self, row: tuple[int, ...], layer: int) -> Stage:
         """Return a placement from nothing, for a layer that small steps leave far from even."""
         ranks = self._group.ranks
-        shares = self._popularity.mean(layer)
+        shares = self._popularity.expected(layer)
         new = recomputed_row(shares, ranks=ranks, slots=len(row) // ranks)
         return stage_of(matched_row(new, row, ranks=ranks), row, shares, ranks)
 
--- a/carawayhub/groups/popularity.py
+++ b/carawayhub/groups/popularity.py
@@ -12,6 +12,10 @@
 DEFAULT_TIME_CONSTANT = 120.0
 MIN_SAMPLES = 8
 NOISE_WEIGHT = 0.05
+TREND_WEIGHT = 0.2
+# In deviations of one sample. Noise alone leaves a third of one in the smoothed distance, so this
+# is eight times as much.
+TREND_LIMIT = 2.7
 CLIP = 3.0
 # Standard deviation of a normal sample over the mean absolute difference of two.
 DEVIATION_OF_DIFFERENCE = math.sqrt(math.pi) / 2.0
@@ -62,6 +66,7 @@
         "_noise",
         "_samples",
         "_time_constant",
+        "_trend",
         "_weight_squares",
         "volume_rate",
     )
@@ -75,6 +80,7 @@
         self._latest: list[list[float]] = [[] for _ in range(layers)]
         self._mean: list[list[float]] = [[1.0 / experts] * experts for _ in range(layers)]
         self._noise: list[list[float]] = [[0.0] * experts for _ in range(layers)]
+        self._trend: list[list[float]] = [[0.0] * experts for _ in range(layers)]
         self._weight_squares = [1.0] * layers
         self._samples = [0] * layers
         self.volume_rate = 0.0
@@ -105,20 +111,20 @@
         return self._take(before, counters)
 
     def errors(self, index: int) -> Sequence[float]:
-        """Return the standard error of each expert's mean share in layer ``index``.
+        """Return the standard error of each expert's mean share in layer ``index``."""
+        factor = math.sqrt(self._weight_squares[index])
+        return [factor * deviation for deviation in self._deviations(index)]
+
+    def _deviations(self, index: int) -> list[float]:
+        """Return the deviation of a single sample of each expert's share.
 
         An expert's own noise is known from few samples at first and may look small by chance; it
         counts as no smaller, for its share, than that of the layer's experts together.
         """
         mean, noise = self._mean[index], self._noise[index]
         squares = sum([share * share for share in mean])
-        common = sum([deviation * deviation for deviation in noise]) / squares
-        factor = math.sqrt(self._weight_squares[index])
-        floor = math.sqrt(common)
-        return [
-            factor * max(deviation, floor * share)
-            for share, deviation in zip(mean, noise, strict=True)
-        ]
+        floor = math.sqrt(sum([deviation * deviation for deviation in noise]) / squares)
+        return [max(deviation, floor * share) for share, deviation in zip(mean, noise, strict=True)]
 
     def mean(self, index: int) -> Sequence[float]:
         """Return the share of each expert in layer ``index``."""
@@ -128,6 +134,21 @@
         """Return the deviation of a single sample of each expert's share in layer ``index``."""
         return self._noise[index]
 
+    def expected(self, index: int) -> Sequence[float]:
+        """Return the shares to plan for: the mean, and for each expert on the move its lead on it.
+
+        A moving mean trails a rise. The smoothed distance of the samples to the mean is what it
+        trails by; it is added only where it is far above what noise makes of it.
+        """
+        led = [
+            max(0.0, share + lead) if abs(lead) > TREND_LIMIT * deviation else share
+            for share, lead, deviation in zip(
+                self._mean[index], self._trend[index], self._deviations(index), strict=True
+            )
+        ]
+        total = sum(led)
+        return [share / total for share in led]
+
     def latest(self, index: int) -> Sequence[float]:
         """Return the shares in the last interval seen; empty before the first."""
         return self._latest[index]
@@ -176,6 +197,12 @@
                 for mean, share in zip(self._mean[index], shares, strict=True)
             ]
             self._update_noise(index, shares)
+            self._trend[index] = [
+                (1.0 - TREND_WEIGHT) * lead + TREND_WEIGHT * (share - mean)
+                for lead, share, mean in zip(
+                    self._trend[index], shares, self._mean[index], strict=True
+                )
+            ]
         else:
             self._mean[index] = shares
         squares = rest * rest * self._weight_squares[index] + weight * weight
--- a/tests/test_rebalance_popularity.py
+++ b/tests/test_rebalance_popularity.py
@@ -94,5 +94,35 @@
         self.assertGreater(popularity.mean(0)[0], 0.7)
 
 
+class TrendTest(unittest.TestCase):
+    """Shares to plan for."""
+
+    def estimate(self, spread: float, jump_at: int) -> Popularity:
+        rng = random.Random(9)
+        popularity = Popularity(layers=1, experts=8)
+        counts = [0] * 8
+        for step in range(64):
+            popularity.observe(report(10.0 * step, *counts))
+            for expert in range(8):
+                weight = 4 if expert == 0 and step >= jump_at else 1
+                counts[expert] += round(1000 * weight * rng.lognormvariate(0.0, spread))
+        return popularity
+
+    def test_a_rise_is_planned_for_before_the_mean_has_followed(self) -> None:
+        """A release makes one expert four times as popular within seconds.
+
+        For two minutes the moving mean trails behind, and a change sized by it would have to be
+        followed by another and another while every step waits for that expert's rank.
+        """
+        popularity = self.estimate(0.03, jump_at=60)
+        self.assertGreater(popularity.expected(0)[0], popularity.mean(0)[0] * 1.15)
+        self.assertAlmostEqual(sum(popularity.expected(0)), 1.0)
+
+    def test_noise_is_not_a_rise(self) -> None:
+        popularity = self.estimate(0.25, jump_at=100)
+        for expected, mean in zip(popularity.expected(0), popularity.mean(0), strict=True):
+            self.assertAlmostEqual(expected, mean)
+
+
 if __name__ == "__main__":
     unittest.main()
