Prove leaving and planned stops with real processes

An engine leaves by configuration, by the list of VMs, by a list that its agent cannot read, by SIGTERM to its agent, and behind an entry that hears nobody; an entry is stopped while callers keep answers that name it and one waits for a long answer. No work begins later than three seconds after the first source said so, nothing in flight is cut, and both kinds of process end with status 0. Without the permit, the word of the configuration or of the list, the waiting for kept answers or the waiting for requests in flight, the test that belongs to it fails.

--- a/tests/unguarded.py
+++ b/tests/unguarded.py
@@ -5,6 +5,7 @@
 the test which belongs to a guard fails without it.
 """
 
+import dataclasses
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -239,5 +240,83 @@
     replace(TokenBucket, "spend", lambda self, amount, now: True)
 
 
+@guard("permit")
+def _permit() -> None:
+    from carawayhub.routing.candidate import Candidate
+
+    replace(Candidate, "lost", lambda self, now: None)
+    replace(Candidate, "_permit", lambda self, report, asked_at, last: float("inf"))
+
+
+@guard("leaving-by-configuration")
+def _leaving_by_configuration() -> None:
+    from carawayhub.agent.reporter import Reporter
+    from carawayhub.config.model import EndpointState
+    from carawayhub.routing.router import Router
+
+    def unheeding(configure: Any) -> Any:
+        def configured(self: Any, cfg: Any) -> None:
+            serving = {
+                name: dataclasses.replace(endpoint, state=EndpointState.SERVING)
+                for name, endpoint in cfg.endpoints.items()
+            }
+            configure(self, dataclasses.replace(cfg, endpoints=serving))
+
+        return configured
+
+    replace(Reporter, "configured", unheeding(Reporter.configured))
+    replace(Router, "configure", unheeding(Router.configure))
+
+
+@guard("leaving-by-vm-list")
+def _leaving_by_vm_list() -> None:
+    from carawayhub.agent.reporter import Reporter
+    from carawayhub.routing.router import Router
+
+    replace(Reporter, "listed", lambda self, vms: None)
+    replace(Router, "set_leaving", lambda self, endpoints: None)
+
+
+@guard("vm-list-at-entries")
+def _vm_list_at_entries() -> None:
+    from carawayhub.routing.router import Router
+
+    replace(Router, "set_leaving", lambda self, endpoints: None)
+
+
+@guard("vm-list-from-peers")
+def _vm_list_from_peers() -> None:
+    from carawayhub.fleet.vmsync import VmListSync
+
+    replace(VmListSync, "heard", lambda self, peer, number: None)
+
+
+@guard("stopping-agent-leaves")
+def _stopping_agent_leaves() -> None:
+    from carawayhub.agent.reporter import Reporter
+
+    replace(Reporter, "stopping", lambda self: None)
+
+
+@guard("kept-answers")
+def _kept_answers() -> None:
+    from carawayhub.routing.directory import EntryDirectory
+
+    replace(EntryDirectory, "kept_until", lambda self, now: now)
+
+
+@guard("drain")
+def _drain() -> None:
+    from carawayhub.entry.app import EntryApp
+    from carawayhub.http import HttpServer
+
+    def stop_at_once(self: Any) -> None:
+        self._server.force_exit = True
+        self._server.leave()
+
+    EntryApp.running = property(lambda self: 0, lambda self, value: None)  # type: ignore
+    replace(HttpServer, "stop", stop_at_once)
+
+
 if __name__ == "__main__":
     _main()
