Let gate and entry share the conversion of headers and the check of a ticket

Cause: both sides of a run-once call turned headers into text and bytes by expressions of their own, left out headers by two sets built differently, and checked alike whether a ticket was issued for something else. Change: carawayhub.headers converts and filters; TicketOffice.read_for reads a ticket for one scope and organisation.

--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -34,6 +34,7 @@
 from carawayhub.endpoints.upstream import Upstream, UpstreamRequest, UpstreamTimeouts
 from carawayhub.errors import PeerError, RequestError
 from carawayhub.fleet.pauses import PauseDetector
+from carawayhub.headers import as_bytes, as_text, without
 from carawayhub.peers.messages import RunReply, RunRequest, ServingState
 
 GRACE = 30.0
@@ -41,11 +42,8 @@
 
 LOOK_UPS = 4
 RETRY_AFTER = 1.0
-_DROPPED_HEADERS = {name.decode() for name in HOP_BY_HOP_HEADERS} | {
-    "content-length",
-    REQUEST_ID_HEADER.decode(),
-    DEADLINE_HEADER.decode(),
-}
+_DROPPED_FROM_ANSWER = HOP_BY_HOP_HEADERS | {b"content-length"}
+_DROPPED_FROM_REQUEST = _DROPPED_FROM_ANSWER | {REQUEST_ID_HEADER, DEADLINE_HEADER}
 
 
 class KeyRules(Protocol):
@@ -145,9 +143,7 @@
         if not req.ticket:
             key = RunKey(req.target, req.organisation, req.key)
             return _Claim(key, digest, self._rules.keep_until(key), False, req.stamp)
-        ticket = self._office.read(req.ticket)
-        if ticket.organisation != req.organisation or ticket.scope != req.target:
-            return Refuse(Code.TICKET_MALFORMED, detail="it was issued for something else")
+        ticket = self._office.read_for(req.ticket, req.target, req.organisation)
         admitted = self._epochs.admit(ticket)
         if isinstance(admitted, Refuse):
             return admitted
@@ -247,11 +243,7 @@
 
     async def _send(self, req: RunRequest, limit: float, deadline: float) -> RunResult:
         async with self._upstream.open(self._request(req, limit, deadline)) as response:
-            headers = tuple(
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in response.headers
-                if name.lower() not in HOP_BY_HOP_HEADERS and name.lower() != b"content-length"
-            )
+            headers = as_text(without(response.headers, _DROPPED_FROM_ANSWER))
             body = b""
             async for part in response.aiter_stream():
                 body += part
@@ -265,11 +257,7 @@
         if endpoint is None:
             raise RequestError(Code.ENDPOINT_LEAVING, self._endpoint)
         left = max(0.0, deadline - self._clock.monotonic())
-        headers = [
-            (name.encode("latin-1"), value.encode("latin-1"))
-            for name, value in req.headers
-            if name not in _DROPPED_HEADERS
-        ]
+        headers = without(as_bytes(req.headers), _DROPPED_FROM_REQUEST)
         headers.append((b"host", endpoint.url.split("//", 1)[-1].encode()))
         headers.append((b"content-length", b"%d" % len(req.body)))
         headers.append((REQUEST_ID_HEADER, req.request_id.encode()))
--- a/carawayhub/agent/tickets.py
+++ b/carawayhub/agent/tickets.py
@@ -106,6 +106,17 @@
         except msgspec.DecodeError as exc:
             raise RequestError(Code.TICKET_MALFORMED, str(exc)) from exc
 
+    def read_for(self, text: str, scope: str, organisation: str) -> Ticket:
+        """Return the ticket in ``text``, which must have been issued for this scope and caller.
+
+        Raises:
+            RequestError: TICKET_MALFORMED as in ``read``, or where it was issued for others.
+        """
+        ticket = self.read(text)
+        if ticket.organisation != organisation or ticket.scope != scope:
+            raise RequestError(Code.TICKET_MALFORMED, "it was issued for something else")
+        return ticket
+
     def _mac(self, payload: bytes) -> bytes:
         return hmac.new(self._key, payload, hashlib.sha256).digest()
 
--- a/carawayhub/entry/runonce.py
+++ b/carawayhub/entry/runonce.py
@@ -21,10 +21,11 @@
 from carawayhub.config.model import Configuration, Organisation
 from carawayhub.constants import HOP_BY_HOP_HEADERS, TICKET_HEADER
 from carawayhub.entry.answer import Answer
-from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget
+from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget, check_allowed
 from carawayhub.entry.replies import Reply, json_reply
 from carawayhub.entry.reports import Reports
 from carawayhub.errors import PeerError, RequestError
+from carawayhub.headers import as_bytes, as_text, without
 from carawayhub.peers.calls import CallClient
 from carawayhub.peers.messages import EndpointReport, RunReply, RunRequest
 from carawayhub.peers.methods import RUN
@@ -50,6 +51,16 @@
     ticket: str
 
 
+class LedgerError(RequestError):
+    """A refusal by the agent whose ledger knows every attempt of the key or ticket."""
+
+    __slots__ = ()
+
+    def unvouched(self) -> RequestError:
+        """Return the same error: what a ledger says of a run holds for all attempts."""
+        return self
+
+
 @dataclass(frozen=True, slots=True)
 class _Place:
     """Where a request may run.
@@ -113,6 +124,8 @@
         if bool(wanted.service) == bool(wanted.model):
             raise RequestError(Code.BODY_MALFORMED, "name either a service or a model")
         if wanted.service:
+            if wanted.service in cfg.services:
+                check_allowed(cfg.services[wanted.service], organisation.name)
             scope, name = service_scope(wanted.service), wanted.service
         else:
             scope, name = model_scope(wanted.model), wanted.model
@@ -128,15 +141,12 @@
         Raises:
             RequestError: It has no answer; the code says whether it may have run.
         """
-        if not call.key and not call.ticket:
-            raise RequestError(Code.RUN_ONCE_NEEDS_KEY)
         place = self._by_ticket(call) if call.ticket else self._by_key(call)
+        answer.dispatched()
         reply = await self._send(call, place)
         if reply.code != Code.OK:
-            raise RequestError(Code(reply.code), reply.detail, reply.retry_after or None)
-        headers = [
-            (name.encode("latin-1"), value.encode("latin-1")) for name, value in reply.headers
-        ]
+            raise LedgerError(Code(reply.code), reply.detail, reply.retry_after or None)
+        headers = as_bytes(reply.headers)
         if reply.replayed:
             headers.append((REPLAYED_HEADER, b"1"))
         await answer.whole(reply.status, headers, reply.body, Code.OK)
@@ -160,9 +170,7 @@
         return min(pair, key=lambda report: (report.running + report.queued) / report.capacity)
 
     def _by_ticket(self, call: Call) -> _Place:
-        ticket = self._office.read(call.ticket)
-        if ticket.organisation != call.organisation.name or ticket.scope != _scope(call):
-            raise RequestError(Code.TICKET_MALFORMED, "it was issued for something else")
+        ticket = self._office.read_for(call.ticket, _scope(call), call.organisation.name)
         return self._place(ticket.endpoint)
 
     def _by_key(self, call: Call) -> _Place:
@@ -211,11 +219,6 @@
 
     def _request(self, call: Call, place: _Place, left: float) -> RunRequest:
         assert self._cfg is not None
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in call.headers
-            if name not in _DROPPED_HEADERS
-        )
         return RunRequest(
             request_id=call.request_id,
             organisation=call.organisation.name,
@@ -226,7 +229,7 @@
             stamp=place.stamp,
             method=call.method,
             path=call.path,
-            headers=headers,
+            headers=as_text(without(call.headers, _DROPPED_HEADERS)),
             body=call.body,
             remaining=left,
             deadline=self._reports.on_agents_clock(place.endpoint, call.deadline),
