Run both kinds of readers through one scenario of the dissemination benchmark

Cause: the baseline in which every node reads the service had a copy of the scenario of changes that differed in how nodes start. Change: how nodes start is given to the scenario.

--- a/benchmarks/dissemination.py
+++ b/benchmarks/dissemination.py
@@ -33,25 +33,30 @@
 SETTLE = 6.0
 PULL_EVERY = 10.0
 
-
 Disturb = Callable[[Fleet, anyio.abc.TaskGroup], Coroutine[Any, Any, None]]
+Start = Callable[[Fleet, anyio.abc.TaskGroup], Coroutine[Any, Any, None]]
 
 
 def run() -> Result:
     """Run all scenarios."""
     sizes = tuple(
-        _steady(f"changes, {nodes} nodes", Shape(nodes=nodes), 5 if nodes > 100 else 12)
+        _changes(f"changes, {nodes} nodes", Shape(nodes=nodes), 5 if nodes > 100 else 12)
         for nodes in (10, 50, 200, 400)
     )
-    idle = _steady("no changes, 400 nodes", Shape(nodes=400), 0)
+    idle = _changes("no changes, 400 nodes", Shape(nodes=400), 0)
     others = (
-        _steady("heartbeats only, no announcement", Shape(nodes=100, announce=False), 8),
-        _steady("5% of messages lost", Shape(nodes=100, loss=0.05), 8),
-        _steady("a region cut off for 20 s", Shape(nodes=100), 8, _cut_region),
-        _steady("service stale for 12 s", Shape(nodes=100), 8, _stale_service),
-        _steady("a file of 1 MB rewritten", Shape(nodes=40, files=4, file_bytes=1_000_000), 5),
-        _steady("baseline: every node watches", Shape(nodes=100, watch=True, links=False), 8),
-        _pull("baseline: every node reads each 10 s", Shape(nodes=100, links=False), 8),
+        _changes("heartbeats only, no announcement", Shape(nodes=100, announce=False), 8),
+        _changes("5% of messages lost", Shape(nodes=100, loss=0.05), 8),
+        _changes("a region cut off for 20 s", Shape(nodes=100), 8, _cut_region),
+        _changes("service stale for 12 s", Shape(nodes=100), 8, _stale_service),
+        _changes("a file of 1 MB rewritten", Shape(nodes=40, files=4, file_bytes=1_000_000), 5),
+        _changes("baseline: every node watches", Shape(nodes=100, watch=True, links=False), 8),
+        _changes(
+            "baseline: every node reads each 10 s",
+            Shape(nodes=100, links=False),
+            8,
+            start=_start_readers,
+        ),
     )
     restarts = (
         run_virtual(_restart, "a failure domain restarts", Shape(nodes=400), False),
@@ -65,18 +70,26 @@
     )
 
 
-def _steady(scenario: str, shape: Shape, changes: int, disturb: Disturb | None = None) -> Row:
-    row: Row = run_virtual(_publish_changes, scenario, shape, changes, disturb)
+def _changes(
+    scenario: str,
+    shape: Shape,
+    changes: int,
+    disturb: Disturb | None = None,
+    start: Start | None = None,
+) -> Row:
+    row: Row = run_virtual(
+        _publish_changes, scenario, shape, changes, start or _start_seeded, disturb
+    )
     return row
 
 
 async def _publish_changes(
-    scenario: str, shape: Shape, changes: int, disturb: Disturb | None
+    scenario: str, shape: Shape, changes: int, start: Start, disturb: Disturb | None
 ) -> Row:
     fleet = Fleet(shape, SEED)
     fleet.publish_first()
     async with anyio.create_task_group() as tasks:
-        await fleet.start(fleet.names(), tasks, seeded=True)
+        await start(fleet, tasks)
         await anyio.sleep(SETTLE)
         mark = Mark(fleet)
         published = await _change(fleet, tasks, changes, disturb)
@@ -87,6 +100,18 @@
     return row
 
 
+async def _start_seeded(fleet: Fleet, tasks: anyio.abc.TaskGroup) -> None:
+    """Start all nodes with the first version in force."""
+    await fleet.start(fleet.names(), tasks, seeded=True)
+
+
+async def _start_readers(fleet: Fleet, tasks: anyio.abc.TaskGroup) -> None:
+    """Start all nodes without links; each reads the service by itself."""
+    for name in fleet.names():
+        node = await fleet.place(name, seeded=True)
+        tasks.start_soon(_read_each, fleet, node)
+
+
 async def _change(
     fleet: Fleet, tasks: anyio.abc.TaskGroup, changes: int, disturb: Disturb | None
 ) -> dict[int, float]:
@@ -108,28 +133,6 @@
             await anyio.sleep(0.5)
 
 
-def _pull(scenario: str, shape: Shape, changes: int) -> Row:
-    row: Row = run_virtual(_pull_changes, scenario, shape, changes)
-    return row
-
-
-async def _pull_changes(scenario: str, shape: Shape, changes: int) -> Row:
-    fleet = Fleet(shape, SEED)
-    fleet.publish_first()
-    async with anyio.create_task_group() as tasks:
-        for name in fleet.names():
-            node = await fleet.place(name, seeded=True)
-            tasks.start_soon(_read_each, fleet, node)
-        await anyio.sleep(SETTLE)
-        mark = Mark(fleet)
-        published = await _change(fleet, tasks, changes, None)
-        rates = mark.rates()
-        await _all_in_force(fleet)
-        row = row_of(scenario, fleet, published, rates)
-        tasks.cancel_scope.cancel()
-    return row
-
-
 async def _read_each(fleet: Fleet, node: FleetNode) -> None:
     await anyio.sleep(fleet.rng.uniform(0, PULL_EVERY))
     while True:
