Send the own events of a read before a fault in it breaks the stream off

Cause: with several events in one read, those before a foreign, doubled or torn one were counted but not sent.

Change: the check returns the events up to the fault and notes it; they go to the caller, then the stream breaks off or is resumed right after them. The same holds for chunks before bytes that are no chunk. One test of the relay expected nothing of such a read to be sent. That expectation was wrong, as it loses tokens; it now asks that all own events and no foreign one are sent, and two tests with resumption ask for each token once.

--- a/carawayhub/endpoints/network.py
+++ b/carawayhub/endpoints/network.py
@@ -49,6 +49,7 @@
     """
 
     __slots__ = (
+        "_fault",
         "_join",
         "_next_read",
         "_parser",
@@ -65,6 +66,7 @@
         self._join = join
         self._next_read = 0.0
         self._parts: list[bytes] = []
+        self._fault: httpcore.RemoteProtocolError | None = None
         self.ended = False
         self.surplus = False
         self._parser = httptools.HttpResponseParser(self)
@@ -80,6 +82,8 @@
         """
         parts = self._parts
         while not parts and not self.ended:
+            if self._fault is not None:
+                raise self._fault
             data = await self._stream.receive(self._silence, self._next_read)
             if not data:
                 raise httpcore.ReadError("the connection ended within the answer")
@@ -95,9 +99,10 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
-            if not self.ended:
-                raise httpcore.RemoteProtocolError(str(exc)) from exc
-            self.surplus = True
+            # What was parsed before the fault is returned first, so that it can reach the caller
+            # and a resumed stream goes on after it.
+            self._fault = httpcore.RemoteProtocolError(str(exc))
+            self.surplus = self.ended
 
     # What the parser calls.
 
--- a/carawayhub/entry/passage.py
+++ b/carawayhub/entry/passage.py
@@ -45,11 +45,16 @@
         """Check what one read brought and send its complete events to the caller.
 
         Raises:
-            RequestError: ANSWER_MIXED where an event is another request's or out of its place.
+            RequestError: ANSWER_MIXED where an event is another request's or out of its place; the
+                events before it have been sent.
         """
         events = self._check.feed(data)
-        if not events:
-            return
+        if events:
+            await self._pass_on(events)
+        if self._check.fault is not None:
+            raise self._check.fault
+
+    async def _pass_on(self, events: bytes) -> None:
         answer = self._answer
         if answer.started:
             self._gaps.record(self._clock.monotonic() - answer.last_part_at)
--- a/carawayhub/entry/stream.py
+++ b/carawayhub/entry/stream.py
@@ -29,27 +29,31 @@
         request_id: Id that each event must carry.
 
     Attributes:
-        tokens: Tokens seen, which is the offset at which a resumed stream must go on.
+        tokens: Tokens let through, which is the offset at which a resumed stream must go on.
         ended: Whether the explicit end was seen.
+        fault: What is wrong with the event after those let through, None for nothing.
     """
 
-    __slots__ = ("_id", "_rest", "ended", "tokens")
+    __slots__ = ("_id", "_rest", "ended", "fault", "tokens")
 
     def __init__(self, request_id: str) -> None:
         self._id = request_id.encode()
         self._rest = b""
         self.tokens = 0
         self.ended = False
+        self.fault: RequestError | None = None
 
     def reconnected(self) -> None:
-        """Forget the incomplete event of a connection that broke."""
+        """Forget the incomplete event and the fault of a connection that broke."""
         self._rest = b""
+        self.fault = None
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events in what came so far, checked; the rest waits for more.
 
-        Raises:
-            RequestError: ANSWER_MIXED where an event is another request's or out of its place.
+        An event that does not fit, ANSWER_MIXED, is noted in ``fault``; those before it in the same
+        read are returned. They count as let through, and a stream that is resumed goes on after
+        them: kept back, they would be missing from the answer.
         """
         text = self._rest + data if self._rest else data
         end = text.rfind(END_OF_EVENT)
@@ -58,9 +62,13 @@
             return b""
         whole = text[: end + len(END_OF_EVENT)]
         self._keep(text[end + len(END_OF_EVENT) :])
+        passed = 0
         for event in whole.split(END_OF_EVENT):
             if event.startswith(DATA):
-                self._check(event)
+                self.fault = self._check(event)
+                if self.fault is not None:
+                    return whole[:passed]
+            passed += len(event) + len(END_OF_EVENT)
         return whole
 
     def _keep(self, rest: bytes) -> None:
@@ -68,25 +76,23 @@
             raise RequestError(Code.ENDPOINT_ERROR, "an event of the stream has no end")
         self._rest = rest
 
-    def _check(self, event: bytes) -> None:
+    def _check(self, event: bytes) -> RequestError | None:
         if self.ended:
-            raise RequestError(Code.ANSWER_MIXED, "an event came after the end of the stream")
+            return RequestError(Code.ANSWER_MIXED, "an event came after the end of the stream")
         if len(event) <= LONGEST_END and event.endswith(DONE):
             self.ended = True
-            return
+            return None
         if self._id not in event and ID in event:
-            raise RequestError(Code.ANSWER_MIXED, "an event carries another request's id")
+            return RequestError(Code.ANSWER_MIXED, "an event carries another request's id")
         place = event.find(OFFSET)
         if place >= 0:
-            self._check_offset(event, place + len(OFFSET))
+            offset = _number(event, place + len(OFFSET))
+            if offset != self.tokens:
+                detail = f"an event has offset {offset} where {self.tokens} is due"
+                return RequestError(Code.ANSWER_MIXED, detail)
         if NOT_FINISHED in event or NOT_FINISHED_SPACED in event:
             self.tokens += 1
-
-    def _check_offset(self, event: bytes, place: int) -> None:
-        offset = _number(event, place)
-        if offset != self.tokens:
-            detail = f"an event has offset {offset} where {self.tokens} is due"
-            raise RequestError(Code.ANSWER_MIXED, detail)
+        return None
 
 
 def _number(event: bytes, start: int) -> int:
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -46,20 +46,43 @@
         self.assertEqual(bench.caller.body, WHOLE_BODY)
         self.assertTrue(bench.caller.ended)
 
-    async def test_a_foreign_event_in_the_middle_of_a_read_stops_before_any_of_that_read(
-        self,
-    ) -> None:
+    async def test_a_foreign_event_in_the_middle_of_a_read_stops_right_before_it(self) -> None:
         """Two events come in one read, the second one of another request.
 
-        Sent on unchecked, the caller would see half a foreign line. The stream breaks off.
+        Sent on unchecked, the caller would see a foreign line. The first one is its own and goes
+        out; then the stream breaks off.
         """
         mixed = chunk(event(1) + event(2, OTHER_ID))
         bench = Bench({"m1": [[STREAM_HEAD, chunk(event(0)), mixed]], "m2": []})
         exc = await bench.failure()
         self.assertEqual(exc.code, Code.ANSWER_MIXED)
-        self.assertEqual(bench.caller.body, event(0))
+        self.assertEqual(bench.caller.body, event(0) + event(1))
         self.assertFalse(bench.caller.ended)
 
+    async def test_a_stream_goes_on_after_the_own_events_of_a_read_with_a_foreign_one(self) -> None:
+        """A word in the middle of the answer is missing although it looks whole.
+
+        One read brings two own events and a foreign one. If the own ones were counted and kept
+        back, the resumed stream would go on after them, and the caller would never get them.
+        """
+        mixed = chunk(event(0)) + chunk(event(1)) + chunk(event(2, OTHER_ID))
+        again = [STREAM_HEAD, chunk(event(2)), END]
+        bench = Bench({"m1": [[STREAM_HEAD, mixed], again], "m2": []}, resumes=True)
+        await bench.run()
+        self.assertEqual(bench.caller.body, event(0) + event(1) + event(2) + DONE)
+
+    async def test_a_stream_goes_on_after_the_events_before_bytes_that_are_no_chunk(self) -> None:
+        """A piece of the stream comes twice, so that the chunks no longer fit.
+
+        What stood before the fault in the same read reaches the caller, and the stream is resumed
+        after it, each token once.
+        """
+        torn = chunk(event(0)) + chunk(event(1)) + b'[{"index":0\r\n'
+        again = [STREAM_HEAD, chunk(event(2)), END]
+        bench = Bench({"m1": [[STREAM_HEAD, torn], again], "m2": []}, resumes=True)
+        await bench.run()
+        self.assertEqual(bench.caller.body, event(0) + event(1) + event(2) + DONE)
+
     async def test_an_offset_that_skips_breaks_the_stream_off(self) -> None:
         """A line of the chorus would be missing.
 
