Show a lock-step group in the demonstration and in the status

The observer checks each step of each rank. The status table says why a group is out of routing. The fault proxy failed where a connection to be reset was closed already.

--- a/carawayhub/cli/observation.py
+++ b/carawayhub/cli/observation.py
@@ -130,13 +130,21 @@
 
 def _write_groups(env: Environment, pages: list[ProcessStatus]) -> None:
     rows = [
-        (group.name, group.map_number, round(group.skew, 3), group.decision, group.reason)
+        (
+            group.name,
+            group.map_number,
+            round(group.skew, 3),
+            group.decision,
+            group.reason,
+            group.out_of_routing,
+        )
         for page in pages
         for group in page.groups
     ]
     if rows:
         env.stdout.write("\n")
-        write_table(env.stdout, ("group", "map", "skew", "last decision", "why"), rows)
+        headers = ("group", "map", "skew", "last decision", "why", "out of routing")
+        write_table(env.stdout, headers, rows)
 
 
 def _change_row(change: Change) -> tuple[object, ...]:
--- a/carawayhub/demo.py
+++ b/carawayhub/demo.py
@@ -1,7 +1,8 @@
 """The main job in one process, without any service: ``carawayhub demo``.
 
-The platform, two entries, agents, model endpoints and plain services run inside this process. Calls
-flow while a migration step makes one endpoint leave and the VM of another dies.
+The platform, two entries, agents, model endpoints, a lock-step group and plain services run inside
+this process. Calls flow while a migration step makes one endpoint leave, the VM of another dies,
+and the group moves its experts after their popularity.
 """
 
 import contextlib
@@ -17,7 +18,12 @@
 from carawayhub.standins.callers import Caller, CallerOptions, Once
 from carawayhub.standins.checker import Report, check
 from carawayhub.standins.fleet import leaving_step
-from carawayhub.standins.fleetshape import EndpointKind, FleetShape, OrganisationPlan
+from carawayhub.standins.fleetshape import (
+    EndpointKind,
+    FleetShape,
+    LockStepShape,
+    OrganisationPlan,
+)
 from carawayhub.standins.load import (
     Load,
     Share,
@@ -58,13 +64,16 @@
     fleet = LocalFleet(_shape())
     engines = [each.name for each in fleet.plan.endpoints_of(EndpointKind.ENGINE)]
     scene = _Scene(leaving=engines[0], dying=engines[1])
-    _say(env, "starting a platform, 2 entries, 4 model endpoints and 2 plain services")
+    _say(env, "starting a platform, 2 entries, 4 model endpoints and 2 plain services,")
+    _say(env, "and a lock-step group of 4 ranks behind 2 endpoints")
     async with fleet.running():
         _say(env, "ready; calls begin")
         records: list[CallRecord] = []
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_migrate, env, fleet, scene)
+            tasks.start_soon(_follow_group, env, fleet)
             records += await _call(fleet)
+            tasks.cancel_scope.cancel()
         report = _report(fleet, records)
     _write_records(env, records)
     return _verdict(env, report, records)
@@ -74,6 +83,7 @@
     return FleetShape(
         entries=2,
         engines=4,
+        lock_step=LockStepShape(),
         services=2,
         organisations=(OrganisationPlan("cafes", priority=1), OrganisationPlan("guides")),
     )
@@ -114,6 +124,20 @@
     _say(env, f"the VM of {scene.dying} died with streams in flight")
 
 
+async def _follow_group(env: Environment, fleet: LocalFleet) -> None:
+    """Say what becomes of the group's map, as the agent beside its rank 0 tells it."""
+    leader = fleet.plan.lock_step[0].name
+    told = 0
+    while True:
+        status = await fleet.status(leader)
+        for group in status.groups if status is not None else ():
+            if group.map_number > told and not group.out_of_routing:
+                told = group.map_number
+                why = f"{group.reason}, skew was {group.skew:.2f}" if group.reason else "it formed"
+                _say(env, f"group {group.name} steps on map {told}: {why}")
+        await anyio.sleep(STATE_POLL)
+
+
 async def _until_leaving(fleet: LocalFleet, endpoint: str) -> None:
     entries = [node.name for node in fleet.plan.entries]
     for entry in entries:
@@ -131,6 +155,7 @@
 def _report(fleet: LocalFleet, records: list[CallRecord]) -> Report:
     fleet.evidence.records = records
     fleet.evidence.journals = fleet.journals()
+    fleet.evidence.steps = fleet.steps()
     return check(fleet.evidence)
 
 
@@ -154,6 +179,7 @@
     if report.findings or missed:
         return ExitStatus.OUTCOME_MISSED
     env.stdout.write(f"\nall {len(records)} answers were whole and their callers' own\n")
+    env.stdout.write("and in each step all ranks of the group used one map\n")
     return ExitStatus.SUCCESS
 
 
--- a/carawayhub/standins/forward.py
+++ b/carawayhub/standins/forward.py
@@ -43,7 +43,8 @@
 
 def set_reset_on_close(stream: SocketStream) -> None:
     """Make the peer of ``stream`` see a reset, and not an orderly end, when it is closed."""
-    with suppress(*Broken):
+    # A transport that is closed already has no socket, which shows as AttributeError.
+    with suppress(*Broken, AttributeError):
         raw = stream.extra(SocketAttribute.raw_socket)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
