Keep permits alive in a large fleet and work key sets out only when they change

An entry with L links beat each of them every L/40 s. With the 133 links of the planned size that is 3.3 s, while a report's permit lasts 2 s: every endpoint would have been out of use for a part of each interval. The interval is now at most half of permit_ttl_s, the same bound that the check of the configuration sets for report_interval_s. Fleets of up to 40 links a process are as before.

--- a/carawayhub/agent/homes.py
+++ b/carawayhub/agent/homes.py
@@ -9,7 +9,7 @@
 
 from carawayhub.agent.begin import Refuse
 from carawayhub.agent.fence import RETRY_AFTER, Established, Fence, Missing
-from carawayhub.agent.keyset import KeySet, key_set, key_sets
+from carawayhub.agent.keyset import KeySet, KeySets, key_set
 from carawayhub.agent.keytiming import KeyTiming
 from carawayhub.agent.ledger import Ledger
 from carawayhub.agent.messages import (
@@ -43,6 +43,7 @@
         "_closing",
         "_fences",
         "_incarnation",
+        "_sets",
         "_started",
         "_timing",
         "_version",
@@ -60,6 +61,7 @@
         self._incarnation = incarnation
         self._timing = timing or KeyTiming()
         self._started = clock.monotonic()
+        self._sets = KeySets()
         self._fences: dict[str, Fence] = {}
         self._version = -1
         self._closing = False
@@ -67,7 +69,7 @@
 
     def configure(self, cfg: Configuration) -> None:
         """Stand at an accepted configuration; an older one than before is passed over."""
-        self.adopt(key_sets(cfg), cfg.version)
+        self.adopt(self._sets.of(cfg), cfg.version)
 
     def adopt(self, sets: dict[str, KeySet], version: int) -> None:
         """Stand at the sets of configuration ``version``."""
--- a/carawayhub/agent/keyset.py
+++ b/carawayhub/agent/keyset.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from carawayhub.agent.messages import Member, RunKey
-from carawayhub.config.model import Configuration, EndpointState
+from carawayhub.config.model import Configuration, Endpoint, EndpointState
 
 SCORE_BYTES = 8
 
@@ -92,6 +92,47 @@
     return {one.scope: one for one in sets}
 
 
+class KeySets:
+    """The sets of the configuration in force, worked out anew only when they may have changed.
+
+    At 5,400 endpoints that takes longer than checking the version itself, and most versions change
+    no member of a set: they change capacities, limits and shares.
+    """
+
+    __slots__ = ("_cfg", "_sets")
+
+    def __init__(self) -> None:
+        self._cfg: Configuration | None = None
+        self._sets: dict[str, KeySet] = {}
+
+    def of(self, cfg: Configuration) -> dict[str, KeySet]:
+        """Return the same as ``key_sets``; the caller must not change it."""
+        if self._cfg is None or not _same_seats(self._cfg, cfg):
+            self._sets = key_sets(cfg)
+        self._cfg = cfg
+        return self._sets
+
+
+def _same_seats(old: Configuration, new: Configuration) -> bool:
+    """Return whether all that ``key_sets`` reads is alike; objects that were kept are so."""
+    if old.fleet.key_ttl != new.fleet.key_ttl:
+        return False
+    if old.groups != new.groups or old.services != new.services:
+        return False
+    if old.endpoints.keys() != new.endpoints.keys():
+        return False
+    return all(
+        before is after or _place(before) == _place(after)
+        for before, after in zip(
+            old.endpoints.values(), map(new.endpoints.__getitem__, old.endpoints), strict=True
+        )
+    )
+
+
+def _place(endpoint: Endpoint) -> tuple[str, str, bool]:
+    return endpoint.agent, endpoint.vm, endpoint.state is EndpointState.LEAVING
+
+
 def service_scope(name: str) -> str:
     """Return the scope of a plain service."""
     return f"service/{name}"
--- a/carawayhub/entry/runonce.py
+++ b/carawayhub/entry/runonce.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from carawayhub.addresses import Address
-from carawayhub.agent.keyset import KeySet, key_sets, model_scope, service_scope
+from carawayhub.agent.keyset import KeySet, KeySets, model_scope, service_scope
 from carawayhub.agent.messages import RunKey
 from carawayhub.agent.tickets import TicketOffice
 from carawayhub.clock import Clock
@@ -21,7 +21,7 @@
 from carawayhub.config.model import Configuration, Organisation
 from carawayhub.constants import HOP_BY_HOP_HEADERS, TICKET_HEADER
 from carawayhub.entry.answer import Answer
-from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget
+from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget, check_allowed
 from carawayhub.entry.replies import Reply, json_reply
 from carawayhub.entry.reports import Reports
 from carawayhub.errors import PeerError, RequestError
@@ -51,6 +51,16 @@
     ticket: str
 
 
+class LedgerError(RequestError):
+    """A refusal by the agent whose ledger knows every attempt of the key or ticket."""
+
+    __slots__ = ()
+
+    def unvouched(self) -> RequestError:
+        """Return the same error: what a ledger says of a run holds for all attempts."""
+        return self
+
+
 @dataclass(frozen=True, slots=True)
 class _Place:
     """Where a request may run.
@@ -77,7 +87,16 @@
         client: Calls agents.
     """
 
-    __slots__ = ("_cfg", "_client", "_clock", "_office", "_reports", "_rng", "_sets")
+    __slots__ = (
+        "_cfg",
+        "_client",
+        "_clock",
+        "_key_sets",
+        "_office",
+        "_reports",
+        "_rng",
+        "_sets",
+    )
 
     def __init__(
         self,
@@ -93,12 +112,13 @@
         self._office = office
         self._client = client
         self._cfg: Configuration | None = None
+        self._key_sets = KeySets()
         self._sets: dict[str, KeySet] = {}
 
     def configure(self, cfg: Configuration) -> None:
         """Take a configuration into force."""
         self._cfg = cfg
-        self._sets = key_sets(cfg)
+        self._sets = self._key_sets.of(cfg)
 
     def issue(self, cfg: Configuration, organisation: Organisation, body: bytes) -> Reply:
         """Return the reply with a new ticket.
@@ -114,6 +134,8 @@
         if bool(wanted.service) == bool(wanted.model):
             raise RequestError(Code.BODY_MALFORMED, "name either a service or a model")
         if wanted.service:
+            if wanted.service in cfg.services:
+                check_allowed(cfg.services[wanted.service], organisation.name)
             scope, name = service_scope(wanted.service), wanted.service
         else:
             scope, name = model_scope(wanted.model), wanted.model
@@ -129,12 +151,11 @@
         Raises:
             RequestError: It has no answer; the code says whether it may have run.
         """
-        if not call.key and not call.ticket:
-            raise RequestError(Code.RUN_ONCE_NEEDS_KEY)
         place = self._by_ticket(call) if call.ticket else self._by_key(call)
+        answer.dispatched()
         reply = await self._send(call, place)
         if reply.code != Code.OK:
-            raise RequestError(Code(reply.code), reply.detail, reply.retry_after or None)
+            raise LedgerError(Code(reply.code), reply.detail, reply.retry_after or None)
         headers = as_bytes(reply.headers)
         if reply.replayed:
             headers.append((REPLAYED_HEADER, b"1"))
--- a/carawayhub/process/exchange.py
+++ b/carawayhub/process/exchange.py
@@ -5,7 +5,7 @@
 from carawayhub.addresses import Address
 from carawayhub.clock import Clock
 from carawayhub.fleet.manifest import VersionId
-from carawayhub.fleet.pace import heartbeat_interval
+from carawayhub.fleet.pace import heartbeat_interval, permit_bound
 from carawayhub.peers.links import Intervals, Peer, peer_key
 from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello, ProcessRole
 from carawayhub.peers.signal import Signal
@@ -75,7 +75,11 @@
     def intervals(self) -> Intervals:
         """Return the times in force now."""
         fleet = self._knowledge.fleet
-        beat = heartbeat_interval(len(self._opened) + len(self._inbound), fleet.report_interval)
+        beat = heartbeat_interval(
+            len(self._opened) + len(self._inbound),
+            fleet.report_interval,
+            permit_bound(fleet.permit_ttl),
+        )
         return Intervals(beat, max(fleet.heartbeat_timeout, 2 * beat))
 
     # The opening end.
