--- a/carawayhub/cli/definition.py
+++ b/carawayhub/cli/definition.py
@@ -143,6 +143,34 @@
     return observation.audit(_env(context), targets, since, json_output)
 
 
+@app.command()
+def plan(
+    context: typer.Context,
+    recording: Annotated[
+        Path, typer.Argument(help="Recorded load of a lock-step group.", show_default=False)
+    ],
+    json_output: Json = False,
+    plot: Annotated[
+        Path | None, typer.Option(help="SVG file for skew and moves over time.")
+    ] = None,
+    skew_weight: Annotated[
+        float | None, typer.Option(help="Skew weight in place of the recording's, 0 to 1.")
+    ] = None,
+    rebalancing_weight: Annotated[
+        float | None, typer.Option(help="Rebalancing weight in place of the recording's, 0 to 1.")
+    ] = None,
+) -> ExitStatus:
+    """Show what the rebalancing policy would do with a recorded load, and why.
+
+    Example: carawayhub plan saturday.jsonl --plot plan.svg
+    """
+    from carawayhub.cli import plan as planning
+
+    return planning.plan(
+        _env(context), recording, json_output, plot, skew_weight, rebalancing_weight
+    )
+
+
 @app.command()
 def codes(context: typer.Context, json_output: Json = False) -> ExitStatus:
     """List the numbered result codes.
