Remove what nothing uses

Cause: a union of messages, a kind of number, a belief, a subject of the audit trail, two properties and a function had no user in code or tests. Conclusion: the type checker and 75 tests of what was touched pass.

--- a/carawayhub/agent/messages.py
+++ b/carawayhub/agent/messages.py
@@ -108,7 +108,6 @@
 
 
 RunResult = Answer | AnswerNotKept | OutcomeUnknown | NotRun
-Settled = Answer | AnswerNotKept | OutcomeUnknown
 EntryState = Answer | AnswerNotKept | OutcomeUnknown | RunsElsewhere
 
 
--- a/carawayhub/config/schema.py
+++ b/carawayhub/config/schema.py
@@ -38,7 +38,6 @@
 Shares = tuple[ProviderShare, ...]
 Entity = FleetOptions | EntryNode | Endpoint | Organisation | ModelGroup | Service | Shares
 
-_SECONDS = Number(0, 86_400, above=True)
 _RATIO = Number(0, 1)
 _NAME = Text(shared=True)
 _NAMES = Many(_NAME)
--- a/carawayhub/fleet/linkplan.py
+++ b/carawayhub/fleet/linkplan.py
@@ -55,11 +55,6 @@
     agents: Mapping[str, tuple[str, ...]]
 
 
-def plan_links(cfg: Configuration, vms: VmList | None) -> LinkPlan:
-    """Return all links for a configuration and a VM list; for operators and tests."""
-    return plan(agent_nodes(cfg), entry_nodes(cfg, vms), cfg.fleet.links_per_agent)
-
-
 def agents_of_entry(cfg: Configuration, vms: VmList | None, entry: str) -> tuple[str, ...]:
     """Return the agents that ``entry`` opens links to.
 
--- a/carawayhub/fleet/pauses.py
+++ b/carawayhub/fleet/pauses.py
@@ -21,7 +21,6 @@
 
     CONFIGURATION = "configuration"
     MEMBERSHIP = "membership"
-    EXPERT_MAP = "expert_map"
 
 
 class PauseDetector:
@@ -29,7 +28,7 @@
 
     Args:
         clock: A clock that runs on while the process is paused.
-        beliefs: What this process holds; an entry has no expert map.
+        beliefs: What this process holds; an agent knows of no other members.
         longest_gap: Seconds between two ticks above which it was paused.
 
     Example:
--- a/carawayhub/fleet/sync.py
+++ b/carawayhub/fleet/sync.py
@@ -111,11 +111,6 @@
         """The version in force, ``NOTHING`` before the first."""
         return self._history.current.id
 
-    @property
-    def newest_published(self) -> VersionId:
-        """The newest version the service was seen to publish, refused ones included."""
-        return self._published
-
     def watch_after(self) -> int:
         """Return the version above which the service has something new for this process."""
         if self._wanted(self._published):
--- a/carawayhub/limits/overload.py
+++ b/carawayhub/limits/overload.py
@@ -36,11 +36,6 @@
         """Requests that may run at once."""
         return self._limit.value
 
-    @property
-    def base_wait(self) -> float:
-        """Seconds to the first byte without a queue, 0 for unknown."""
-        return self._limit.base or 0.0
-
     def arrived(self, key: Key, now: float) -> None:
         """Count a request, admitted or not, for the division among priorities."""
         self._allotment.arrived(key, now, self.limit)
--- a/carawayhub/output/audit.py
+++ b/carawayhub/output/audit.py
@@ -23,7 +23,6 @@
     GROUP = "group"
     MEMBER = "member"
     PROCESS = "process"
-    ORDER = "order"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
