Give no ticket for a group that cannot step, and see a group drain

Tickets still named the further endpoints of a group that is not formed, whose own agents report that they serve. They are now left out as the router leaves them out.

The decider of a group looked at the configuration that it was started with: an endpoint that began to leave later did not count as draining, and the policy reckoned with a staging rate of 1 GB/s whatever the weight store's was. Both are now told as they are.

--- a/carawayhub/agent/grouptask.py
+++ b/carawayhub/agent/grouptask.py
@@ -79,6 +79,7 @@
         "_audit",
         "_checked",
         "_clock",
+        "_draining",
         "_paused",
         "_plan",
         "_reporter",
@@ -109,12 +110,14 @@
         self._audit = audit
         self._tasks = tasks
         self._plan: _Plan | None = None
+        self._draining = False
         self._scope: anyio.CancelScope | None = None
         self._status: GroupStatus | None = None
 
     def configured(self, cfg: Configuration) -> None:
         """Begin, change or end the task as a version that came into force says."""
         plan = _plan(cfg, self._seat)
+        self._draining = plan is not None and _drains(cfg, plan.group)
         if plan == self._plan:
             return
         before, self._plan = self._plan, plan
@@ -153,7 +156,7 @@
         group = plan.group
         clients = rank_clients(plan, self._seat)
         ports: list[RankPort] = [CheckedRank(client, self._checked) for client in clients]
-        signals = _Signals(cfg, group, self._reporter, self._checked)
+        signals = _Signals(plan, self._reporter, self._checked, lambda: self._draining)
         decider = GroupDecider(
             group,
             cfg.version,
@@ -199,20 +202,20 @@
 class _Signals:
     """What this agent knows of its group; see ``GroupSignals``."""
 
-    __slots__ = ("_cfg", "_checked", "_counters", "_group", "_reporter")
+    __slots__ = ("_checked", "_counters", "_draining", "_plan", "_reporter")
 
     def __init__(
         self,
-        cfg: Configuration,
-        group: ModelGroup,
+        plan: _Plan,
         reporter: Reporter,
         checked: Callable[[float], Awaitable[bool]],
+        draining: Callable[[], bool],
     ) -> None:
         self._checked = checked
-        self._cfg = cfg
-        self._group = group
+        self._draining = draining
+        self._plan = plan
         self._reporter = reporter
-        self._counters = EngineCounters(cfg.endpoints[group.endpoints[0]].url)
+        self._counters = EngineCounters(plan.urls[0])
 
     async def counters(self) -> ExpertCounters | None:
         """Return the newest counters, None where there are none.
@@ -227,12 +230,12 @@
     def situation(self) -> Situation:
         """Return load, drain and what else the policy weighs."""
         load = self._reporter.load
-        states = [self._cfg.endpoints[name].state for name in self._group.endpoints]
         return Situation(
-            draining=EndpointState.LEAVING in states,
+            draining=self._draining(),
             utilisation=(load.running + load.queued) / max(load.capacity, 1),
             running=load.running,
             step_seconds=load.step_seconds or Situation().step_seconds,
+            staging_rate=self._plan.options.staging_rate,
         )
 
     async def close(self) -> None:
@@ -278,6 +281,10 @@
     return _Plan(group, urls, options, cfg.fleet.gain_horizon)
 
 
+def _drains(cfg: Configuration, group: ModelGroup) -> bool:
+    return any(cfg.endpoints[name].state is EndpointState.LEAVING for name in group.endpoints)
+
+
 def _why_not_formed(status: GroupStatus) -> str:
     if status.lost_ranks:
         return f"ranks {', '.join(map(str, status.lost_ranks))} of its group do not answer"
--- a/carawayhub/entry/reports.py
+++ b/carawayhub/entry/reports.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from math import inf
 
+from carawayhub.config.leaders import group_leaders
+from carawayhub.config.model import Configuration
 from carawayhub.peers.messages import EndpointReport, ServingState
 
 
@@ -24,10 +26,15 @@
 class Reports:
     """The latest report of each endpoint's agent."""
 
-    __slots__ = ("_heard",)
+    __slots__ = ("_heard", "_leaders")
 
     def __init__(self) -> None:
         self._heard: dict[str, HeardReport] = {}
+        self._leaders: dict[str, str] = {}
+
+    def configure(self, cfg: Configuration) -> None:
+        """Take a configuration into force."""
+        self._leaders = group_leaders(cfg)
 
     def observe(self, report: EndpointReport, asked_at: float, heard_at: float) -> None:
         """Take a report that came at ``heard_at`` and answers a heartbeat sent at ``asked_at``."""
@@ -59,4 +66,9 @@
         heard = self._heard.get(endpoint)
         if heard is None or heard.permit_until <= now:
             return None
+        # A group that cannot step is known to the agent beside its rank 0 alone; the others say
+        # that they serve, and a ticket of theirs would wait for steps that are not made.
+        leader = self._heard.get(self._leaders.get(endpoint, ""))
+        if leader is not None and leader.report.state is ServingState.FAILED:
+            return None
         return heard.report if heard.report.state is ServingState.SERVING else None
--- a/carawayhub/entry/runonce.py
+++ b/carawayhub/entry/runonce.py
@@ -119,6 +119,7 @@
         """Take a configuration into force."""
         self._cfg = cfg
         self._sets = self._key_sets.of(cfg)
+        self._reports.configure(cfg)
 
     def issue(self, cfg: Configuration, organisation: Organisation, body: bytes) -> Reply:
         """Return the reply with a new ticket.
--- /dev/null
+++ b/tests/test_groups_agent.py
@@ -0,0 +1,108 @@
+"""Which agent orders the ranks of a group, and when it holds its orders back."""
+
+import dataclasses
+import unittest
+
+import anyio
+
+from carawayhub.agent.checked_rank import CheckedRank
+from carawayhub.agent.grouptask import Seat, led_group
+from carawayhub.codes import Code
+from carawayhub.entry.reports import Reports
+from carawayhub.errors import GroupError
+from carawayhub.groups.maps import ExpertMap, MapId
+from carawayhub.groups.orders import Order, RankState, Read, Reply, Term
+from carawayhub.peers.messages import ServingState
+from tests.routing_fakes import configuration, report
+
+
+class OrderedRank:
+    """A rank that notes its orders."""
+
+    rank = 0
+
+    def __init__(self) -> None:
+        self.orders: list[Order] = []
+
+    async def order(self, order: Order) -> Reply:
+        self.orders.append(order)
+        return Reply(code=Code.OK, state=RankState(rank=0, incarnation=1))
+
+    async def read_map(self, wanted: MapId) -> ExpertMap:
+        raise NotImplementedError
+
+
+class PausedAgentTest(unittest.IsolatedAsyncioTestCase):
+    """An agent wakes with an order in hand."""
+
+    async def test_an_order_waits_until_the_configuration_is_checked(self) -> None:
+        """Ranks change their map for an agent whose group was given to another.
+
+        The agent is stopped between the making of an order and its sending. When it wakes it
+        believes that the group is its own. The order may go out only after the check; where the
+        check brings a newer configuration, the decider ends and the order with it.
+        """
+        rank, checked = OrderedRank(), anyio.Event()
+
+        async def until_checked(timeout: float) -> bool:
+            await checked.wait()
+            return True
+
+        port = CheckedRank(rank, until_checked)
+        order = Read(term=Term(1, 1))
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(port.order, order)
+            await anyio.wait_all_tasks_blocked()
+            self.assertEqual(rank.orders, [])
+            checked.set()
+        self.assertEqual(rank.orders, [order])
+
+    async def test_an_order_is_not_given_where_the_check_fails(self) -> None:
+        async def never(timeout: float) -> bool:
+            return False
+
+        rank = OrderedRank()
+        with self.assertRaises(GroupError) as caught:
+            await CheckedRank(rank, never).order(Read(term=Term(1, 1)))
+        self.assertEqual(caught.exception.code, Code.RANK_UNREACHABLE)
+        self.assertEqual(rank.orders, [])
+
+
+class LedGroupTest(unittest.TestCase):
+    """Which agent a configuration names."""
+
+    def setUp(self) -> None:
+        cfg = configuration(2)
+        self.first, self.second = sorted(cfg.endpoints)
+        found, *_ = cfg.groups.values()
+        wide = dataclasses.replace(found, endpoints=(self.first, self.second), ranks=4)
+        self.cfg = dataclasses.replace(cfg, groups={"wide": wide})
+        self.address = cfg.endpoints[self.first].agent
+
+    def test_only_the_agent_beside_rank_0_decides(self) -> None:
+        led = led_group(self.cfg, Seat(self.first, self.address))
+        self.assertEqual(led, self.cfg.groups["wide"])
+        second = self.cfg.endpoints[self.second].agent
+        self.assertIsNone(led_group(self.cfg, Seat(self.second, second)))
+
+    def test_the_agent_of_a_replaced_vm_decides_nothing(self) -> None:
+        """Two agents of one endpoint's name run, since its VM was replaced and the old one woke.
+
+        The configuration names the new agent's address.
+        """
+        self.assertIsNone(led_group(self.cfg, Seat(self.first, "10.9.9.9:7000")))
+
+    def test_no_ticket_names_an_endpoint_whose_group_cannot_step(self) -> None:
+        """A caller gets a ticket for an endpoint whose own agent is content, and waits there."""
+        reports = Reports()
+        reports.configure(self.cfg)
+        reports.observe(report(self.second), 0.0, 0.0)
+        self.assertIsNotNone(reports.serving(self.second, 1.0))
+        reports.observe(report(self.first, state=ServingState.FAILED), 0.0, 0.0)
+        self.assertIsNone(reports.serving(self.second, 1.0))
+        reports.lost(self.first)
+        self.assertIsNotNone(reports.serving(self.second, 1.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
