--- a/carawayhub/config/schema.py
+++ b/carawayhub/config/schema.py
@@ -15,7 +15,6 @@
     Method,
     Number,
     Part,
-    Reader,
     RoutePath,
     Text,
     Url,
@@ -33,6 +32,7 @@
     ServiceRoute,
 )
 from carawayhub.config.problem import Problem
+from carawayhub.config.reader import Reader
 from carawayhub.config.syntax import EntityKey, Node, Object, Section
 
 Shares = tuple[ProviderShare, ...]
