Call what a pause puts in doubt a view, as the glossary does

Cause: "belief" is the users' phrase; the glossary gives stale view as the term. Change: Belief is View in code and test; the test checks what it did.

--- a/carawayhub/fleet/membership.py
+++ b/carawayhub/fleet/membership.py
@@ -11,7 +11,7 @@
 * A peer is *leaving* as soon as any source says so: configuration, VM list, the peer itself.
 * A process that suspects most of its peers in most failure domains suspects itself: it declares
   nobody gone meanwhile.
-* What a process believed before it was paused counts as unconfirmed until a peer answers again.
+* What a process knew before it was paused counts as unconfirmed until a peer answers again.
 """
 
 from collections.abc import Callable, Iterable
@@ -176,7 +176,7 @@
                 self._enter(record, MemberState.GONE, "suspect for long")
 
     def distrust(self) -> None:
-        """Take all that is believed alive for unconfirmed; call after a pause of this process.
+        """Take all live peers for unconfirmed; call after a pause of this process.
 
         Every peer seems silent to a process that was paused. Held against them, that would evict
         the whole fleet; trusted, requests would go to peers that left meanwhile.
--- a/carawayhub/fleet/pauses.py
+++ b/carawayhub/fleet/pauses.py
@@ -1,4 +1,4 @@
-"""Notices that this process was paused, and keeps what it believed from being used unchecked.
+"""Notices that this process was paused, and keeps a stale view from being used unchecked.
 
 A VM may be suspended or a process stopped, and go on seconds later in the middle of a function.
 Nothing tells it. What it sees is a gap in its own timer: a task that ticks each 250 ms finds that
@@ -16,7 +16,7 @@
 LONGEST_GAP = 1.0
 
 
-class Belief(Enum):
+class View(Enum):
     """What a process must check again after a pause, before it acts on it."""
 
     CONFIGURATION = "configuration"
@@ -24,38 +24,38 @@
 
 
 class PauseDetector:
-    """Tells whether this process was paused since its beliefs were last confirmed.
+    """Tells whether this process was paused since its views were last confirmed.
 
     Args:
         clock: A clock that runs on while the process is paused.
-        beliefs: What this process holds; an agent knows of no other members.
+        views: What this process holds; an agent knows of no other members.
         longest_gap: Seconds between two ticks above which it was paused.
 
     Example:
         >>> from carawayhub.clock import ManualClock
         >>> clock = ManualClock()
-        >>> pauses = PauseDetector(clock, frozenset({Belief.CONFIGURATION}))
+        >>> pauses = PauseDetector(clock, frozenset({View.CONFIGURATION}))
         >>> clock.advance(20)
         >>> pauses.check()
         True
-        >>> pauses.confirm(Belief.CONFIGURATION, pauses.count)
+        >>> pauses.confirm(View.CONFIGURATION, pauses.count)
         >>> pauses.check()
         False
     """
 
-    __slots__ = ("_beliefs", "_clock", "_longest_gap", "_seen_at", "_unconfirmed", "count", "gap")
+    __slots__ = ("_clock", "_longest_gap", "_seen_at", "_unconfirmed", "_views", "count", "gap")
 
     def __init__(
         self,
         clock: Clock,
-        beliefs: frozenset[Belief] = frozenset({Belief.CONFIGURATION, Belief.MEMBERSHIP}),
+        views: frozenset[View] = frozenset({View.CONFIGURATION, View.MEMBERSHIP}),
         longest_gap: float = LONGEST_GAP,
     ) -> None:
         self._clock = clock
-        self._beliefs = beliefs
+        self._views = views
         self._longest_gap = longest_gap
         self._seen_at = clock.monotonic()
-        self._unconfirmed: set[Belief] = set()
+        self._unconfirmed: set[View] = set()
         self.count = 0
         self.gap = 0.0
 
@@ -64,22 +64,22 @@
         self._look()
         return bool(self._unconfirmed)
 
-    def unconfirmed(self) -> frozenset[Belief]:
+    def unconfirmed(self) -> frozenset[View]:
         """Return what must be checked again."""
         self._look()
         return frozenset(self._unconfirmed)
 
-    def confirm(self, belief: Belief, count: int) -> None:
-        """Note that ``belief`` was checked.
+    def confirm(self, view: View, count: int) -> None:
+        """Note that ``view`` was checked.
 
         Args:
-            belief: What was checked.
+            view: What was checked.
             count: The value of ``count`` before the check began. A check that itself was paused
                 half way says nothing of the time after, and is not taken.
         """
         self._look()
         if count == self.count:
-            self._unconfirmed.discard(belief)
+            self._unconfirmed.discard(view)
 
     async def run(self) -> None:
         """Tick until cancelled; without ticks each quiet spell would look like a pause."""
@@ -94,4 +94,4 @@
             return
         self.count += 1
         self.gap = gap
-        self._unconfirmed = set(self._beliefs)
+        self._unconfirmed = set(self._views)
--- a/carawayhub/process/knowledge.py
+++ b/carawayhub/process/knowledge.py
@@ -11,7 +11,7 @@
 from carawayhub.fleet.acceptor import HighWaterAcceptor
 from carawayhub.fleet.membership import MemberChange, Membership
 from carawayhub.fleet.messages import Document, ManifestReply, ManifestRequest
-from carawayhub.fleet.pauses import Belief, PauseDetector
+from carawayhub.fleet.pauses import PauseDetector, View
 from carawayhub.fleet.sync import ConfigSync
 from carawayhub.fleet.vmsync import VmListSync
 from carawayhub.fleet.watchers import PlatformWatcher
@@ -82,7 +82,7 @@
             watcher=watcher,
             vms=VmListSync(book, platform, lambda: watcher.on_duty, clock, rng),
             membership=Membership(clock, changed),
-            pauses=PauseDetector(clock, _beliefs(identity.role)),
+            pauses=PauseDetector(clock, _views(identity.role)),
             confirmed=Signal(),
             members_changed=members_changed,
         )
@@ -129,17 +129,17 @@
             count: Pauses that this process had seen when the exchange began.
         """
         if version <= self.sync.in_force.version:
-            self.pauses.confirm(Belief.CONFIGURATION, count)
+            self.pauses.confirm(View.CONFIGURATION, count)
             self.confirmed.notify()
 
     def confirm_membership(self, count: int) -> None:
         """Take a peer's answer as a check of the membership."""
-        self.pauses.confirm(Belief.MEMBERSHIP, count)
+        self.pauses.confirm(View.MEMBERSHIP, count)
         self.confirmed.notify()
 
 
-def _beliefs(role: ProcessRole) -> frozenset[Belief]:
+def _views(role: ProcessRole) -> frozenset[View]:
     """Return what a pause puts in doubt; an agent knows of no other members."""
     if role is ProcessRole.AGENT:
-        return frozenset({Belief.CONFIGURATION})
-    return frozenset({Belief.CONFIGURATION, Belief.MEMBERSHIP})
+        return frozenset({View.CONFIGURATION})
+    return frozenset({View.CONFIGURATION, View.MEMBERSHIP})
--- a/tests/test_fleet_pauses.py
+++ b/tests/test_fleet_pauses.py
@@ -8,7 +8,7 @@
 
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.clock import ManualClock
-from carawayhub.fleet.pauses import Belief, PauseDetector
+from carawayhub.fleet.pauses import PauseDetector, View
 from carawayhub.output.audit import AuditTrail
 from carawayhub.peers.messages import Heartbeat, Hello, ProcessRole
 from carawayhub.process.addressbook import AddressBook
@@ -23,7 +23,7 @@
     failure_domain="brest",
     address="127.0.0.1:7000",
 )
-BOTH = frozenset({Belief.CONFIGURATION, Belief.MEMBERSHIP})
+BOTH = frozenset({View.CONFIGURATION, View.MEMBERSHIP})
 
 
 class PauseTest(unittest.TestCase):
@@ -47,9 +47,9 @@
         pauses = PauseDetector(clock, BOTH)
         clock.advance(10)
         pauses.check()
-        pauses.confirm(Belief.CONFIGURATION, pauses.count)
-        self.assertEqual(pauses.unconfirmed(), {Belief.MEMBERSHIP})
-        pauses.confirm(Belief.MEMBERSHIP, pauses.count)
+        pauses.confirm(View.CONFIGURATION, pauses.count)
+        self.assertEqual(pauses.unconfirmed(), {View.MEMBERSHIP})
+        pauses.confirm(View.MEMBERSHIP, pauses.count)
         self.assertFalse(pauses.check())
 
     def test_a_check_that_was_itself_paused_confirms_nothing(self) -> None:
@@ -64,7 +64,7 @@
         pauses.check()
         count = pauses.count
         clock.advance(20)
-        pauses.confirm(Belief.CONFIGURATION, count)
+        pauses.confirm(View.CONFIGURATION, count)
         self.assertEqual(pauses.unconfirmed(), BOTH)
 
     def test_a_quiet_process_that_ticks_was_not_paused(self) -> None:
