--- a/tests/test_promises_groups.py
+++ b/tests/test_promises_groups.py
@@ -309,6 +309,31 @@
         await self.assert_one_map_and_steps()
         await self.assert_answers()
 
+    async def test_changed_weight_leaves_the_group_in_routing(self) -> None:
+        """Operators publish another weight for a group, and its callers are refused for a moment.
+
+        The agent beside rank 0 begins with a new decider, which has not read the ranks yet. That
+        it knows nothing of them must not pass for a group that cannot step.
+        """
+        number = await self.map_number()
+        before = await self.standing_changes()
+        weight = to_json({"groups": {self.shape_of_group.name: {"rebalancing_weight": 1}}})
+        version = await publish_everywhere(self.fleet, "70-weight.json", weight)
+
+        async def read_again() -> bool:
+            status = await self.fleet.status(self.leader)
+            rows = status["groups"]
+            return status["version"] >= version and bool(rows) and rows[0]["map_number"] >= number
+
+        await until(read_again, "the new decider knows the group")
+        await self.assert_one_map_and_steps()
+        self.assertEqual(await self.standing_changes(), before)
+
+    async def standing_changes(self) -> int:
+        """Return how often the agent beside rank 0 let entries in or shut them out."""
+        changes = await self.fleet.page(self.leader, "/audit?since=0", list[dict[str, Any]])
+        return sum(change["subject"] == "endpoint" for change in changes)
+
     # The agent of a VM that replaces that of rank 0.
 
     def _replacement(self) -> Any:
