Let long streams in at endpoints that idle

Cause: the limit on a target's concurrency grew only after four first bytes in a window. With streams that run for long no answer begins while the limit is used up, so it starved itself at its start of 8: a restarted entry refused nearly all streams of idle endpoints. Found while the relay was measured. Ruled out: the allotment among organisations (one key alone shows it). Change: a quick answer raises a limit in use by one while the endpoints have room to spare.

--- a/carawayhub/limits/adaptive.py
+++ b/carawayhub/limits/adaptive.py
@@ -66,6 +66,7 @@
             load: Gives the load of the target's endpoints over their capacity, None for unknown.
         """
         self._waits.append(wait)
+        self._start_up(wait, running, load)
         if now < self._window_until or len(self._waits) < MIN_SAMPLES:
             return
         self._waits.sort()
@@ -87,6 +88,22 @@
         if self.base is not None and wait > self.base:
             self.answered(wait, running, now, load)
 
+    def _start_up(self, wait: float, running: int, load: Callable[[], float | None]) -> None:
+        """Raise the limit by one for each quick answer of endpoints that have room to spare.
+
+        Guards against a limit that starves itself: with streams that run for long, no answer
+        begins while the limit is used up, and without answers no window ends that could raise it.
+        A restarted entry then refused nearly all streams of idle endpoints. Each request that a
+        raise lets in brings an answer, and so the next raise.
+        """
+        if running < BINDING * self.value or self.base is None:
+            return
+        if wait >= FAR_BELOW * max(WAIT_SECONDS, WAIT_BASES * self.base):
+            return
+        known = load()
+        if known is not None and known < BUSY:
+            self.value += 1.0
+
     def _adjust(self, low: float, load: float | None) -> None:
         """Move the limit at the end of a window.
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -18,6 +18,7 @@
 from carawayhub.limits.adaptive import AdaptiveLimit
 from carawayhub.limits.admission import Admission
 from carawayhub.limits.allotment import Allotment, Key
+from carawayhub.limits.overload import TargetController
 from carawayhub.limits.query import AdmitQuery
 
 WIDE = Limits(rate=100_000.0, burst=100_000.0, concurrency=100_000)
@@ -89,6 +90,27 @@
             limit.answered(3.0, 20, now, load=lambda: 0.9)
         self.assertLess(limit.value, before / 2)
 
+    def test_long_streams_of_idle_endpoints_are_let_in(self) -> None:
+        """An entry that was restarted refuses nearly all streams of endpoints that idle.
+
+        Streams run for long. Once the first few used up the starting limit no further answer
+        began, and without answers nothing raised the limit until the first streams had ended.
+        """
+        capacity, wanted = 800, 200
+        controller = TargetController(lambda: controller.running / capacity)
+        key = Key(5, "cafes")
+        refused = 0
+        for arrival in range(2 * wanted):
+            now = arrival * 0.05
+            controller.arrived(key, now)
+            if not controller.has_room(key):
+                refused += 1
+                continue
+            controller.begun(key)
+            controller.first_byte(0.03, now + 0.03)
+        self.assertGreaterEqual(controller.running, wanted)
+        self.assertLessEqual(refused, wanted)
+
     def test_a_target_that_became_slower_for_good_is_learned_anew(self) -> None:
         """Goodput stays at a fraction after prompts became ten times longer.
 
