Name three modules of run-once requests by what they hold

Cause: closing, formers and evidence said little; ClosedBook and Formers were words of our own. Messages on the wire are as before.

--- a/carawayhub/agent/closing.py
+++ b/carawayhub/agent/closed.py
@@ -37,7 +37,7 @@
     retired: set[int] = field(default_factory=set)
 
 
-class ClosedBook:
+class ClosedIncarnations:
     """Remembers for each slot the incarnation that closed, for the one right after it.
 
     The next but one is not told: if the one in between crashed, the keys that it ran are lost, and
--- a/carawayhub/agent/fence.py
+++ b/carawayhub/agent/fence.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 
 from carawayhub.agent.begin import Refuse
-from carawayhub.agent.closing import ClosedBook
-from carawayhub.agent.formers import Formers
+from carawayhub.agent.closed import ClosedIncarnations
+from carawayhub.agent.formermembers import FormerMembers
 from carawayhub.agent.grounds import Grounds
 from carawayhub.agent.keyset import KeySet
 from carawayhub.agent.keytiming import KeyTiming
@@ -100,8 +100,8 @@
         self._scope = scope
         self._started = started
         self._timing = timing
-        self._closed = ClosedBook()
-        self._formers = Formers()
+        self._closed = ClosedIncarnations()
+        self._formers = FormerMembers()
         self._gone: dict[Member, float] = {}
         self._promises = Promises()
         self._lost_until: float | None = None
--- a/carawayhub/agent/formers.py
+++ b/carawayhub/agent/formermembers.py
@@ -19,7 +19,7 @@
     fenced: float | None = None
 
 
-class Formers:
+class FormerMembers:
     """The former members that one agent knows of."""
 
     __slots__ = ("_known",)
--- a/carawayhub/agent/keys.py
+++ b/carawayhub/agent/keys.py
@@ -8,7 +8,6 @@
 
 from carawayhub.addresses import Address
 from carawayhub.agent.begin import Refuse
-from carawayhub.agent.evidence import VmWatch
 from carawayhub.agent.fence import Missing
 from carawayhub.agent.handover import Departure
 from carawayhub.agent.homes import Homes
@@ -23,6 +22,7 @@
     Member,
     RunKey,
 )
+from carawayhub.agent.vmwatch import VmWatch
 from carawayhub.clock import Clock
 from carawayhub.config.model import Configuration
 from carawayhub.errors import PeerError
@@ -165,9 +165,7 @@
         if reply is not None:
             departure.taken(reply)
 
-    async def _call(
-        self, member: Member, method: Method, message: FenceRequest | Handover
-    ) -> Any:
+    async def _call(self, member: Member, method: Method, message: FenceRequest | Handover) -> Any:
         try:
             return await self._client.call(
                 Address.parse(member.agent), method, message, CALL_TIMEOUT
--- a/tests/test_run_once_homes.py
+++ b/tests/test_run_once_homes.py
@@ -3,12 +3,12 @@
 import unittest
 from dataclasses import replace
 
-from carawayhub.agent.evidence import VmWatch
 from carawayhub.agent.fence import Established, Missing
 from carawayhub.agent.homes import Homes
 from carawayhub.agent.keyset import Seat, key_set, key_sets, unsafe_removals
 from carawayhub.agent.ledger import Ledger
 from carawayhub.agent.messages import FenceAck, FenceRequest, LookUp
+from carawayhub.agent.vmwatch import VmWatch
 from carawayhub.clock import ManualClock
 from carawayhub.codes import Code
 from carawayhub.config.model import (
