--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -43,7 +43,10 @@
 LOOK_UPS = 4
 RETRY_AFTER = 1.0
 _DROPPED_FROM_ANSWER = HOP_BY_HOP_HEADERS | {b"content-length"}
-_DROPPED_FROM_REQUEST = _DROPPED_FROM_ANSWER | {REQUEST_ID_HEADER, DEADLINE_HEADER}
+_DROPPED_HEADERS = {name.decode() for name in _DROPPED_FROM_ANSWER} | {
+    REQUEST_ID_HEADER.decode(),
+    DEADLINE_HEADER.decode(),
+}
 
 
 class KeyRules(Protocol):
@@ -257,7 +260,7 @@
         if endpoint is None:
             raise RequestError(Code.ENDPOINT_LEAVING, self._endpoint)
         left = max(0.0, deadline - self._clock.monotonic())
-        headers = without(as_bytes(req.headers), _DROPPED_FROM_REQUEST)
+        headers = as_bytes(pair for pair in req.headers if pair[0] not in _DROPPED_HEADERS)
         headers.append((b"host", endpoint.url.split("//", 1)[-1].encode()))
         headers.append((b"content-length", b"%d" % len(req.body)))
         headers.append((REQUEST_ID_HEADER, req.request_id.encode()))
