Show that the guards of lock-step groups matter

Three can be taken out of a daemon: votes of all ranks before a commit, no orders after a pause, and the router's look at the leader of a group.

--- /dev/null
+++ b/tests/group_guards.py
@@ -0,0 +1,41 @@
+"""Guards of lock-step groups that ``tests.unguarded`` can take out of a daemon."""
+
+from collections.abc import Callable
+from typing import Any
+
+Replace = Callable[[object, str, object], None]
+
+
+def hasty_verdict(replace: Replace) -> None:
+    """Have a change committed as soon as one rank has agreed."""
+    from carawayhub.groups import change
+
+    def hasty(votes: Any) -> change.Verdict:
+        agreed = {change.Vote.AGREED, change.Vote.COMMITTED}
+        return change.Verdict.COMMIT if agreed & {*votes} else change.Verdict.OPEN
+
+    replace(change, "verdict", hasty)
+
+
+def orders_after_a_pause(replace: Replace) -> None:
+    """Have a paused agent go on with its orders when it wakes."""
+    from carawayhub.agent.checked_rank import CheckedRank
+
+    async def unchecked(self: Any, order: Any) -> Any:
+        return await self._port.order(order)
+
+    replace(CheckedRank, "order", unchecked)
+
+
+def routing_without_leader(replace: Replace) -> None:
+    """Have each endpoint of a group judged by its own agent alone."""
+    from carawayhub.routing.candidate import Candidate
+
+    replace(Candidate, "group_failed", property(lambda self: False))
+
+
+GUARDS: dict[str, Callable[[Replace], None]] = {
+    "votes-of-all-ranks": hasty_verdict,
+    "orders-after-a-pause": orders_after_a_pause,
+    "leader-of-a-group": routing_without_leader,
+}
--- a/tests/unguarded.py
+++ b/tests/unguarded.py
@@ -8,9 +8,11 @@
 import dataclasses
 import sys
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from carawayhub.__main__ import run
+from tests import group_guards
 
 VARIABLE = "CARAWAYHUB_TEST_UNGUARDED"
 """Environment variable by which ``tests.processes`` is told which guard to take out."""
@@ -38,6 +40,9 @@
 
 
 def _main() -> None:
+GUARDS |= {name: partial(each, replace) for name, each in group_guards.GUARDS.items()}
+
+
     name, *arguments = sys.argv[1:]
     for part in name.split("+"):
         GUARDS[part]()
