Name bounds, split a long function and use the field's terms in comments

Cause: five numbers stood bare, Candidate._condition was 27 lines long, the error for a bad address did not say what to write, and some comments used the users' phrases for a half-open connection and a presumed end. Change: names for the numbers; conditions that are told and those that are seen are two functions; the error gives an example; comments reworded. Decisions are as before.

--- a/carawayhub/addresses.py
+++ b/carawayhub/addresses.py
@@ -26,7 +26,9 @@
         """
         host, colon, port = text.rpartition(":")
         if not colon or not host or not port.isdigit() or int(port) > MAX_PORT:
-            raise ValueError(f"{text!r} is not ip:port")
+            raise ValueError(
+                f"{text!r} is not ip:port; write an IP number and a port, for example 10.0.0.1:7000"
+            )
         return cls(host.strip("[]"), int(port))
 
     def __str__(self) -> str:
--- a/carawayhub/agent/fence.py
+++ b/carawayhub/agent/fence.py
@@ -305,7 +305,7 @@
         promise = self._promises.made.get(peer)
         if promise is not None:
             return promise.quarantine_until
-        # Counted from the last promise too: up to then a peer may have confirmed the one believed
+        # Counted from the last promise too: up to then a peer may have confirmed the one presumed
         # gone, which may live on behind a partition.
         since = max(self._gone[peer], self._promises.last())
         return since + self._timing.gone_quarantine(self.key_set.key_ttl, self._retention)
@@ -333,7 +333,7 @@
             return
         for member in self._formers.members:
             if member not in self._promises.made:
-                # Believed gone, and the quarantine that this cost is over.
+                # Presumed gone, and the quarantine that this cost is over.
                 self._formers.drop(member)
                 self._gone.pop(member, None)
 
--- a/carawayhub/agent/keytiming.py
+++ b/carawayhub/agent/keytiming.py
@@ -38,7 +38,7 @@
         return self.lease(key_ttl) / RENEWALS
 
     def gone_quarantine(self, key_ttl: float, retention: float) -> float:
-        """Return how long the keys of a member that is only believed gone are distrusted.
+        """Return how long the keys of a member that is only presumed gone are distrusted.
 
         Its peers confirm it no more, so it begins no key once its lease is over; from then on its
         last keys expire as any others do.
--- a/carawayhub/fleet/budget.py
+++ b/carawayhub/fleet/budget.py
@@ -8,6 +8,7 @@
 
 FIRST_PAUSE = 0.5
 LONGEST_PAUSE = 30.0
+MAX_DOUBLINGS = 16
 
 
 class ReadBudget:
@@ -71,6 +72,6 @@
 
     def next(self) -> float:
         """Note a failure and return the seconds to wait."""
-        ceiling = min(self._longest, self._first * 2 ** min(self._failures, 16))
+        ceiling = min(self._longest, self._first * 2 ** min(self._failures, MAX_DOUBLINGS))
         self._failures += 1
         return self._rng.uniform(self._first / 2, max(self._first, ceiling))
--- a/carawayhub/peers/links.py
+++ b/carawayhub/peers/links.py
@@ -127,9 +127,10 @@
     async def run(self) -> None:
         """Open connections to the peer one after the other.
 
-        A connection that went silent says nothing of the peer: something between the two ends may
-        have lost track of it while new connections work. So a session that had been up is
-        replaced at once, and the peer counts as lost only when the new connection fails too.
+        A connection that went silent says nothing of the peer: it may be half-open, as when a
+        router between the two ends dropped its entry, while new connections work. So a session
+        that had been up is replaced at once, and the peer counts as lost only when the new
+        connection fails too.
         """
         failures = 0
         while True:
--- a/carawayhub/platform/client.py
+++ b/carawayhub/platform/client.py
@@ -11,6 +11,7 @@
 from carawayhub.errors import PlatformError
 from carawayhub.platform.ports import PublishedManifest, VmList
 
+OK_STATUS = 200
 ANSWER_MARGIN = 3.0
 MAX_VALUE_BYTES = 1_048_576
 
@@ -62,7 +63,7 @@
                 response = await self._pool.request("GET", self._url + path)
         except (httpcore.NetworkError, httpcore.ProtocolError, OSError, TimeoutError) as exc:
             raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{path}: {exc!r}") from exc
-        if response.status != 200:
+        if response.status != OK_STATUS:
             raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{path}: status {response.status}")
         if len(response.content) > MAX_VALUE_BYTES:
             raise PlatformError(Code.PLATFORM_MALFORMED, f"{path}: over {MAX_VALUE_BYTES} bytes")
--- a/carawayhub/routing/candidate.py
+++ b/carawayhub/routing/candidate.py
@@ -18,7 +18,10 @@
 MAX_EJECT_SECONDS = 30.0
 FLAP_MEMORY_SECONDS = 60.0
 FORGET_SECONDS = 600.0
+FIRST_SETTLE_SECONDS = 0.5
 MAX_SETTLE_SECONDS = 32.0
+MAX_DOUBLINGS = 10
+SLOW_BELOW = 0.7
 
 
 class Candidate:
@@ -193,7 +196,7 @@
         self.failures += 1
         excess = self.failures - FAILURES_TO_EJECT
         if excess >= 0:
-            seconds = min(MAX_EJECT_SECONDS, EJECT_SECONDS * 2.0 ** min(excess, 10))
+            seconds = min(MAX_EJECT_SECONDS, EJECT_SECONDS * 2.0 ** min(excess, MAX_DOUBLINGS))
             self._ejected_until = now + seconds
 
     def stalled(self, now: float) -> bool:
@@ -265,7 +268,8 @@
             self._flaps = 0
         self._flaps += 1
         self._settling_from = now
-        self._settled_at = now + min(MAX_SETTLE_SECONDS, 0.5 * 2.0**self._flaps)
+        settle = min(MAX_SETTLE_SECONDS, FIRST_SETTLE_SECONDS * 2.0**self._flaps)
+        self._settled_at = now + settle
         self._lost_at = -math.inf
 
     def _settling(self, now: float) -> float:
@@ -282,6 +286,10 @@
         return min(1.0, max(RAMP_FLOOR, part))
 
     def _condition(self, now: float, wall: float) -> tuple[Condition, str]:
+        """Return its condition with the reason: what others say comes before what is seen here."""
+        return self._told_condition() or self._seen_condition(now, wall)
+
+    def _told_condition(self) -> tuple[Condition, str] | None:
         report = self._report
         if self.endpoint.state is EndpointState.LEAVING:
             return Condition.LEAVING, "the configuration says that it is leaving"
@@ -298,6 +306,9 @@
                 return Condition.FAILED, report.reason or "its agent says that it failed"
         if self.leader is not None and self.leader.failed:
             return Condition.FAILED, f"its group cannot step, says {self.leader.name}"
+        return None
+
+    def _seen_condition(self, now: float, wall: float) -> tuple[Condition, str]:
         if now >= self.permit_until:
             return Condition.EXPIRED, "its link is gone or its permit has run out"
         if self.ejected(now):
@@ -306,6 +317,6 @@
             return Condition.STALLED, "requests make no progress"
         if self.ramp(now, wall) < 1.0:
             return Condition.RAMPING, f"gets {self.ramp(now, wall):.0%} of full work"
-        if self.weight < 0.7:
+        if self.weight < SLOW_BELOW:
             return Condition.SLOW, f"its group is slow, weight {self.weight:.2f}"
         return Condition.SERVING, ""
--- a/carawayhub/routing/pool.py
+++ b/carawayhub/routing/pool.py
@@ -130,9 +130,9 @@
     def _weigh(self, groups: list[list[Candidate]], now: float, wall: float) -> None:
         """Set each weight from ramp, failures, and the speed of the whole lock-step group.
 
-        Guards against a straggler: all ranks of a group wait for its slowest, so its mates look
-        no better than it in truth even where their own reports do. A group's speed is that of
-        its slowest endpoint, against the median of the groups.
+        Guards against a straggler: all ranks of a group wait for its slowest, so the group's other
+        endpoints are no faster than that one even where their own reports say so. A group's speed
+        is that of its slowest endpoint, against the median of the groups.
         """
         steps = [max(c.step_seconds for c in group) for group in groups]
         usual_step = median([step for step in steps if step > 0.0] or [0.0])
