Name file, line and key of settings that cannot be used

Causes: an address in a wrong form was reported without its key; an unknown log level and a platform address without scheme passed the check and ended the process in a traceback later; a name in place of an IP number, and an address that the machine does not have, were reported as an address in use (6002, status 6). A port of the digit '2' written as a superscript raised an error of int(). Change: each problem names its key, syntax errors name the line, an empty file says so; bind() says 6002 only where the address is in use and 6005 otherwise.

--- a/carawayhub/addresses.py
+++ b/carawayhub/addresses.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 MAX_PORT = 65535
+LONGEST_PORT = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +26,7 @@
             ValueError: The text is not such an address.
         """
         host, colon, port = text.rpartition(":")
-        if not colon or not host or not port.isdigit() or int(port) > MAX_PORT:
+        if not colon or not host or not _is_port(port):
             raise ValueError(
                 f"{text!r} is not ip:port; write an IP number and a port, for example 10.0.0.1:7000"
             )
@@ -34,3 +35,9 @@
     def __str__(self) -> str:
         host = f"[{self.host}]" if ":" in self.host else self.host
         return f"{host}:{self.port}"
+
+
+def _is_port(text: str) -> bool:
+    if not (text.isascii() and text.isdecimal()) or len(text) > LONGEST_PORT:
+        return False
+    return int(text) <= MAX_PORT
--- a/carawayhub/http.py
+++ b/carawayhub/http.py
@@ -1,6 +1,7 @@
 """Serving HTTP with ``uvicorn`` inside a process that runs other tasks as well."""
 
 import contextlib
+import errno
 import socket
 from collections.abc import Iterator
 from typing import Any
@@ -19,7 +20,8 @@
     """Return a listening TCP socket.
 
     Raises:
-        CommandError: PORT_IN_USE where another process has the address.
+        CommandError: PORT_IN_USE where another process has the address, SETTINGS_INVALID where
+            this machine has no such address or the process may not use the port.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
@@ -29,7 +31,8 @@
         sock.listen(BACKLOG)
     except OSError as exc:
         sock.close()
-        raise CommandError(Code.PORT_IN_USE, f"{address}: {exc.strerror}") from exc
+        code = Code.PORT_IN_USE if exc.errno == errno.EADDRINUSE else Code.SETTINGS_INVALID
+        raise CommandError(code, f"{address}: {exc.strerror}") from exc
     sock.setblocking(False)
     return sock
 
--- a/carawayhub/settings.py
+++ b/carawayhub/settings.py
@@ -1,7 +1,11 @@
 """Settings of one process: a file in JSON with comments, checked before anything starts."""
 
+import ipaddress
+import re
+from collections.abc import Iterator
 from pathlib import Path
 from typing import TypeVar
+from urllib.parse import urlsplit
 
 import msgspec
 import tree_sitter_json
@@ -12,6 +16,9 @@
 from carawayhub.errors import CommandError
 
 LEAST_KEY_LENGTH = 16
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
+
+_BYTE = re.compile(r"\(byte (\d+)\)")
 
 
 class _Common(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -77,29 +84,71 @@
 
 
 def parse_settings(content: bytes, name: str, kind: type[Kind]) -> Kind:
-    """Return the settings in the bytes of a file called ``name``."""
+    """Return the settings in the bytes of a file called ``name``.
+
+    Raises:
+        CommandError: SETTINGS_INVALID with the file, the key and what to do.
+    """
+    if not content.strip():
+        raise CommandError(Code.SETTINGS_INVALID, f"{name}: the file is empty")
     try:
         settings = msgspec.json.decode(_without_comments(content), type=kind)
-    except msgspec.DecodeError as exc:
-        raise CommandError(Code.SETTINGS_INVALID, f"{name}: {exc}") from exc
-    _check(settings, name)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        detail = f"{name}: {_with_line(str(exc), content)}"
+        raise CommandError(Code.SETTINGS_INVALID, detail) from exc
+    for problem in _problems(settings):
+        raise CommandError(Code.SETTINGS_INVALID, f"{name}: {problem}")
     return settings
 
 
-def _check(settings: _Common, name: str) -> None:
+def _with_line(message: str, content: bytes) -> str:
+    """Return the message of the parser with the line in place of the byte."""
+    found = _BYTE.search(message)
+    if found is None:
+        return message
+    line = content.count(b"\n", 0, int(found[1])) + 1
+    return message.replace(found[0], f"(line {line})")
+
+
+def _problems(settings: _Common) -> Iterator[str]:
+    """Give what is wrong with values of the right type, with the key that has each."""
     if len(settings.system_key) < LEAST_KEY_LENGTH:
-        detail = f"{name}: system_key: write at least {LEAST_KEY_LENGTH} characters"
-        raise CommandError(Code.SETTINGS_INVALID, detail)
-    addresses = [settings.peer_listen, settings.operator_listen, *settings.seeds]
+        yield f"system_key: write at least {LEAST_KEY_LENGTH} characters"
+    if settings.log_level.upper() not in LOG_LEVELS:
+        yield f"log_level: write one of {', '.join(LOG_LEVELS)}"
+    if not _is_url(settings.platform):
+        yield f"platform: {settings.platform!r} is not an address such as http://10.10.0.5:7100"
+    for key, text in _addresses(settings):
+        if not _is_address(text):
+            yield f"{key}: {text!r} is not ip:port"
+
+
+def _addresses(settings: _Common) -> Iterator[tuple[str, str]]:
+    yield "peer_listen", settings.peer_listen
+    yield "operator_listen", settings.operator_listen
     if settings.peer_address:
-        addresses.append(settings.peer_address)
+        yield "peer_address", settings.peer_address
     if isinstance(settings, EntrySettings):
-        addresses.append(settings.listen)
-    for text in addresses:
-        try:
-            Address.parse(text)
-        except ValueError as exc:
-            raise CommandError(Code.SETTINGS_INVALID, f"{name}: {exc}") from exc
+        yield "listen", settings.listen
+    for seed in settings.seeds:
+        yield "seeds", seed
+
+
+def _is_url(text: str) -> bool:
+    try:
+        url = urlsplit(text)
+        return url.scheme in ("http", "https") and bool(url.hostname) and url.port != 0
+    except ValueError:
+        return False
+
+
+def _is_address(text: str) -> bool:
+    """Return whether the text is an IP number and a port; names would need a resolver."""
+    try:
+        ipaddress.ip_address(Address.parse(text).host)
+    except ValueError:
+        return False
+    return True
 
 
 def _without_comments(content: bytes) -> bytes:
