Keep each log line one JSON object and the metrics page readable for any name

Causes: a library that logs at a level of its own, or with arguments that do not fit its text, raised an error out of the logging call; a value that JSON cannot hold (a lone surrogate, a dictionary with tuples as keys) cost the line and left a traceback of loguru on standard error. Quotes, backslashes and line ends in an organisation's name broke the text format of /metrics. /audit?since= raised an error for some digits, took others for 0, and pages answered POST. Change: such values are written as text; labels are escaped; a bad 'since' is refused with 400 and other methods than GET and HEAD with 405.

--- a/carawayhub/output/logs.py
+++ b/carawayhub/output/logs.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from datetime import UTC, datetime
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING, Any, TextIO
 
 import msgspec
 from loguru import logger
@@ -35,9 +35,23 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         exc = record.exc_info[1] if record.exc_info else None
-        logger.opt(exception=exc).bind(library=record.name).log(
-            record.levelname, record.getMessage()
-        )
+        logger.opt(exception=exc).bind(library=record.name).log(_level(record), _text(record))
+
+
+def _level(record: logging.LogRecord) -> str | int:
+    """Return the level by its name, by its number where a library made up one of its own."""
+    try:
+        return logger.level(record.levelname).name
+    except ValueError:
+        return record.levelno
+
+
+def _text(record: logging.LogRecord) -> str:
+    """Return the message, as it was written where its arguments do not fit it."""
+    try:
+        return record.getMessage()
+    except (TypeError, ValueError):
+        return str(record.msg)
 
 
 def _line(message: "Message", process: str) -> str:
@@ -52,7 +66,18 @@
     }
     if record["exception"] is not None:
         line["error"] = repr(record["exception"].value)
-    return msgspec.json.encode(line, enc_hook=str).decode() + "\n"
+    return _encoded(line).decode() + "\n"
+
+
+def _encoded(line: dict[str, Any]) -> bytes:
+    """Return the line as JSON, with what has no form in JSON as text.
+
+    A line that cannot be encoded would be lost, with a traceback of ``loguru`` in its place.
+    """
+    try:
+        return msgspec.json.encode(line, enc_hook=str)
+    except (TypeError, ValueError, OverflowError, RecursionError):
+        return msgspec.json.encode({key: ascii(value) for key, value in line.items()})
 
 
 def quiet_logs() -> None:
--- a/carawayhub/output/metrics.py
+++ b/carawayhub/output/metrics.py
@@ -59,7 +59,10 @@
 
 
 class CountRow(msgspec.Struct, kw_only=True):
-    """How many requests of an organisation ended with a code."""
+    """How many requests of an organisation ended with a code.
+
+    The name is empty for requests that ended before their key was known.
+    """
 
     organisation: str
     code: int
@@ -163,7 +166,7 @@
     """Return the page in the text format that metric collectors read."""
     lines = ["# TYPE carawayhub_latency_milliseconds summary"]
     for row in page.latencies:
-        labels = f'{row.dimension}="{row.name}",latency="{row.latency}"'
+        labels = f'{row.dimension}="{_escaped(row.name)}",latency="{row.latency}"'
         for quantile, value in (("0.5", row.p50), ("0.95", row.p95), ("0.99", row.p99)):
             lines.append(
                 f'carawayhub_latency_milliseconds{{{labels},quantile="{quantile}"}} {value}'
@@ -171,8 +174,13 @@
         lines.append(f"carawayhub_latency_milliseconds_count{{{labels}}} {row.count}")
     lines.append("# TYPE carawayhub_requests_total counter")
     for count in page.requests:
-        labels = f'organisation="{count.organisation}",code="{count.code}"'
+        labels = f'organisation="{_escaped(count.organisation)}",code="{count.code}"'
         lines.append(f"carawayhub_requests_total{{{labels}}} {count.count}")
     lines.append("# TYPE carawayhub_tokens_total counter")
     lines.append(f"carawayhub_tokens_total {page.tokens}")
     return "\n".join(lines) + "\n"
+
+
+def _escaped(name: str) -> str:
+    """Return a name as the value of a label."""
+    return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/carawayhub/process/operators.py
+++ b/carawayhub/process/operators.py
@@ -13,7 +13,8 @@
 
 Scope = dict[str, Any]
 
-TEXT_TYPE = b"text/plain; charset=utf-8"
+TEXT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+READING = frozenset({"GET", "HEAD"})
 
 
 class HealthBody(msgspec.Struct, kw_only=True):
@@ -62,6 +63,9 @@
         """Answer one request."""
         if scope["type"] != "http":
             return
+        if scope["method"] not in READING:
+            await _send_json(send, _Unknown(int(Code.USAGE), "only GET and HEAD"), 405)
+            return
         query = parse_qs(scope["query_string"].decode("latin-1"))
         match scope["path"]:
             case "/healthz":
@@ -74,11 +78,19 @@
             case "/status":
                 await _send_json(send, self._status())
             case "/audit":
-                since = query.get("since", ["0"])[0]
-                await _send_json(send, self._audit.since(int(since) if since.isdigit() else 0))
+                await self._send_audit(send, query.get("since", ["0"])[0])
             case _:
                 await _send_json(send, _Unknown(int(Code.USAGE), "no such page"), 404)
 
+    async def _send_audit(self, send: Any, since: str) -> None:
+        try:
+            changes = self._audit.since(int(since))
+        except ValueError:
+            unusable = _Unknown(int(Code.USAGE), "'since' is the number of a change")
+            await _send_json(send, unusable, 400)
+            return
+        await _send_json(send, changes)
+
     async def _send_metrics(self, send: Any, query: dict[str, list[str]]) -> None:
         page = self._metrics.page()
         if query.get("format") == ["json"]:
