Show any answer of a process in a word

Cause: a time outside the calendar in a change, or JSON nested without end, ended status and audit in a traceback. Run: tests/test_observation.py, 5 tests over operators' endpoints in this process: tables, JSON, one silent target (status 5), answers that cannot be used; against the code before, the time fails.

--- a/carawayhub/cli/observation.py
+++ b/carawayhub/cli/observation.py
@@ -80,7 +80,7 @@
         found.value = msgspec.json.decode(response.content, type=kind)
     except (httpcore.NetworkError, httpcore.ProtocolError, OSError, TimeoutError) as exc:
         found.error = str(exc) or type(exc).__name__
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         found.error = f"its answer cannot be read: {exc}"
 
 
@@ -148,9 +148,8 @@
 
 
 def _change_row(change: Change) -> tuple[object, ...]:
-    moment = datetime.fromtimestamp(change.at, UTC).strftime("%H:%M:%S.%f")[:-3]
     return (
-        moment,
+        _time_of_day(change.at),
         change.process,
         change.sequence,
         change.subject.value,
@@ -160,3 +159,10 @@
         change.version,
         change.reason,
     )
+
+
+def _time_of_day(at: float) -> str:
+    try:
+        return datetime.fromtimestamp(at, UTC).strftime("%H:%M:%S.%f")[:-3]
+    except (ValueError, OverflowError, OSError):
+        return "-"
