Refuse a declared length of odd digits by number

Cause: a content-length of a superscript digit or of more digits than int() takes raised ValueError in the application; uvicorn refuses both itself, so callers did not meet it.

--- a/carawayhub/entry/calls.py
+++ b/carawayhub/entry/calls.py
@@ -35,6 +35,7 @@
 BODY_TIMEOUT = 30.0
 """Seconds for a whole request; how late an idempotency key may reach its agent builds on it."""
 
+LONGEST_LENGTH = 20
 MAX_TOKENS = 1_000_000
 USUAL_TOKENS = 256
 DOT_SEGMENTS = frozenset({".", ".."})
@@ -208,8 +209,8 @@
         RequestError: BODY_TOO_LARGE, or BODY_MALFORMED where the caller left before its end.
     """
     declared = headers.text(b"content-length")
-    if declared.isdigit() and int(declared) > MAX_BODY_BYTES:
-        raise RequestError(Code.BODY_TOO_LARGE, f"{declared} bytes, at most {MAX_BODY_BYTES}")
+    if declared.isdecimal() and int(declared[:LONGEST_LENGTH]) > MAX_BODY_BYTES:
+        raise RequestError(Code.BODY_TOO_LARGE, f"at most {MAX_BODY_BYTES} bytes")
     try:
         with anyio.fail_after(BODY_TIMEOUT):
             return await _read_parts(receive)
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -13,7 +13,7 @@
 from carawayhub.entry import prompts
 from carawayhub.entry.answer import Answer
 from carawayhub.entry.app import CONFIRM_WAIT, DOUBT_SECONDS, AnswerBrokenOff
-from carawayhub.entry.calls import Call
+from carawayhub.entry.calls import MAX_TOKENS, Call
 from carawayhub.errors import RequestError
 from carawayhub.output.metrics import Latency
 from tests.entry_fakes import ASK, CHAT, KEY, Caller, Desk
@@ -115,6 +115,10 @@
     async def test_a_body_over_the_limit_is_refused_declared_or_not(self) -> None:
         declared = ((b"content-length", b"%d" % (MAX_BODY_BYTES + 1)),)
         await self.refused(Caller(headers=declared, body=(None,)), Code.BODY_TOO_LARGE)
+        for length in (b"9" * 5000, b"\xb2"):
+            caller = Caller(headers=((b"content-length", length),), body=(b"",))
+            code = Code.BODY_TOO_LARGE if length.isdigit() else Code.BODY_MALFORMED
+            await self.refused(caller, code)
         half = b" " * (MAX_BODY_BYTES // 2)
         await self.refused(Caller(body=(half, half, b" ", None)), Code.BODY_TOO_LARGE)
 
@@ -241,6 +245,18 @@
         ids = {call.request_id for call in self.desk.relay.calls}
         self.assertEqual(len(ids), 3)
 
+    async def test_the_tokens_that_a_caller_asks_for_weigh_its_request_within_bounds(self) -> None:
+        for given_tokens, weighed in (
+            (b"-5", 256),
+            (b"0", 256),
+            (b"7", 7),
+            (b"9" * 400, MAX_TOKENS),
+        ):
+            body = b'{"model": "cat", "max_tokens": %s}' % given_tokens
+            self.assertEqual((await self.desk.ask(Caller(body=(body,)))).code, 0)
+            self.assertEqual(self.desk.relay.calls[-1].target.max_tokens, weighed)
+            self.assertEqual(self.desk.relay.calls[-1].body, body)
+
     async def test_the_path_goes_on_as_the_caller_wrote_it(self) -> None:
         """A guest whose name has an accent gets an error each time, whatever the endpoint.
 
