--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -7,6 +7,7 @@
 
 import anyio
 import msgspec
+from loguru import logger
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
@@ -137,13 +138,14 @@
 
     async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         req = Incoming.of(scope, receive, send, self._parts.clock.monotonic())
-        try:
-            await self._handle(req)
-        except RequestError as exc:
-            req.code = exc.code
-            await _refuse(req, exc.unvouched() if req.runs_once else exc)
-        finally:
-            self._parts.metrics.ended(req.organisation, int(req.code))
+        with logger.contextualize(request=req.request_id, caller_id=req.caller_id):
+            try:
+                await self._handle(req)
+            except RequestError as exc:
+                req.code = exc.code
+                await _refuse(req, exc.unvouched() if req.runs_once else exc)
+            finally:
+                self._parts.metrics.ended(req.organisation, int(req.code))
 
     async def _handle(self, req: Incoming) -> None:
         if req.scope["http_version"] == "1.0":
@@ -261,7 +263,7 @@
             req.code = exc.code
             if not answer.started:
                 raise
-            req.log.bind(code=int(exc.code)).warning("answer cut: {}", exc)
+            logger.bind(code=int(exc.code)).warning("answer cut: {}", exc)
             await answer.part(error_event(exc))
             raise AnswerBrokenOff(str(exc)) from exc
         finally:
@@ -305,12 +307,12 @@
             metrics.latency(Latency.FIRST_TOKEN, first, name, target)
             whole = self._parts.clock.monotonic() - req.arrived_at
             metrics.latency(Latency.WHOLE, whole, name, target)
-        log = req.log.bind(organisation=name, target=target, code=int(req.code))
+        log = logger.bind(organisation=name, target=target, code=int(req.code))
         log.debug("request ended")
 
 
 async def _refuse(req: Incoming, exc: RequestError) -> None:
-    req.log.bind(code=int(exc.code)).info("request refused: {}", exc)
+    logger.bind(code=int(exc.code)).info("request refused: {}", exc)
     await send_reply(req.send, error_reply(exc), req.caller_id)
 
 
--- a/carawayhub/entry/incoming.py
+++ b/carawayhub/entry/incoming.py
@@ -1,9 +1,6 @@
 """One HTTP request as it came in, until it is answered or refused."""
 
 from dataclasses import dataclass
-from typing import Any
-
-from loguru import logger
 
 from carawayhub.codes import Code
 from carawayhub.constants import KEY_HEADER, TICKET_HEADER
@@ -58,11 +55,6 @@
         """Whether it carries a key or a ticket, so that an earlier attempt may have run."""
         return bool(self.headers.text(KEY_HEADER) or self.headers.text(TICKET_HEADER))
 
-    @property
-    def log(self) -> Any:
-        """The logger whose lines carry the ids of the request."""
-        return logger.bind(request=self.request_id, caller_id=self.caller_id)
-
     def asks(self, method: str, path: str) -> bool:
         """Return whether it is this method on this path."""
         return bool(self.scope["method"] == method and self.scope["path"] == path)
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -245,6 +245,27 @@
         ids = {call.request_id for call in self.desk.relay.calls}
         self.assertEqual(len(ids), 3)
 
+    async def test_each_log_line_while_a_request_is_served_carries_its_ids(self) -> None:
+        async def fail(call: Call, answer: Answer) -> None:
+            logger.info("tried")
+            raise RequestError(Code.ANSWER_TIMEOUT)
+
+        lines: list[dict] = []
+        sink = logger.add(lambda message: lines.append(message.record), format="{message}")
+        self.addCleanup(logger.remove, sink)
+        logger.enable("carawayhub.entry")
+        self.addCleanup(logger.disable, "carawayhub.entry")
+        self.desk.relay.script = fail
+        await self.desk.ask(Caller(headers=((b"x-request-id", b"mine"),)))
+        logger.info("later")
+        request_id = self.desk.relay.calls[0].request_id
+        *served, later = lines
+        self.assertGreaterEqual(len(served), 3)
+        for line in served:
+            self.assertEqual(line["extra"]["request"], request_id)
+            self.assertEqual(line["extra"]["caller_id"], "mine")
+        self.assertNotIn("request", later["extra"])
+
     async def test_the_tokens_that_a_caller_asks_for_weigh_its_request_within_bounds(self) -> None:
         for given_tokens, weighed in (
             (b"-5", 256),
