Pass on to all agents of a group whether it can step

The agents beside further ranks now ask the one beside rank 0 each second and report the same; without an answer three times in a row nothing is known and they serve. With the asking taken out the story of entries without a link to the leader waits in vain; with it, it passes.

A group whose agent beside rank 0 is leaving makes no more decisions on its map.

--- /dev/null
+++ b/carawayhub/agent/follower.py
@@ -0,0 +1,91 @@
+"""An agent beside further ranks of a lock-step group: it learns whether the group can step."""
+
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+
+from carawayhub.addresses import Address
+from carawayhub.agent.grouptask import Seat
+from carawayhub.agent.reporter import Reporter
+from carawayhub.config.leaders import group_leaders
+from carawayhub.config.model import Configuration
+from carawayhub.errors import PeerError
+from carawayhub.peers.calls import CallClient
+from carawayhub.peers.messages import StandingReply, StandingRequest
+from carawayhub.peers.methods import STANDING
+
+ASK_INTERVAL = 1.0
+ANSWER_TIMEOUT = 1.0
+FAILURES_UNTIL_UNKNOWN = 3
+
+
+@dataclass(frozen=True, slots=True)
+class _Leader:
+    """The agent beside rank 0 of this agent's group."""
+
+    name: str
+    address: Address
+
+
+class GroupFollower:
+    """Asks the agent beside rank 0 each second whether the group can step, and reports the same.
+
+    An entry of a large fleet keeps links with few agents, and often with one of a group but not
+    with that beside its rank 0. It would send requests to a group that cannot step, since the
+    agent it hears only sees its own engine. Where the other agent cannot be asked nothing is known,
+    and the endpoint stays in routing: the group goes on stepping without that agent.
+
+    Args:
+        seat: Which agent this is.
+        calls: Calls other agents.
+        reporter: Told when the group cannot step.
+        tasks: Where the asking runs.
+    """
+
+    __slots__ = ("_calls", "_leader", "_reporter", "_scope", "_seat", "_tasks")
+
+    def __init__(self, seat: Seat, calls: CallClient, reporter: Reporter, tasks: TaskGroup) -> None:
+        self._seat = seat
+        self._calls = calls
+        self._reporter = reporter
+        self._tasks = tasks
+        self._leader: _Leader | None = None
+        self._scope: anyio.CancelScope | None = None
+
+    def configured(self, cfg: Configuration) -> None:
+        """Begin, change or end the asking as a version that came into force says."""
+        name = group_leaders(cfg).get(self._seat.endpoint)
+        leader = None if name is None else _Leader(name, Address.parse(cfg.endpoints[name].agent))
+        if leader == self._leader:
+            return
+        self._leader = leader
+        if self._scope is not None:
+            self._scope.cancel()
+            self._scope = None
+            self._reporter.set_out_of_step("")
+        if leader is not None:
+            self._scope = anyio.CancelScope()
+            self._tasks.start_soon(self._follow, leader, self._scope)
+
+    async def _follow(self, leader: _Leader, scope: anyio.CancelScope) -> None:
+        failures = 0
+        with scope:
+            while True:
+                try:
+                    reason = await self._ask(leader)
+                except PeerError:
+                    failures += 1
+                    if failures == FAILURES_UNTIL_UNKNOWN:
+                        self._reporter.set_out_of_step("")
+                else:
+                    failures = 0
+                    self._reporter.set_out_of_step(reason)
+                await anyio.sleep(ASK_INTERVAL)
+
+    async def _ask(self, leader: _Leader) -> str:
+        request = StandingRequest(endpoint=leader.name)
+        reply: StandingReply = await self._calls.call(
+            leader.address, STANDING, request, ANSWER_TIMEOUT
+        )
+        return reply.out_of_step
--- a/carawayhub/agent/grouptask.py
+++ b/carawayhub/agent/grouptask.py
@@ -20,6 +20,7 @@
 from carawayhub.groups.staging import fair_rate
 from carawayhub.groups.status import GroupStatus
 from carawayhub.output.audit import AuditTrail
+from carawayhub.peers.messages import ServingState, StandingReply, StandingRequest
 from carawayhub.process.status import GroupStatusRow
 
 WATCH_INTERVAL = 0.25
@@ -150,6 +151,12 @@
         )
         return (row,)
 
+    async def standing(self, sender: str, req: StandingRequest) -> StandingReply:
+        """Answer an agent beside other ranks of the group that asks whether it can step."""
+        if self._plan is None or req.endpoint != self._seat.endpoint:
+            return StandingReply()
+        return StandingReply(out_of_step=self._reporter.out_of_step)
+
     async def _decide(
         self, cfg: Configuration, plan: _Plan, scope: anyio.CancelScope, silent_until: float
     ) -> None:
@@ -231,7 +238,7 @@
         """Return load, drain and what else the policy weighs."""
         load = self._reporter.load
         return Situation(
-            draining=self._draining(),
+            draining=self._draining() or self._reporter.state is ServingState.LEAVING,
             utilisation=(load.running + load.queued) / max(load.capacity, 1),
             running=load.running,
             step_seconds=load.step_seconds or Situation().step_seconds,
--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from carawayhub.addresses import Address
+from carawayhub.agent.follower import GroupFollower
 from carawayhub.agent.gate import Gate
 from carawayhub.agent.grouptask import GroupTask, Seat
 from carawayhub.agent.homes import Homes
@@ -32,7 +33,7 @@
     RunReply,
     RunRequest,
 )
-from carawayhub.peers.methods import RUN
+from carawayhub.peers.methods import RUN, STANDING
 from carawayhub.peers.server import UnaryCall
 from carawayhub.platform.ports import VmList
 from carawayhub.process.host import Host
@@ -81,8 +82,10 @@
             tasks,
         )
         source = Address.parse(settings.peer_listen).host
+        seat = Seat(identity.name, identity.address, source)
+        self._follower = GroupFollower(seat, member.calls, self._reporter, tasks)
         self._group = GroupTask(
-            Seat(identity.name, identity.address, source),
+            seat,
             member.knowledge.pauses.check,
             member.knowledge.checked,
             self._reporter,
@@ -107,7 +110,8 @@
         await self._upstream.close()
 
     async def _run_member(self) -> None:
-        calls = (UnaryCall(RUN, self._run_once), *self._keys.calls())
+        standing = UnaryCall(STANDING, self._group.standing)
+        calls = (UnaryCall(RUN, self._run_once), standing, *self._keys.calls())
         await self.runtime.member.run(self, self.runtime.peer_socket, calls)
 
     async def _run_once(self, sender: str, req: RunRequest) -> RunReply:
@@ -169,6 +173,7 @@
         self._gate.configured(cfg)
         self._keys.configured(cfg)
         self._group.configured(cfg)
+        self._follower.configured(cfg)
         endpoint = cfg.endpoints.get(self.runtime.identity.name)
         if endpoint is not None:
             self._follow(cfg, endpoint)
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -228,3 +228,23 @@
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+
+
+class StandingRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks the agent beside rank 0 of a lock-step group whether the group can step.
+
+    Attributes:
+        endpoint: Name of the endpoint that holds rank 0.
+    """
+
+    endpoint: str
+
+
+class StandingReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether a lock-step group can step, as far as the agent asked knows.
+
+    Attributes:
+        out_of_step: Why it cannot, empty where it can or where the agent does not know.
+    """
+
+    out_of_step: str = ""
--- a/carawayhub/peers/methods.py
+++ b/carawayhub/peers/methods.py
@@ -12,7 +12,15 @@
     LookUpReply,
 )
 from carawayhub.fleet.messages import FilesReply, FilesRequest, ManifestReply, ManifestRequest
-from carawayhub.peers.messages import Heartbeat, HeartbeatReply, Hello, RunReply, RunRequest
+from carawayhub.peers.messages import (
+    Heartbeat,
+    HeartbeatReply,
+    Hello,
+    RunReply,
+    RunRequest,
+    StandingReply,
+    StandingRequest,
+)
 
 SERVICE = "/carawayhub.Peers/"
 
@@ -31,6 +39,7 @@
 
 LINK = Method(SERVICE + "Link", LinkUp, LinkDown)
 RUN = Method(SERVICE + "Run", RunRequest, RunReply)
+STANDING = Method(SERVICE + "Standing", StandingRequest, StandingReply)
 MANIFEST = Method(SERVICE + "Manifest", ManifestRequest, ManifestReply)
 FILES = Method(SERVICE + "Files", FilesRequest, FilesReply)
 FENCE = Method(SERVICE + "Fence", FenceRequest, FenceReply)
--- a/tests/group_guards.py
+++ b/tests/group_guards.py
@@ -34,8 +34,16 @@
     replace(Candidate, "group_failed", property(lambda self: False))
 
 
+def standing_of_the_group(replace: Replace) -> None:
+    """Have agents beside further ranks not ask whether their group can step."""
+    from carawayhub.agent.follower import GroupFollower
+
+    replace(GroupFollower, "configured", lambda self, cfg: None)
+
+
 GUARDS: dict[str, Callable[[Replace], None]] = {
     "votes-of-all-ranks": hasty_verdict,
     "orders-after-a-pause": orders_after_a_pause,
     "leader-of-a-group": routing_without_leader,
+    "standing-of-the-group": standing_of_the_group,
 }
--- a/tests/test_promises_groups.py
+++ b/tests/test_promises_groups.py
@@ -14,12 +14,12 @@
 from carawayhub.groups.orders import RankState
 from carawayhub.standins.asks import Generate
 from carawayhub.standins.checker import Evidence, StepSample, check
-from carawayhub.standins.faults import RankFault
+from carawayhub.standins.faults import LinkFault, RankFault
 from carawayhub.standins.fleet import to_json
 from carawayhub.standins.fleetshape import FleetShape, LockStepShape, NodePlan
 from carawayhub.standins.records import Result
 from tests.processes import daemon_handle
-from tests.stories import FleetTestCase, publish_everywhere, request, until
+from tests.stories import FleetTestCase, condition_at, publish_everywhere, request, until
 
 CHAT = "/v1/chat/completions"
 MODEL = "assistant"
@@ -57,6 +57,11 @@
         """Name of the endpoint with rank 0 and of its agent."""
         return self.fleet.plan.lock_step[0].name
 
+    @property
+    def follower(self) -> str:
+        """Name of the endpoint with the other ranks."""
+        return self.fleet.plan.lock_step[1].name
+
     # What is done to the ranks and read from them, around all links.
 
     async def ranks(self, path: str, value: Any = None) -> None:
@@ -309,6 +314,32 @@
         await self.assert_one_map_and_steps()
         await self.assert_answers()
 
+    async def test_entries_without_a_link_to_the_leader_send_nothing_either(self) -> None:
+        """The group cannot step, and an entry hears only the agent that sees no fault.
+
+        In a large fleet an entry keeps links with few agents. Here the entries have lost the one
+        beside rank 0 when its engine dies. The other agent's engine answers; the agent must have
+        learnt from its mate that the group cannot step, and the entries from it.
+        """
+        silence = LinkFault(silent_to_target=True, silent_to_client=True)
+        for node in self.fleet.plan.entries:
+            link = self.fleet.proxy.links[f"{self.leader}.peer"]
+            link.state.set_fault(silence, node.inner)
+        for entry in self.entries:
+            await until(lambda at=entry: self._is(at, self.leader, "expired"), "the link is lost")
+        self.fleet.endpoints[self.leader].kill()
+        for entry in self.entries:
+            await until(lambda at=entry: self._is(at, self.follower, "failed"), "it is passed on")
+        await self.assert_refused_as_not_run()
+        self.fleet.endpoints[self.leader].start()
+        self.fleet.plan.heal(self.fleet.proxy)
+        await self.until_routed()
+        await self.assert_one_map_and_steps()
+        await self.assert_answers()
+
+    async def _is(self, entry: str, endpoint: str, condition: str) -> bool:
+        return await condition_at(self.fleet, entry, endpoint) == condition
+
     async def test_changed_weight_leaves_the_group_in_routing(self) -> None:
         """Operators publish another weight for a group, and its callers are refused for a moment.
 
