Shorten the two longest functions of the fakes and the ledger benchmark

Change: entries, endpoints and shares of a fake configuration are functions; the agents of a fence measurement are a class.

--- a/benchmarks/fakes.py
+++ b/benchmarks/fakes.py
@@ -96,6 +96,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Sample:
+    """What the engine's load was at one time."""
+
     at: float
     running: int
     queued: int
@@ -103,6 +105,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _CacheEvent:
+    """A prefix block that entered or left the cache."""
+
     at: float
     block: int
     added: bool
@@ -280,54 +284,57 @@
     capacity: int = 32,
 ) -> Configuration:
     """Return a configuration with one model, its endpoints spread over domains and providers."""
-    providers = list(shares or {"provider": 100.0})
     names = [f"endpoint-{index:03d}" for index in range(endpoints)]
     return Configuration(
         version=1,
         digest="",
         fleet=FleetOptions(),
-        entries={
-            f"entry-{index:03d}": EntryNode(
-                name=f"entry-{index:03d}",
-                vm=f"entry-vm-{index:03d}",
-                address=f"10.0.{index // 250}.{index % 250}:80",
-                peer_address="",
-                failure_domain=DOMAINS[index % len(DOMAINS)],
-                region=REGION,
-            )
-            for index in range(entries)
-        },
-        endpoints={
-            name: Endpoint(
-                name=name,
-                vm=f"vm-{name}",
-                url="",
-                agent="",
-                failure_domain=DOMAINS[index % len(DOMAINS)],
-                region=REGION,
-                provider=providers[index // len(DOMAINS) % len(providers)],
-                capacity=capacity,
-            )
-            for index, name in enumerate(names)
-        },
+        entries={entry.name: entry for entry in map(_fake_entry, range(entries))},
+        endpoints=_fake_endpoints(names, list(shares or {"provider": 100.0}), capacity),
         organisations={
             name: Organisation(name=name, key_digests=(), limits=limits)
             for name, limits in organisations.items()
         },
         groups={name: ModelGroup(name=name, model=MODEL, endpoints=(name,)) for name in names},
         services={},
-        shares=(
-            {
-                MODEL: tuple(
-                    ProviderShare(provider=name, share=share) for name, share in shares.items()
-                )
-            }
-            if shares
-            else {}
-        ),
+        shares=_fake_shares(shares or {}),
+    )
+
+
+def _fake_entry(index: int) -> EntryNode:
+    return EntryNode(
+        name=f"entry-{index:03d}",
+        vm=f"entry-vm-{index:03d}",
+        address=f"10.0.{index // 250}.{index % 250}:80",
+        peer_address="",
+        failure_domain=DOMAINS[index % len(DOMAINS)],
+        region=REGION,
     )
 
 
+def _fake_endpoints(names: list[str], providers: list[str], capacity: int) -> dict[str, Endpoint]:
+    return {
+        name: Endpoint(
+            name=name,
+            vm=f"vm-{name}",
+            url="",
+            agent="",
+            failure_domain=DOMAINS[index % len(DOMAINS)],
+            region=REGION,
+            provider=providers[index // len(DOMAINS) % len(providers)],
+            capacity=capacity,
+        )
+        for index, name in enumerate(names)
+    }
+
+
+def _fake_shares(shares: dict[str, float]) -> dict[str, tuple[ProviderShare, ...]]:
+    if not shares:
+        return {}
+    rows = tuple(ProviderShare(provider=name, share=share) for name, share in shares.items())
+    return {MODEL: rows}
+
+
 def percentile(values: Sequence[float], part: float) -> float:
     """Return a percentile of unsorted values, 0 for none."""
     if not values:
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -21,7 +21,7 @@
 from carawayhub.agent.keyset import Seat, key_set
 from carawayhub.agent.keytiming import KeyTiming
 from carawayhub.agent.ledger import ENTRY_BYTES, Ledger, LedgerLimits
-from carawayhub.agent.messages import Answer, Member, RunKey
+from carawayhub.agent.messages import Answer, FenceReply, FenceRequest, Member, RunKey
 from carawayhub.agent.record import answer_bytes
 from carawayhub.agent.tickets import Epochs, TicketOffice
 from carawayhub.clock import ManualClock
@@ -142,40 +142,27 @@
 
 def _fences(count: int) -> list[Row]:
     """Establish one agent among ``count``; peers' sides are measured as well."""
-    clock = ManualClock()
-    members = [_member(number) for number in range(count)]
-    keys = key_set(SCOPE, tuple(Seat(member) for member in members), KEY_TTL)
-    homes = [Homes(clock, member, number) for number, member in enumerate(members)]
-    ledgers = [Ledger(clock, member, number) for number, member in enumerate(members)]
-    for one in homes:
-        one.adopt({SCOPE: keys}, 1)
-    clock.advance(2 * KEY_TTL)
+    agents = _Agents(count)
+    asking = agents.homes[0]
     start = time.process_time()
-    requests = homes[0].requests(SCOPE)
+    requests = asking.requests(SCOPE)
     asked = time.process_time()
-    by_member = {member: number for number, member in enumerate(members)}
-    replies = [
-        homes[by_member[peer]].answer(request, ledgers[by_member[peer]])
-        for peer, request in requests
-    ]
+    replies = [agents.answer(peer, request) for peer, request in requests]
     answered = time.process_time()
     for reply in replies:
-        assert homes[0].take(reply, ledgers[0])
+        assert asking.take(reply, agents.ledgers[0])
     taken = time.process_time()
-    clock.advance(KeyTiming().renewal(KEY_TTL))
-    for peer, request in homes[0].requests(SCOPE):
-        homes[0].take(homes[by_member[peer]].answer(request, ledgers[by_member[peer]]), ledgers[0])
+    agents.confirm()
     size = sum(len(msgspec.msgpack.encode(request)) for _, request in requests)
     size += sum(len(msgspec.msgpack.encode(reply)) for reply in replies)
-    admit = _per_call(lambda number: homes[0].admit(_key(number)), 200)
+    admit = _per_call(lambda number: asking.admit(_key(number)), 200)
     rounds = 1 / KeyTiming().renewal(KEY_TTL)
+    own_ms = (asked - start + taken - answered) * 1e3
     case = f"{count} members"
     return [
         Row("fence: calls made by an agent for a change of the set", case, count - 1, "calls"),
         Row("fence: bytes of these calls, both ways", case, size, "bytes"),
-        Row(
-            "fence: time of the asking agent", case, (asked - start + taken - answered) * 1e3, "ms"
-        ),
+        Row("fence: time of the asking agent", case, own_ms, "ms"),
         Row("fence: time of all answering agents", case, (answered - asked) * 1e3, "ms"),
         Row("fence: calls to confirm, made by an agent", case, (count - 1) * rounds, "1/s"),
         Row("fence: bytes to confirm, made by an agent", case, size * rounds, "bytes/s"),
@@ -183,6 +170,32 @@
     ]
 
 
+class _Agents:
+    """Agents of one scope whose quarantines are over."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = ManualClock()
+        members = [_member(number) for number in range(count)]
+        keys = key_set(SCOPE, tuple(Seat(member) for member in members), KEY_TTL)
+        self.homes = [Homes(self.clock, member, number) for number, member in enumerate(members)]
+        self.ledgers = [Ledger(self.clock, member, number) for number, member in enumerate(members)]
+        self._number = {member: number for number, member in enumerate(members)}
+        for one in self.homes:
+            one.adopt({SCOPE: keys}, 1)
+        self.clock.advance(2 * KEY_TTL)
+
+    def answer(self, peer: Member, request: FenceRequest) -> FenceReply:
+        """Return the reply of ``peer``."""
+        number = self._number[peer]
+        return self.homes[number].answer(request, self.ledgers[number])
+
+    def confirm(self) -> None:
+        """Have the first agent's peers confirm their promises at the next renewal."""
+        self.clock.advance(KeyTiming().renewal(KEY_TTL))
+        for peer, request in self.homes[0].requests(SCOPE):
+            self.homes[0].take(self.answer(peer, request), self.ledgers[0])
+
+
 def _handover() -> list[Row]:
     clock = ManualClock()
     members = [_member(number) for number in range(3)]
