--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -21,6 +21,7 @@
     "ledger",
     "dissemination",
     "membership",
+    "links",
     "rebalance",
     "relay",
 )
--- a/benchmarks/link_parts.py
+++ b/benchmarks/link_parts.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from benchmarks.fakes import DOMAINS, REGION, fake_configuration
@@ -101,7 +101,7 @@
     def configured(self, cfg: Configuration) -> None:
         """Take nothing."""
 
-    def peers(self, cfg: Configuration, vms: VmList | None) -> Iterable[WantedPeer]:
+    async def peers(self, cfg: Configuration, vms: VmList | None) -> Sequence[WantedPeer]:
         """Return nothing."""
         return ()
 
--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -136,17 +136,19 @@
 class Bench:
     """The opening side together with its accepting process."""
 
-    def __init__(self, process: Accepting, role: ProcessRole, side: Side) -> None:
+    def __init__(self, process: Accepting, role: ProcessRole, side: Side, repetitions: int) -> None:
         self.process = process
+        self.repetitions = repetitions
         self.side = side
         self.address = Address(HOST, process.port)
         self.peer = Peer("endpoint-000", role, self.address)
         expect(self.side, self.peer)
 
     @classmethod
-    async def make(cls, process: Accepting, role: ProcessRole) -> "Bench":
+    async def make(cls, process: Accepting, role: ProcessRole, windows: int) -> "Bench":
         """Return a bench whose opening side is an entry."""
-        return cls(process, role, await make_side("entry-000", ProcessRole.ENTRY, Address(HOST, 1)))
+        side = await make_side("entry-000", ProcessRole.ENTRY, Address(HOST, 1))
+        return cls(process, role, side, windows)
 
     @asynccontextmanager
     async def links(self, count: int, pace: float) -> AsyncIterator[None]:
@@ -178,19 +180,23 @@
             segments,
         )
 
-    async def windows(self, seconds: float, count: int = WINDOWS) -> list[Sample]:
+    async def windows(self, seconds: float) -> list[Sample]:
         """Return what each of some windows took."""
         samples = []
-        for _ in range(count):
+        for _ in range(self.repetitions):
             before = self.read()
             await anyio.sleep(seconds)
             samples.append(self.read().since(before))
         return samples
 
 
-def run() -> list[Row]:
-    """Measure everything."""
-    return uvloop.run(_run())
+def run(windows: int = WINDOWS) -> list[Row]:
+    """Measure everything.
+
+    Args:
+        windows: Repetitions of each measurement.
+    """
+    return uvloop.run(_run(windows))
 
 
 def slopes(rows: Sequence[Row]) -> dict[str, float]:
@@ -198,10 +204,10 @@
     return {row.name: row.value for row in rows}
 
 
-async def _run() -> list[Row]:
+async def _run(windows: int) -> list[Row]:
     rows: list[Row] = []
     with accepting(ProcessRole.AGENT) as process:
-        bench = await Bench.make(process, ProcessRole.AGENT)
+        bench = await Bench.make(process, ProcessRole.AGENT, windows)
         rows += await _memory(bench)
         rows += await _exchanges(bench, "agent heartbeat", PLANNED_RATE, 2.0)
         rows += await _exchanges(bench, "agent heartbeat, 400/s", BUSY_RATE, 1.0)
@@ -212,7 +218,7 @@
         rows += await _calls(bench)
         rows += await _openings(bench)
     with accepting(ProcessRole.ENTRY) as process:
-        bench = await Bench.make(process, ProcessRole.ENTRY)
+        bench = await Bench.make(process, ProcessRole.ENTRY, windows)
         rows += await _exchanges(bench, "entry heartbeat", 200.0, 1.0)
         bench.side.role.announces = True
         name = f"entry heartbeat, {bench.side.role.rows} demand rows"
@@ -240,7 +246,7 @@
 async def _pushes(bench: Bench) -> list[Row]:
     """Measure a change of state that is told at once on every link."""
     async with bench.links(LINKS, LONG):
-        samples = [await _spent(bench, _push_all(bench)) for _ in range(WINDOWS)]
+        samples = [await _spent(bench, _push_all(bench)) for _ in range(bench.repetitions)]
     count = 10 * LINKS
     return [
         _row("push: opening side", "us", [US * s.opening / count for s in samples]),
@@ -283,7 +289,7 @@
             await bench.side.calls.call(bench.address, RUN, req, 5.0)
 
     await work()
-    samples = [await _spent(bench, work) for _ in range(WINDOWS)]
+    samples = [await _spent(bench, work) for _ in range(bench.repetitions)]
     bench.side.calls.close()
     return [
         _row("unary call: calling side", "us", [US * s.opening / CALLS for s in samples]),
@@ -304,7 +310,7 @@
         async with bench.links(OPENED, LONG):
             pass
 
-    for _ in range(WINDOWS):
+    for _ in range(bench.repetitions):
         samples.append(await _spent(bench, work))
     return [
         _row(
