Answer a fault of the entry by number and write it to the log

Cause: an error that nothing foresaw left the application. The caller got a bare 500 without a number, the metrics would have counted a caller that left, and no line said why: uvicorn's lines are off, since each answer broken off on purpose would be one of them. Change: 3007 (unknown, status 500), with a log line that carries the ids of the request and the error; after the first byte the answer is broken off as for any other failure.

--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -71,6 +71,7 @@
     ANSWER_MIXED = 3004
     ANSWER_STALLED = 3005
     CALLER_LEFT = 3006
+    ENTRY_FAILED = 3007
     RUN_INCARNATION_GONE = 3010
     RUN_STILL_RUNNING = 3011
     RUN_EXPIRED = 3012
@@ -286,6 +287,12 @@
     Code.CALLER_LEFT: Meaning(
         _UNKNOWN, 499, "the caller left before the end", "nothing: the work was cancelled"
     ),
+    Code.ENTRY_FAILED: Meaning(
+        _UNKNOWN,
+        500,
+        "the entry met a fault of its own",
+        "repeat it if it may be repeated; operators find the fault in the log",
+    ),
     Code.RUN_INCARNATION_GONE: Meaning(
         _UNKNOWN,
         409,
--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -6,7 +6,6 @@
 from urllib.parse import parse_qs
 
 import anyio
-import msgspec
 from loguru import logger
 
 from carawayhub.clock import Clock
@@ -16,8 +15,9 @@
 from carawayhub.entry.answer import Answer
 from carawayhub.entry.calls import MODEL_PATHS, Call, Receive, Scope, Send
 from carawayhub.entry.incoming import Incoming
+from carawayhub.entry.lists import entries_reply, models_reply
 from carawayhub.entry.relay import Relay
-from carawayhub.entry.replies import Reply, error_event, error_reply, json_reply, send_reply
+from carawayhub.entry.replies import Reply, error_event, error_reply, send_reply
 from carawayhub.entry.runonce import RunOnce
 from carawayhub.errors import RequestError
 from carawayhub.limits.admission import Admission
@@ -33,7 +33,6 @@
 STOPPING_RETRY_AFTER = 0.5
 CONFIRM_WAIT = 1.0
 DOUBT_SECONDS = 5.0
-USUAL_TOKENS = 256.0
 LONGEST_NAME = 100
 
 
@@ -45,40 +44,6 @@
     """
 
 
-class EntryAddress(msgspec.Struct):
-    """One entry that a caller may use."""
-
-    address: str
-
-
-class EntriesBody(msgspec.Struct):
-    """Which entries a caller should use, in order.
-
-    Attributes:
-        entries: The entries.
-        keep_until: Unix time until which the answer may be kept.
-        ttl_s: The same in seconds from now, for callers whose clock is off.
-    """
-
-    entries: list[EntryAddress]
-    keep_until: float
-    ttl_s: float
-
-
-class ModelRow(msgspec.Struct):
-    """A model in the list of models."""
-
-    id: str
-    object: str = "model"
-
-
-class ModelsBody(msgspec.Struct):
-    """The models that an organisation may use."""
-
-    data: list[ModelRow]
-    object: str = "list"
-
-
 @dataclass(slots=True)
 class EntryParts:
     """The parts that a request passes through.
@@ -144,6 +109,11 @@
             except RequestError as exc:
                 req.code = exc.code
                 await _refuse(req, exc.unvouched() if req.runs_once else exc)
+            except AnswerBrokenOff:
+                raise
+            except Exception as exc:  # a fault of the entry, see ``_own_fault``
+                req.code = Code.ENTRY_FAILED
+                await _refuse(req, _own_fault(exc))
             finally:
                 self._parts.metrics.ended(req.organisation, int(req.code))
 
@@ -159,7 +129,7 @@
             raise RequestError(Code.PAUSED, retry_after=STOPPING_RETRY_AFTER)
         organisation = self._organisation(req)
         if req.asks("GET", MODELS_PATH):
-            await req.reply(_models(cfg, organisation))
+            await req.reply(models_reply(cfg, organisation))
             return
         if req.asks("POST", TICKETS_PATH):
             body = await calls.read_body(req.headers, req.receive)
@@ -199,9 +169,7 @@
         if req.headers.text(b"authorization"):
             organisation = self._organisation(req)
             preferred = self._parts.admission.shares.entries_for(organisation.name)
-        found = self._parts.directory.answer(domain, preferred)
-        addresses = [EntryAddress(address) for address in found.addresses]
-        return json_reply(EntriesBody(addresses, found.keep_until, found.ttl))
+        return entries_reply(self._parts.directory.answer(domain, preferred))
 
     def _organisation(self, req: Incoming) -> Organisation:
         kind, _, key = req.headers.text(b"authorization").partition(" ")
@@ -293,6 +261,8 @@
                     await self._parts.run_once.run(call, answer)
             except RequestError as exc:
                 failure = exc
+            except Exception as exc:  # a fault of the entry, see ``_own_fault``
+                failure = _own_fault(exc)
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
@@ -311,6 +281,16 @@
         log.debug("request ended")
 
 
+def _own_fault(exc: Exception) -> RequestError:
+    """Log an error that nothing here foresaw and return what the caller is told.
+
+    Left to ``uvicorn`` it would be an answer without a number, and no line of the log would show
+    it: the library's own lines are off, since each answer broken off on purpose would be one.
+    """
+    logger.exception("a fault of the entry")
+    return RequestError(Code.ENTRY_FAILED, type(exc).__name__)
+
+
 async def _refuse(req: Incoming, exc: RequestError) -> None:
     logger.bind(code=int(exc.code)).info("request refused: {}", exc)
     await send_reply(req.send, error_reply(exc), req.caller_id)
@@ -319,7 +299,7 @@
 def _admit_query(call: Call) -> AdmitQuery:
     match call.target:
         case calls.ModelTarget(model=model, max_tokens=tokens):
-            target, cost = Target(TargetKind.MODEL, model), tokens / USUAL_TOKENS
+            target, cost = Target(TargetKind.MODEL, model), tokens / calls.USUAL_TOKENS
         case calls.ServiceTarget(service=service):
             target, cost = Target(TargetKind.SERVICE, service.name), 1.0
     return AdmitQuery(
@@ -337,12 +317,3 @@
         if message["type"] == "http.disconnect":
             left()
             return
-
-
-def _models(cfg: Configuration, organisation: Organisation) -> Reply:
-    names = {
-        group.model
-        for group in cfg.groups.values()
-        if not group.organisations or organisation.name in group.organisations
-    }
-    return json_reply(ModelsBody([ModelRow(name) for name in sorted(names)]))
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -1,6 +1,7 @@
 """What callers get from an entry: answers, numbered refusals, and an end to every request."""
 
 import unittest
+from dataclasses import replace
 
 import anyio
 import msgspec
@@ -9,6 +10,7 @@
 from loguru import logger
 
 from carawayhub.codes import Code
+from carawayhub.config.model import ModelGroup
 from carawayhub.constants import MAX_BODY_BYTES
 from carawayhub.entry import prompts
 from carawayhub.entry.answer import Answer
@@ -67,6 +69,14 @@
         self.assertEqual(len(found["entries"]), 1)
         self.assertEqual(found["keep_until"], self.desk.clock.wall() + found["ttl_s"])
 
+    async def test_models_are_those_that_the_organisation_may_use(self) -> None:
+        group = ModelGroup(name="g", model="hidden", endpoints=("m1",), organisations=("other",))
+        cfg = replace(self.desk.cfg, groups={**self.desk.cfg.groups, "g": group})
+        self.desk.app.configure(cfg)
+        caller = await self.desk.ask(Caller("GET", "/v1/models", (b"",)))
+        rows = msgspec.json.decode(caller.parts)["data"]
+        self.assertEqual([row["id"] for row in rows], ["cat"])
+
     async def test_a_key_that_is_sent_must_be_known(self) -> None:
         known = await self.desk.ask(Caller("GET", "/v1/entries", (b"",)))
         self.assertEqual(known.code, 0)
@@ -377,6 +387,31 @@
             await self.desk.ask(Caller())
         self.assertEqual(self.desk.counted(), {int(Code.CALLER_LEFT): 1})
 
+    async def test_a_fault_of_the_entry_has_a_number_and_a_line_in_the_log(self) -> None:
+        """Callers get a bare 500 and operators find nothing in the log.
+
+        Some error that nobody foresaw leaves the application; the HTTP server answers it, silently.
+        """
+        for begun in (False, True):
+
+            async def fail(call: Call, answer: Answer, begun: bool = begun) -> None:
+                if begun:
+                    await answer.start(200, [], Code.OK)
+                raise KeyError("odd")
+
+            self.desk.relay.script = fail
+            caller = Caller()
+            if begun:
+                with self.assertRaises(AnswerBrokenOff):
+                    await self.desk.ask(caller)
+                self.assertIn(b'"code":3007', caller.parts)
+            else:
+                await self.refused(caller, Code.ENTRY_FAILED, "unknown")
+        self.desk.parts.directory = None  # type: ignore
+        caller = Caller("GET", "/v1/entries", (b"",))
+        await self.refused(caller, Code.ENTRY_FAILED, "unknown")
+        self.assertEqual(self.desk.counted(), {int(Code.ENTRY_FAILED): 3})
+
     async def test_a_failure_before_the_first_byte_is_a_numbered_reply(self) -> None:
         async def fail(call: Call, answer: Answer) -> None:
             raise RequestError(Code.ANSWER_TIMEOUT)
@@ -446,7 +481,7 @@
         caller = Caller(body=(body,), headers=tuple(headers), **rest)  # type: ignore
         desk = Desk()
         anyio.run(desk.ask, caller)
-        self.assertIn(caller.code, set(Code))
+        self.assertIn(caller.code, set(Code) - {Code.ENTRY_FAILED})
         self.assertTrue(caller.ended)
 
     @settings(derandomize=True, deadline=None)
