--- a/tests/test_promises_groups.py
+++ b/tests/test_promises_groups.py
@@ -11,11 +11,12 @@
 import msgspec
 
 from carawayhub.codes import Code
+from carawayhub.groups.decisions import Reason
 from carawayhub.groups.orders import RankState
 from carawayhub.standins.asks import Generate
 from carawayhub.standins.checker import Evidence, StepSample, check
 from carawayhub.standins.faults import LinkFault, RankFault
-from carawayhub.standins.fleet import to_json
+from carawayhub.standins.fleet import leaving_step, to_json
 from carawayhub.standins.fleetshape import FleetShape, LockStepShape, NodePlan
 from carawayhub.standins.records import Result
 from tests.processes import daemon_handle
@@ -319,7 +320,7 @@
 
         In a large fleet an entry keeps links with few agents. Here the entries have lost the one
         beside rank 0 when its engine dies. The other agent's engine answers; the agent must have
-        learnt from its mate that the group cannot step, and the entries from it.
+        learnt from the other that the group cannot step, and the entries from it.
         """
         silence = LinkFault(silent_to_target=True, silent_to_client=True)
         for node in self.fleet.plan.entries:
@@ -340,6 +341,19 @@
     async def _is(self, entry: str, endpoint: str, condition: str) -> bool:
         return await condition_at(self.fleet, entry, endpoint) == condition
 
+    async def test_group_that_drains_keeps_its_map(self) -> None:
+        """One endpoint of a group leaves, and experts are still moved onto its ranks.
+
+        The decider was started by an earlier version, in which the endpoint served.
+        """
+        await publish_everywhere(self.fleet, *leaving_step([self.follower]))
+
+        async def told() -> bool:
+            rows = (await self.fleet.status(self.leader))["groups"]
+            return bool(rows) and rows[0]["reason"] == Reason.DRAINING.value
+
+        await until(told, "the decider sees the group drain")
+
     async def test_changed_weight_leaves_the_group_in_routing(self) -> None:
         """Operators publish another weight for a group, and its callers are refused for a moment.
 
