Close a stand-in's listeners when its VM dies

Cause: the trace of a dying endpoint showed runs that were accepted after its death and never made a token. A stand-in whose task is cancelled does not come to its own shutdown, so its listeners stayed open in the shared event loop: it accepted connections and answered none. That is a silent endpoint and no dead one.

Stand-ins that are processes of their own are not concerned.

--- a/carawayhub/standins/web.py
+++ b/carawayhub/standins/web.py
@@ -274,10 +274,17 @@
         try:
             yield address_of(sock)
         finally:
+            _close_listeners(server)
             _abort_connections(server)
             server.should_exit = True
 
 
+def _close_listeners(server: uvicorn.Server) -> None:
+    """Accept nothing more: a server whose task is cancelled leaves its listeners open."""
+    for listener in server.servers:
+        listener.close()
+
+
 def _abort_connections(server: uvicorn.Server) -> None:
     for connection in list(server.server_state.connections):
         transport = getattr(connection, "transport", None)
