Replay recorded traces against stated outcomes

The observer of a local fleet no longer takes a process that starts again for another one, so a version that goes back over a restart is found, and looks at ready processes only. Callers give up where they are asked to wait longer than their deadline.

--- a/carawayhub/cli/definition.py
+++ b/carawayhub/cli/definition.py
@@ -182,6 +182,24 @@
     return reference.codes(_env(context), json_output)
 
 
+@app.command()
+def replay(
+    context: typer.Context,
+    trace: Annotated[Path, typer.Argument(help="File of the trace.", show_default=False)],
+    json_output: Json = False,
+    record: Annotated[
+        Path | None, typer.Option(help="Write the trace with its arrivals as they came.")
+    ] = None,
+) -> ExitStatus:
+    """Drive a local fleet through a recorded trace; exit 4 when an outcome is missed.
+
+    Example: carawayhub replay traces/saturday-surge.json
+    """
+    from carawayhub.cli import replay as replaying
+
+    return replaying.replay(_env(context), trace, json_output, record)
+
+
 @app.command()
 def demo(context: typer.Context) -> ExitStatus:
     """Run the main job in this one process: calls, a migration step, a VM that dies.
--- a/carawayhub/config/syntax.py
+++ b/carawayhub/config/syntax.py
@@ -141,6 +141,22 @@
     return _Decoder(held.file.name, text, span.line, problems).read(_values(root)[0], key.path())
 
 
+def read_object(file: ConfigFile, problems: list[Problem]) -> Object | None:
+    """Return the one object that a file of any other kind holds, None where it cannot be read.
+
+    What is wrong with its syntax is added to ``problems``.
+    """
+    problem = _unreadable(file)
+    if problem is None:
+        root = Parser(_LANGUAGE).parse(file.content).root_node
+        problem = _malformed(file, root)
+    if problem is not None:
+        problems.append(problem)
+        return None
+    read = _Decoder(file.name, file.content, 1, problems).read(_values(root)[0], "")
+    return read if isinstance(read, Object) else None
+
+
 def _unreadable(file: ConfigFile) -> Problem | None:
     if len(file.content) > MAX_FILE_BYTES:
         detail = f"it has {len(file.content)} bytes, more than {MAX_FILE_BYTES}"
@@ -273,7 +289,7 @@
         members: dict[str, Node] = {}
         for pair in _pairs(node):
             name = _key(pair, self._text)
-            inner = f"{path}.{name}"
+            inner = f"{path}.{name}" if path else name
             if name in members:
                 detail = "it stands earlier in this object too"
                 self._add(self._line(pair), inner, Code.CONFIG_DUPLICATE_KEY, detail)
--- a/carawayhub/local/fleet.py
+++ b/carawayhub/local/fleet.py
@@ -238,9 +238,7 @@
                 status = await self.status(name)
                 if status is not None and status.ready and status.version:
                     at = self._clock.monotonic()
-                    sample = VersionSample(
-                        f"{status.role}:{name}:{status.incarnation}", at, status.version
-                    )
+                    sample = VersionSample(f"{status.role}:{name}", at, status.version)
                     self.evidence.versions.append(sample)
             await anyio.sleep(SAMPLE_INTERVAL)
 
--- a/carawayhub/standins/callers.py
+++ b/carawayhub/standins/callers.py
@@ -51,7 +51,7 @@
         api_key: Key of its organisation.
         seeds: ``ip:port`` of entries that it knows from the start.
         failure_domain: Where it stands, empty to not say.
-        deadline_s: Time it allows for each attempt.
+        deadline_s: Time it allows for each attempt; when asked to wait longer it gives up.
         attempts: Most requests that it sends for a call.
         booking_service: Name of the service that takes bookings.
         keeps_times: Whether the time of each token is noted.
@@ -130,6 +130,8 @@
         )
         for attempt_number in range(self._options.attempts):
             if attempt_number:
+                if record.attempts[-1].retry_after > self._options.deadline_s:
+                    break
                 await self._pause(record.attempts[-1])
             addresses = await self.entries()
             entry = addresses[attempt_number % len(addresses)]
