Say of a process that answers unusably that its answer is unusable

Cause: status and audit said 'does not answer' of a process that had answered, with a status or a body that cannot be used. Run: tests/test_observation.py and tests/test_command.py pass, 13 tests.

--- a/carawayhub/cli/observation.py
+++ b/carawayhub/cli/observation.py
@@ -87,7 +87,7 @@
 def _closing(env: Environment, found: list[_Found]) -> ExitStatus:
     silent = [each for each in found if each.error]
     for each in silent:
-        env.stderr.write(f"carawayhub: {each.target} does not answer: {each.error}\n")
+        env.stderr.write(f"carawayhub: no usable answer from {each.target}: {each.error}\n")
     return ExitStatus.TARGET_UNREACHABLE if silent else ExitStatus.SUCCESS
 
 
