Tell callers how long a fleet that has just started distrusts their keys

Cause: on a fresh fleet no member remembers anything, so none counts towards the majority that vouches for a key, and the agent answered code 3013, waiting for a majority, with a second to wait. That looked as if a healthy fleet never found together; in truth its keys are in quarantine for the eleven minutes that a key may be sent again in. Ruled out: lost promises between agents, which all had come.

Where all have promised and a quarantine lasts, the agent now answers 3015 with the time that is left. Both codes mean unknown, so nothing that runs has changed.

--- a/carawayhub/agent/fence.py
+++ b/carawayhub/agent/fence.py
@@ -147,8 +147,7 @@
             return Refuse(Code.RUN_HOME_UNREACHABLE, RETRY_AFTER, f"its home is {where}")
         ground = self._grounds.ground(key)
         if ground is None:
-            missing = ", ".join(member.endpoint for member in self.missing()) or "a majority"
-            return Refuse(Code.RUN_HOME_UNREACHABLE, RETRY_AFTER, f"waiting for {missing}")
+            return self._unfounded()
         quarantine = ground - self._clock.monotonic()
         if quarantine > 0:
             return Refuse(Code.RUN_QUARANTINE, quarantine)
@@ -239,6 +238,20 @@
         until = own if latest is None else max(own, latest)
         return max(0.0, until - self._clock.monotonic())
 
+    def _unfounded(self) -> Refuse:
+        """Return why nothing vouches for a key.
+
+        Where all have promised, a majority lacks because the members have lost their memory, as
+        after a common start. Callers are told how long that lasts at least; told "unreachable",
+        each would ask again every second for minutes.
+        """
+        missing = ", ".join(member.endpoint for member in self.missing())
+        quarantine = self.quarantine()
+        if not missing and quarantine > 0:
+            return Refuse(Code.RUN_QUARANTINE, quarantine)
+        waiting = f"waiting for {missing or 'a majority'}"
+        return Refuse(Code.RUN_HOME_UNREACHABLE, RETRY_AFTER, waiting)
+
     def _promise(self, request: FenceRequest, ledger: Ledger) -> FenceAck:
         now = self._clock.monotonic()
         closed = self._closed.hear(request.sender, request.incarnation)
--- a/tests/test_promises_run_once.py
+++ b/tests/test_promises_run_once.py
@@ -15,6 +15,7 @@
 
 SCOPE = "service/booking"
 SHORT_MS = 1500
+LONG_S = 60.0
 MAY_HAVE_RUN = {
     Code.RUN_HOME_UNREACHABLE,
     Code.RUN_QUARANTINE,
@@ -217,6 +218,29 @@
         self.assertEqual([self.runs_of(visitor) for visitor in keys], [1] * len(keys))
 
 
+class FreshFleetTest(BookingTestCase):
+    """Agents that have all just started, as after a power cut."""
+
+    shape = FleetShape(failure_domains=("attica",), entries=1, engines=0, services=2)
+
+    async def test_caller_is_told_how_long_a_fresh_fleet_distrusts_its_key(self) -> None:
+        """All agents start with no memory, and a visitor's app sends a key with no ticket.
+
+        The key may have run before the start, so it is not run; the app must be told for how long
+        that is so, and not to try again each second for minutes.
+        """
+        answers: list[RawAnswer] = []
+
+        async def told() -> bool:
+            answers.append(await self.book("fresh", self.entries[0], "fresh-1"))
+            return bool(answers[-1].error["code"] == Code.RUN_QUARANTINE)
+
+        await until(told, "the agent names its quarantine")
+        self.assertEqual(answers[-1].error["outcome"], "unknown")
+        self.assertGreater(answers[-1].error["retry_after_s"], LONG_S)
+        self.assertEqual(self.runs_of("fresh"), 0)
+
+
 class CrashTest(BookingTestCase):
     """Agents that lose their memory; they distrust keys for long after, so the fleet is theirs."""
 
