Ask no model for an answer that the entry cannot read

Cause: a caller's accept-encoding went on to the engine. An engine that compresses for whoever accepts it would have had each answer refused as another request's (3004), since no event shows the id. Change: that header goes to plain services only. No engine that compresses was at hand; the stand-in does not.

--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -19,6 +19,7 @@
 from carawayhub.entry.relay import Relay
 from carawayhub.entry.replies import Reply, error_event, error_reply, send_reply
 from carawayhub.entry.runonce import RunOnce
+from carawayhub.entry.services import check_allowed, service_target
 from carawayhub.errors import RequestError
 from carawayhub.limits.admission import Admission
 from carawayhub.limits.query import AdmitQuery, Admitted
@@ -185,14 +186,15 @@
         cfg = self._ready_configuration()
         deadline = calls.deadline(req.headers, cfg, self._parts.clock)
         body = await calls.read_body(req.headers, req.receive)
+        target = self._target(cfg, req, body)
         call = Call(
             request_id=req.request_id,
             caller_id=req.caller_id,
             organisation=organisation,
-            target=self._target(cfg, req, body),
+            target=target,
             method=req.scope["method"],
             path=calls.sent_path(req.scope),
-            headers=tuple(req.scope["headers"]),
+            headers=calls.sent_headers(req.scope, target),
             body=body,
             deadline=deadline,
             key=calls.run_once_key(req.headers),
@@ -210,8 +212,8 @@
         """
         method, path = req.scope["method"], req.scope["path"]
         if method != "POST" or path not in MODEL_PATHS:
-            found = calls.service_target(cfg, method, path)
-            calls.check_allowed(found.service, req.organisation)
+            found = service_target(cfg, method, path)
+            check_allowed(found.service, req.organisation)
             return found
         target = calls.model_target(body)
         if target.model not in self._model_names:
--- a/carawayhub/entry/calls.py
+++ b/carawayhub/entry/calls.py
@@ -38,7 +38,6 @@
 LONGEST_LENGTH = 20
 MAX_TOKENS = 1_000_000
 USUAL_TOKENS = 256
-DOT_SEGMENTS = frozenset({".", ".."})
 
 _ID_PATTERN = re.compile(r"[A-Za-z0-9._:-]{1,64}\Z")
 
@@ -244,6 +243,20 @@
     return (path + b"?" + query if query else path).decode("ascii", "replace")
 
 
+def sent_headers(scope: Scope, target: Target) -> tuple[tuple[bytes, bytes], ...]:
+    """Return the headers as they came, those for an endpoint's answer aside that no entry can read.
+
+    The entry checks that each part of a model's answer is the request's own. An engine that
+    compresses for callers who accept it would seem to answer someone else's request, each time.
+    """
+    headers: list[tuple[bytes, bytes]] = scope["headers"]
+    match target:
+        case ModelTarget():
+            return tuple(each for each in headers if each[0] != b"accept-encoding")
+        case ServiceTarget():
+            return tuple(headers)
+
+
 def model_target(body: bytes) -> ModelTarget:
     """Return what a model call asks for.
 
@@ -255,34 +268,3 @@
     except (msgspec.DecodeError, RecursionError) as exc:
         raise RequestError(Code.BODY_MALFORMED, str(exc)) from exc
     return ModelTarget(fields.model, fields.stream, fields.tokens)
-
-
-def service_target(cfg: Configuration, method: str, path: str) -> ServiceTarget:
-    """Return the plain service and the rule that cover a call.
-
-    Raises:
-        RequestError: NOT_SERVED where no rule matches.
-    """
-    if not DOT_SEGMENTS.isdisjoint(path.split("/")):
-        # The service would resolve them: a path under a rule that lets a call be repeated could
-        # reach one that must run once.
-        raise RequestError(Code.NOT_SERVED, "send the path without '.' and '..'")
-    for service in cfg.services.values():
-        for route in service.routes:
-            if _matches(route, method, path):
-                return ServiceTarget(service, route)
-    raise RequestError(Code.NOT_SERVED, f"{method} {path}")
-
-
-def check_allowed(service: Service, organisation: str) -> None:
-    """Raise NOT_ALLOWED unless the organisation may use the service."""
-    if service.organisations and organisation not in service.organisations:
-        raise RequestError(Code.NOT_ALLOWED, service.name)
-
-
-def _matches(route: ServiceRoute, method: str, path: str) -> bool:
-    if route.method not in ("*", method):
-        return False
-    if route.path.endswith("*"):
-        return path.startswith(route.path[:-1])
-    return path == route.path
--- a/carawayhub/entry/runonce.py
+++ b/carawayhub/entry/runonce.py
@@ -21,9 +21,10 @@
 from carawayhub.config.model import Configuration, Organisation
 from carawayhub.constants import HOP_BY_HOP_HEADERS, TICKET_HEADER
 from carawayhub.entry.answer import Answer
-from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget, check_allowed
+from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget
 from carawayhub.entry.replies import Reply, json_reply
 from carawayhub.entry.reports import Reports
+from carawayhub.entry.services import check_allowed
 from carawayhub.errors import PeerError, RequestError
 from carawayhub.headers import as_bytes, as_text, without
 from carawayhub.peers.calls import CallClient
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -306,6 +306,17 @@
         """
         await self.refused(Caller("GET", "/slots/../bookings"), Code.NOT_SERVED)
 
+    async def test_a_model_is_asked_for_no_answer_that_the_entry_cannot_read(self) -> None:
+        """Every call of a caller whose library accepts compressed answers fails with 3004.
+
+        The engine compresses its answer, and no event seems to carry the id of the request.
+        """
+        headers = ((b"accept-encoding", b"gzip"), (b"x-other", b"1"))
+        await self.desk.ask(Caller(headers=headers))
+        self.assertEqual(self.desk.relay.calls[0].headers[1:], headers[1:])
+        await self.desk.ask(Caller("GET", "/slots/1", (b"",), headers))
+        self.assertEqual(self.desk.relay.calls[1].headers[1:], headers)
+
     async def test_latencies_are_measured_from_the_arrival_of_a_request(self) -> None:
         async def slow(call: Call, answer: Answer) -> None:
             self.desk.clock.advance(0.25)
