Keep an agent alive over odd counters and broken connections of its engine

Counters of another shape than the configuration declares raised ValueError in the policy and ended the agent; they are passed over with a warning, and the map is kept. A connection that breaks in the middle of a call may show as AttributeError from below the HTTP library, as the fault proxy met it; calls to ranks and engines take any failure as a lost answer.

--- a/carawayhub/agent/grouptask.py
+++ b/carawayhub/agent/grouptask.py
@@ -222,7 +222,7 @@
         self._draining = draining
         self._plan = plan
         self._reporter = reporter
-        self._counters = EngineCounters(plan.urls[0])
+        self._counters = EngineCounters(plan.urls[0], plan.group.layers, plan.group.experts)
 
     async def counters(self) -> ExpertCounters | None:
         """Return the newest counters, None where there are none.
--- a/carawayhub/agent/rank_client.py
+++ b/carawayhub/agent/rank_client.py
@@ -101,7 +101,9 @@
                 response = await self._pool.request(
                     method, self._url + path, headers=self._headers, content=body
                 )
-        except (httpcore.NetworkError, httpcore.ProtocolError, OSError, TimeoutError) as exc:
+        except Exception as exc:
+            # A connection that breaks in the middle of a call also shows as an AttributeError or a
+            # RuntimeError of the libraries below. It must not end the decider: it is a lost call.
             raise GroupError(Code.RANK_UNREACHABLE, f"rank {self._rank}: {exc!r}") from exc
         if response.status == 404:
             raise GroupError(Code.ORDER_REFUSED, f"rank {self._rank}: {path} not found")
--- a/carawayhub/endpoints/counters.py
+++ b/carawayhub/endpoints/counters.py
@@ -6,6 +6,7 @@
 
 import httpcore
 import msgspec
+from loguru import logger
 
 from carawayhub.endpoints.watch import read_endpoint
 from carawayhub.errors import PlatformError
@@ -13,22 +14,38 @@
 
 
 class EngineCounters:
-    """The counters of the engine at an HTTP address."""
+    """The counters of the engine at an HTTP address.
 
-    __slots__ = ("_pool", "_url")
+    Args:
+        url: Base of the address.
+        layers: Layers with experts that the configuration declares.
+        experts: Experts a layer that it declares.
+    """
 
-    def __init__(self, url: str) -> None:
+    __slots__ = ("_experts", "_layers", "_pool", "_url")
+
+    def __init__(self, url: str, layers: int, experts: int) -> None:
+        self._layers = layers
+        self._experts = experts
         self._url = url.rstrip("/") + "/experts/counters"
         self._pool = httpcore.AsyncConnectionPool(max_connections=1, keepalive_expiry=60)
 
     async def read(self) -> ExpertCounters | None:
         """Return the newest counters, None where there are none to be had."""
         try:
-            return msgspec.json.decode(
-                await read_endpoint(self._pool, self._url), type=ExpertCounters
-            )
+            body = await read_endpoint(self._pool, self._url)
+            found = msgspec.json.decode(body, type=ExpertCounters)
         except (PlatformError, msgspec.DecodeError):
             return None
+        shape = {len(row) for row in found.counts}
+        if len(found.counts) != self._layers or shape != {self._experts}:
+            logger.bind(url=self._url).warning(
+                "the counters are not of {} layers with {} experts as configured; the map is kept",
+                self._layers,
+                self._experts,
+            )
+            return None
+        return found
 
     async def close(self) -> None:
         """Close the connection."""
--- a/carawayhub/endpoints/watch.py
+++ b/carawayhub/endpoints/watch.py
@@ -97,7 +97,9 @@
     try:
         with anyio.fail_after(ANSWER_TIMEOUT):
             response = await pool.request("GET", url)
-    except (httpcore.NetworkError, httpcore.ProtocolError, OSError, TimeoutError) as exc:
+    except Exception as exc:
+        # A connection that breaks in the middle of a call also shows as an AttributeError or a
+        # RuntimeError of the libraries below. It must not end the agent: it is a lost answer.
         raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{url}: {exc!r}") from exc
     if response.status != OK_STATUS:
         raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{url}: status {response.status}")
--- a/tests/test_groups_agent.py
+++ b/tests/test_groups_agent.py
@@ -8,11 +8,14 @@
 from carawayhub.agent.checked_rank import CheckedRank
 from carawayhub.agent.grouptask import Seat, led_group
 from carawayhub.codes import Code
+from carawayhub.endpoints.counters import EngineCounters
 from carawayhub.entry.reports import Reports
 from carawayhub.errors import GroupError
 from carawayhub.groups.maps import ExpertMap, MapId
 from carawayhub.groups.orders import Order, RankState, Read, Reply, Term
 from carawayhub.peers.messages import ServingState
+from carawayhub.standins.options import RankOptions
+from carawayhub.standins.rankgroup import RankGroup
 from tests.routing_fakes import configuration, report
 
 
@@ -104,5 +107,22 @@
         self.assertIsNotNone(reports.serving(self.second, 1.0))
 
 
+class CountersTest(unittest.IsolatedAsyncioTestCase):
+    """Counters as an engine gives them."""
+
+    async def test_counters_of_another_shape_are_passed_over(self) -> None:
+        """A group is declared with the wrong number of experts, and its agent dies of it.
+
+        The engine counts eight experts in two layers. Where something else is declared the map is
+        kept and the log says why.
+        """
+        ranks = RankGroup(RankOptions(layers=2, experts=8, counter_lag_s=0.0, counter_loss=0.0))
+        async with ranks.serving("127.0.0.1:0") as address:
+            for layers, experts, fits in ((2, 8, True), (2, 9, False), (3, 8, False)):
+                counters = EngineCounters(f"http://{address}", layers, experts)
+                self.assertEqual(await counters.read() is not None, fits)
+                await counters.close()
+
+
 if __name__ == "__main__":
     unittest.main()
