Write the configuration of the application's tests as its users do

Cause: the fakes built each object of the configuration by hand. Change: it is a file, read by the product's own check; a model of another organisation is in it, so the list of models and the tickets are tested against it.

--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -1,9 +1,9 @@
 """An entry's application between a caller in memory and scripted endpoints; no sockets."""
 
-import hashlib
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from hashlib import sha256
 from typing import Any
 
 import anyio
@@ -11,17 +11,8 @@
 
 from carawayhub.agent.tickets import TicketOffice
 from carawayhub.clock import ManualClock
-from carawayhub.config.model import (
-    Configuration,
-    Endpoint,
-    EntryNode,
-    FleetOptions,
-    Limits,
-    ModelGroup,
-    Organisation,
-    Service,
-    ServiceRoute,
-)
+from carawayhub.config.check import load
+from carawayhub.config.files import ConfigFile
 from carawayhub.entry.answer import Answer
 from carawayhub.entry.app import EntryApp, EntryParts
 from carawayhub.entry.calls import Call
@@ -34,48 +25,37 @@
 from carawayhub.routing.directory import EntryDirectory
 
 KEY = "bar-key"
+DIGEST = sha256(KEY.encode()).hexdigest()
 CHAT = "/v1/chat/completions"
 ASK = b'{"model": "cat"}'
 
 Run = Callable[[Call, Answer], Awaitable[None]]
 
 
-def configuration() -> Configuration:
-    """Return one model, one service with a route of each kind and two organisations."""
-    routes = (
-        ServiceRoute(method="POST", path="/bookings", repeatable=False),
-        ServiceRoute(method="GET", path="/slots*", repeatable=True),
-    )
-    digest = hashlib.sha256(KEY.encode()).hexdigest()
-    place = {"failure_domain": "brest", "region": "west"}
-    return Configuration(
-        version=1,
-        digest="",
-        fleet=FleetOptions(),
-        entries={
-            "e1": EntryNode(name="e1", vm="e1", address="10.0.0.1:80", peer_address="", **place)
-        },
-        endpoints={
-            name: Endpoint(
-                name=name, vm=name, url="http://h", agent="10.0.0.9:1", provider="p", **place
-            )
-            for name in ("m1", "b1")
-        },
-        organisations={
-            "bar": Organisation(name="bar", key_digests=(digest,), limits=Limits(concurrency=1)),
-        },
-        groups={"cat": ModelGroup(name="cat", model="cat", endpoints=("m1",))},
-        services={
-            "booking": Service(name="booking", endpoints=("b1",), routes=routes),
-            "licence": Service(
-                name="licence",
-                endpoints=("b1",),
-                routes=(ServiceRoute(method="POST", path="/licences", repeatable=False),),
-                organisations=("other",),
-            ),
-        },
-        shares={},
-    )
+PLACE = '"failure_domain": "brest", "region": "west"'
+FILE = f"""{{
+  "entries": {{"e1": {{"address": "10.0.0.1:80", "peer_address": "10.0.0.1:70", {PLACE}}}}},
+  "endpoints": {{
+    "m1": {{"url": "http://10.0.0.2:80", "agent": "10.0.0.2:70", "provider": "p", {PLACE}}},
+    "m2": {{"url": "http://10.0.0.4:80", "agent": "10.0.0.4:70", "provider": "p", {PLACE}}},
+    "b1": {{"url": "http://10.0.0.3:80", "agent": "10.0.0.3:70", "provider": "p", {PLACE}}}
+  }},
+  "organisations": {{
+    "bar": {{"keys": ["sha256:{DIGEST}"], "limits": {{"concurrency": 1}}}},
+    "other": {{"keys": ["sha256:{'a' * 64}"]}}
+  }},
+  "groups": {{
+    "cat": {{"model": "cat", "endpoints": ["m1"]}},
+    "own": {{"model": "hidden", "endpoints": ["m2"], "organisations": ["other"]}}
+  }},
+  "services": {{
+    "booking": {{"endpoints": ["b1"], "routes": [
+      {{"method": "POST", "path": "/bookings", "repeatable": false}},
+      {{"method": "GET", "path": "/slots*", "repeatable": true}}]}},
+    "licence": {{"endpoints": ["b1"], "organisations": ["other"], "routes": [
+      {{"method": "POST", "path": "/licences", "repeatable": false}}]}}
+  }}
+}}"""
 
 
 class FakeRelay:
@@ -199,7 +179,7 @@
             self._confirmed,
         )
         self.app = EntryApp(self.parts)
-        self.cfg = configuration()
+        self.cfg = load((ConfigFile("base.json", FILE.encode()),), 1)
         for part in (self.admission, self.parts.retries, self.parts.directory, run_once, self.app):
             part.configure(self.cfg)  # type: ignore
         self.admission.tick()
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -1,7 +1,6 @@
 """What callers get from an entry: answers, numbered refusals, and an end to every request."""
 
 import unittest
-from dataclasses import replace
 
 import anyio
 import msgspec
@@ -10,7 +9,6 @@
 from loguru import logger
 
 from carawayhub.codes import Code
-from carawayhub.config.model import ModelGroup
 from carawayhub.constants import MAX_BODY_BYTES
 from carawayhub.entry import prompts
 from carawayhub.entry.answer import Answer
@@ -68,20 +66,14 @@
         self.assertEqual(caller.code, 0)
         self.assertEqual(len(found["entries"]), 1)
         self.assertEqual(found["keep_until"], self.desk.clock.wall() + found["ttl_s"])
+        self.assertEqual((await self.desk.ask(Caller("GET", "/v1/entries", (b"",)))).code, 0)
+        await self.refused(Caller("GET", "/v1/entries", (b"",), key="no"), Code.KEY_UNKNOWN)
 
     async def test_models_are_those_that_the_organisation_may_use(self) -> None:
-        group = ModelGroup(name="g", model="hidden", endpoints=("m1",), organisations=("other",))
-        cfg = replace(self.desk.cfg, groups={**self.desk.cfg.groups, "g": group})
-        self.desk.app.configure(cfg)
         caller = await self.desk.ask(Caller("GET", "/v1/models", (b"",)))
         rows = msgspec.json.decode(caller.parts)["data"]
         self.assertEqual([row["id"] for row in rows], ["cat"])
 
-    async def test_a_key_that_is_sent_must_be_known(self) -> None:
-        known = await self.desk.ask(Caller("GET", "/v1/entries", (b"",)))
-        self.assertEqual(known.code, 0)
-        await self.refused(Caller("GET", "/v1/entries", (b"",), key="no"), Code.KEY_UNKNOWN)
-
 
 class RefusalTest(AppTestCase):
     """Requests that are refused before anything is sent."""
@@ -178,6 +170,7 @@
             (b'{"service": "booking", "model": "cat"}', Code.BODY_MALFORMED),
             (b'{"service": "x"}', Code.NOT_SERVED),
             (b'{"service": "licence"}', Code.NOT_ALLOWED),
+            (b'{"model": "hidden"}', Code.NOT_ALLOWED),
             (b'{"model": "cat"}', Code.NO_ENDPOINT),
         ):
             with self.subTest(body):
