Test that the queue latency ends when the first byte goes out

The relay's fake endpoints refuse one connection and take half a second for the next; the time until then counts, and a run-once request has the latency as well. With the call taken out of the relay the test fails.

--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -17,6 +17,7 @@
 from carawayhub.errors import RequestError
 from carawayhub.output.metrics import Latency
 from tests.entry_fakes import ASK, CHAT, KEY, Caller, Desk
+from tests.relay_fakes import DONE, LAST_CHUNK, STREAM_HEAD, Bench, chunk, model_call
 
 
 def setUpModule() -> None:
@@ -332,6 +333,17 @@
         self.assertAlmostEqual(rows["whole"], 1750, delta=20)
         self.assertEqual(self.desk.counted(), {0: 1})
 
+    async def test_a_request_waits_until_its_first_byte_goes_out(self) -> None:
+        bench = Bench({"m1": [None], "m2": [[STREAM_HEAD + chunk(DONE) + LAST_CHUNK]]})
+        bench.network.on_connect = lambda: bench.clock.advance(0.5)
+        answer = Answer(bench.caller.send, "c", bench.clock)
+        arrived_at = bench.clock.monotonic()
+        await bench.relay.run(model_call(bench.clock), answer)
+        self.assertEqual(answer.dispatched_at, arrived_at + 0.5)
+        await self.desk.ask(Caller(**WITH_KEY))
+        found = {(row.name, row.latency) for row in self.desk.metrics.page().latencies}
+        self.assertIn(("booking", "queue"), found)
+
     async def test_a_caller_that_leaves_ends_its_request(self) -> None:
         """Callers that gave up keep their places until nobody else gets one.
 
