Meet endpoints by httpcore alone

Cause: the users want no transports or parsers beyond what libraries give. The data path had grown a network stream and a body parser of its own, some 490 lines, to save processor time for each token. Change: httpcore opens the connections and reads heads and bodies; what stays of ours is the list of idle connections and the time for which a read of a fast stream is put off.

--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -31,7 +31,7 @@
     MAX_BODY_BYTES,
     REQUEST_ID_HEADER,
 )
-from carawayhub.endpoints.upstream import Upstream, UpstreamRequest, UpstreamTimeouts
+from carawayhub.endpoints.upstream import ONE_REQUEST, Upstream, UpstreamRequest, UpstreamTimeouts
 from carawayhub.errors import PeerError, RequestError
 from carawayhub.fleet.pauses import PauseDetector
 from carawayhub.headers import as_bytes, as_text, without
@@ -265,6 +265,7 @@
         headers.append((b"content-length", b"%d" % len(req.body)))
         headers.append((REQUEST_ID_HEADER, req.request_id.encode()))
         headers.append((DEADLINE_HEADER, b"%d" % (left * 1000)))
+        headers.append(ONE_REQUEST)
         return UpstreamRequest(
             endpoint=self._endpoint,
             url=endpoint.url + req.path,
--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -10,31 +10,51 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import httpcore
 
 from carawayhub.codes import Code
-from carawayhub.endpoints.network import (
-    CONNECT_TIMEOUT,
-    KEEPALIVE_SECONDS,
-    Connect,
-    Connection,
-    StreamBody,
-    UpstreamTimeouts,
-)
-from carawayhub.endpoints.stream import EndpointStream
+from carawayhub.endpoints.body import StreamBody
 from carawayhub.errors import RequestError
 
-__all__ = ["Upstream", "UpstreamRequest", "UpstreamResponse", "UpstreamTimeouts"]
-
+CONNECT_TIMEOUT = 1.0
+KEEPALIVE_SECONDS = 15.0
 MAX_IDLE = 64
+ONE_REQUEST = (b"connection", b"close")
+"""Header that keeps a connection to one request.
+
+Guards against an answer that is delivered twice. The second copy would stay in the connection and
+be read as the answer to the next request. A model's answers show by their id whose they are, those
+of a plain service need not, so its connections carry one request each.
+"""
 
-NotSent = (httpcore.ConnectError, httpcore.ConnectTimeout)
+NotSent = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 Broken = (httpcore.NetworkError, httpcore.RemoteProtocolError, httpcore.LocalProtocolError)
 
 
+@dataclass(slots=True)
+class UpstreamTimeouts:
+    """Seconds of silence allowed on one request, changed as it proceeds.
+
+    Attributes:
+        values: The mapping that ``httpcore`` reads before each wait.
+    """
+
+    values: dict[str, float] = field(default_factory=dict)
+
+    @classmethod
+    def waiting(cls, seconds: float) -> "UpstreamTimeouts":
+        """Return the times that hold until the answer begins or comes whole."""
+        return cls({"connect": CONNECT_TIMEOUT, "read": seconds, "write": seconds, "pool": seconds})
+
+    def streaming(self, seconds: float) -> None:
+        """Allow ``seconds`` of silence between two parts of the answer."""
+        self.values["read"] = seconds
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamRequest:
     """What goes to an endpoint.
@@ -66,20 +86,27 @@
         headers: Headers in order.
     """
 
-    __slots__ = ("_conn", "headers", "status")
+    __slots__ = ("_response", "_timeouts", "headers", "status")
 
-    def __init__(self, conn: Connection, response: httpcore.Response) -> None:
-        self._conn = conn
+    def __init__(self, response: httpcore.Response, timeouts: UpstreamTimeouts) -> None:
+        self._response = response
+        self._timeouts = timeouts
         self.status = response.status
         self.headers = response.headers
 
     def aiter_stream(self) -> AsyncIterator[bytes]:
-        """Return the body part by part, as ``httpcore`` reads it."""
-        return self._conn.whole_body()
+        """Return the body part by part."""
+        return self._response.aiter_stream()
 
     def stream_body(self, silence: float, join: float) -> StreamBody:
-        """Return the body of a chunked answer to be read fast; see ``StreamBody``."""
-        return self._conn.stream_body(silence, join)
+        """Return the body of a stream.
+
+        Args:
+            silence: Seconds of silence after which the connection is given up.
+            join: Seconds for which small parts may be gathered, 0 for none.
+        """
+        self._timeouts.streaming(silence)
+        return StreamBody(self._response.aiter_stream(), join)
 
 
 class Upstream:
@@ -87,15 +114,17 @@
 
     Args:
         source: IP number to connect from, empty for any.
-        connect: Opens a connection.
+        backend: Opens connections; that of ``httpcore`` if None.
     """
 
-    __slots__ = ("_connect", "_idle", "_next_sweep", "_source")
+    __slots__ = ("_backend", "_idle", "_next_sweep", "_source")
 
-    def __init__(self, source: str = "", connect: Connect = EndpointStream.connect) -> None:
+    def __init__(
+        self, source: str = "", backend: httpcore.AsyncNetworkBackend | None = None
+    ) -> None:
         self._source = source
-        self._connect = connect
-        self._idle: dict[str, deque[Connection]] = {}
+        self._backend = backend
+        self._idle: dict[str, deque[httpcore.AsyncHTTPConnection]] = {}
         self._next_sweep = 0.0
 
     @asynccontextmanager
@@ -106,18 +135,18 @@
             RequestError: CONNECT_FAILED or ENDPOINT_LEAVING where no byte was sent; ANSWER_STALLED,
                 ANSWER_CUT where the endpoint may have run it.
         """
-        conn = await self._connection(req)
         guard = _SendGuard(req)
+        conn = await self._connection(req)
         try:
-            response = UpstreamResponse(conn, await conn.send(_request(req), guard.check))
+            response = await conn.handle_async_request(_request(req, guard))
             try:
-                yield response
-            except BaseException:
+                yield UpstreamResponse(response, req.timeouts)
+            finally:
                 with anyio.CancelScope(shield=True):
-                    await conn.close()
-                raise
-            if await conn.release():
-                await self._keep(req, conn)
+                    await response.aclose()
+            await self._keep(req, conn)
+        except NotSent as exc:
+            raise RequestError(Code.CONNECT_FAILED, req.endpoint, retry_after=1.0) from exc
         except httpcore.TimeoutException as exc:
             raise RequestError(Code.ANSWER_STALLED, f"{req.endpoint} went silent") from exc
         except Broken as exc:
@@ -129,31 +158,32 @@
         """Close all idle connections."""
         for idle in self._idle.values():
             for conn in idle:
-                await conn.close()
+                await conn.aclose()
         self._idle.clear()
 
-    async def _connection(self, req: UpstreamRequest) -> Connection:
+    async def _connection(self, req: UpstreamRequest) -> httpcore.AsyncHTTPConnection:
         idle = self._idle.get(_address(req))
         while idle:
             conn = idle.pop()
-            if conn.reusable:
+            if conn.is_available() and not conn.has_expired():
                 return conn
-            await conn.close()
-        origin = httpcore.URL(req.url).origin
-        try:
-            stream = await self._connect(
-                origin.host.decode("ascii"), origin.port, self._source, CONNECT_TIMEOUT
-            )
-        except NotSent as exc:
-            raise RequestError(Code.CONNECT_FAILED, req.endpoint, retry_after=1.0) from exc
-        return Connection(origin, stream)
-
-    async def _keep(self, req: UpstreamRequest, conn: Connection) -> None:
-        """Keep a connection for the next request to the same address."""
+            await conn.aclose()
+        return httpcore.AsyncHTTPConnection(
+            origin=httpcore.URL(req.url).origin,
+            keepalive_expiry=KEEPALIVE_SECONDS,
+            local_address=self._source or None,
+            network_backend=self._backend,
+        )
+
+    async def _keep(self, req: UpstreamRequest, conn: httpcore.AsyncHTTPConnection) -> None:
+        """Keep a connection whose answer ended whole for the next request to the same address."""
+        if not conn.is_idle():
+            await conn.aclose()
+            return
         idle = self._idle.setdefault(_address(req), deque())
         idle.append(conn)
         if len(idle) > MAX_IDLE:
-            await idle.popleft().close()
+            await idle.popleft().aclose()
         await self._sweep()
 
     async def _sweep(self) -> None:
@@ -163,8 +193,8 @@
             return
         self._next_sweep = now + KEEPALIVE_SECONDS
         for address, idle in list(self._idle.items()):
-            while idle and not idle[0].reusable:
-                await idle.popleft().close()
+            while idle and idle[0].has_expired():
+                await idle.popleft().aclose()
             if not idle:
                 del self._idle[address]
 
@@ -174,13 +204,13 @@
     return req.url.split("/", 3)[2]
 
 
-def _request(req: UpstreamRequest) -> httpcore.Request:
+def _request(req: UpstreamRequest, guard: "_SendGuard") -> httpcore.Request:
     return httpcore.Request(
         req.method,
         req.url,
         headers=req.headers,
         content=req.body,
-        extensions={"timeout": req.timeouts.values},
+        extensions={"timeout": req.timeouts.values, "trace": guard.trace},
     )
 
 
@@ -199,6 +229,11 @@
         self._req = req
         self.sent = False
 
+    async def trace(self, event: str, info: dict[str, Any]) -> None:
+        """Take an event of ``httpcore``; look at the permit at the first byte alone."""
+        if event == "http11.send_request_headers.started":
+            self.check()
+
     def check(self) -> None:
         """Raise where the endpoint may take no new work, else note that the request goes out."""
         if not self._req.still_allowed():
--- a/carawayhub/entry/relay.py
+++ b/carawayhub/entry/relay.py
@@ -20,6 +20,7 @@
     STREAM_TYPE,
 )
 from carawayhub.endpoints.upstream import (
+    ONE_REQUEST,
     Upstream,
     UpstreamRequest,
     UpstreamResponse,
@@ -235,15 +236,10 @@
         assert self._cfg is not None
         fleet = self._cfg.fleet
         passage = Passage(call, answer, check, response, self._clock, self._metrics)
-        if _is_chunked(response):
-            body = response.stream_body(fleet.stream_stall, fleet.join_window)
-            while data := await body.read():
-                self._router.progress(attempt.token)
-                await passage.send(data)
-        else:
-            async for data in response.aiter_stream():
-                self._router.progress(attempt.token)
-                await passage.send(data)
+        body = response.stream_body(fleet.stream_stall, fleet.join_window)
+        while data := await body.read():
+            self._router.progress(attempt.token)
+            await passage.send(data)
         if not check.ended:
             # The connection ended in good order but the stream did not: the endpoint gave up on
             # it. Ended here, the caller would take a short answer for a whole one.
@@ -274,6 +270,8 @@
         headers.append((REQUEST_ID_HEADER, call.request_id.encode()))
         headers.append((DEADLINE_HEADER, b"%d" % (left * 1000)))
         headers.append((PRIORITY_HEADER, b"%d" % call.organisation.priority))
+        if isinstance(call.target, ServiceTarget):
+            headers.append(ONE_REQUEST)
         if offset:
             headers.append((RESUME_HEADER, b"%d" % offset))
         return UpstreamRequest(
@@ -332,13 +330,6 @@
     )
 
 
-def _is_chunked(response: UpstreamResponse) -> bool:
-    return any(
-        name.lower() == b"transfer-encoding" and value.lower() == b"chunked"
-        for name, value in response.headers
-    )
-
-
 async def _read_whole(response: UpstreamResponse) -> bytes:
     parts: list[bytes] = []
     size = 0
