Bound the heads of requests that the HTTP server keeps

Cause: httptools keeps a header for as long as it grows. Anybody, without a key, could fill the memory of an entry: 30 MiB of one header made a process grow by 61 MiB, and nothing ended it. Change: a head of more than 64 KiB, the read in which it begins not counted, is answered 400 and the connection closed.

--- a/carawayhub/http.py
+++ b/carawayhub/http.py
@@ -8,12 +8,14 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from carawayhub.addresses import Address
 from carawayhub.codes import Code
 from carawayhub.errors import CommandError
 
 BACKLOG = 512
+MAX_HEAD_BYTES = 65_536
 
 
 def bind(address: Address) -> socket.socket:
@@ -50,7 +52,7 @@
     def __init__(self, app: Any, sock: socket.socket) -> None:
         cfg = uvicorn.Config(
             app,
-            http="httptools",
+            http=_BoundedHeads,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -73,6 +75,40 @@
         self._server.leave()
 
 
+class _BoundedHeads(HttpToolsProtocol):
+    """HTTP/1.1 whose requests have heads of bounded size.
+
+    Guards against a peer, which needs no key for it, that sends a header without end: ``httptools``
+    keeps all of it, and the process would run out of memory before it could refuse anything. The
+    read in which a head begins is not counted, since it may hold the body before; one read is at
+    most 256 KiB.
+    """
+
+    _in_head = False
+    _head_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Take what one read brought; close the connection when its head is too large."""
+        begun = self._in_head
+        super().data_received(data)
+        if not (begun and self._in_head) or self.transport.is_closing():
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.send_400_response("The head of the request is too large.")
+
+    def on_message_begin(self) -> None:
+        """Note that a head begins."""
+        self._in_head = True
+        self._head_bytes = 0
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        """Note that the head has ended."""
+        self._in_head = False
+        super().on_headers_complete()
+
+
 class _EmbeddedServer(uvicorn.Server):
     """A server that leaves the process's signals alone and sleeps until it is to stop.
 
