Keep an agent and its ledger through an unforeseen fault of one run

Cause: an error that no library documents, raised while a run was sent, would have passed the task of the run and ended the agent with the memory of all its runs. Found by reading, in a review. Change: such a fault makes that one run's outcome unknown and is logged. A model's answer of JSON without end counts as no JSON.

--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -243,6 +243,11 @@
             if exc.outcome is Outcome.NOT_RUN:
                 return NotRun(int(exc.code))
             return OutcomeUnknown(int(exc.code))
+        except Exception as exc:
+            # A fault of our own in one run must not end the agent: its whole ledger would be lost,
+            # and the outcome of everything it ran unknown.
+            logger.bind(request=req.request_id).opt(exception=exc).error("run failed unexpectedly")
+            return OutcomeUnknown(int(Code.ENDPOINT_ERROR))
 
     async def _send(self, req: RunRequest, limit: float, deadline: float) -> RunResult:
         async with self._upstream.open(self._request(req, limit, deadline)) as response:
--- a/carawayhub/entry/relay.py
+++ b/carawayhub/entry/relay.py
@@ -365,7 +365,7 @@
         return
     try:
         found = msgspec.json.decode(body, type=_AnswerId).id
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, RecursionError) as exc:
         raise RequestError(Code.ENDPOINT_ERROR, "the model's answer is no JSON") from exc
     if call.request_id not in found:
         raise RequestError(Code.ANSWER_MIXED, "the answer's id names another request")
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -260,6 +260,11 @@
     return 20_000 + NAMES.index(name)
 
 
+def service_configuration() -> Configuration:
+    """Return the configuration of the bench, for an agent of one of its endpoints."""
+    return _configuration(False, 0.0)
+
+
 def _configuration(resumes: bool, join: float) -> Configuration:
     route = ServiceRoute(method="GET", path="/slots", repeatable=True)
     return Configuration(
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,125 @@
+"""The gate of run-once requests when the way to the endpoint fails in unforeseen ways."""
+
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+from carawayhub.agent.begin import Refuse
+from carawayhub.agent.gate import Gate
+from carawayhub.agent.ledger import Ledger
+from carawayhub.agent.messages import LookUp, LookUpReply, Member, RunKey
+from carawayhub.agent.reporter import Reporter
+from carawayhub.agent.tickets import Epochs, TicketOffice
+from carawayhub.clock import ManualClock
+from carawayhub.codes import Code
+from carawayhub.endpoints.ports import CacheChange, Load
+from carawayhub.endpoints.upstream import Upstream, UpstreamRequest, UpstreamResponse
+from carawayhub.fleet.pauses import PauseDetector
+from carawayhub.output.audit import AuditTrail
+from carawayhub.output.logs import quiet_logs
+from carawayhub.peers.messages import RunRequest
+from carawayhub.platform.ports import VmList
+from tests.relay_fakes import NAMES, service_configuration
+
+NAME = NAMES[0]
+
+
+def setUpModule() -> None:
+    quiet_logs()
+
+
+class FaultyUpstream(Upstream):
+    """Fails in a way that no library documents, or not at all."""
+
+    @asynccontextmanager
+    async def open(self, req: UpstreamRequest) -> AsyncIterator[UpstreamResponse]:
+        req.still_allowed()
+        raise AttributeError("'Connection' object has no attribute '_transport'")
+        yield
+
+
+class OpenRules:
+    """Lets every key be begun here."""
+
+    def admit(self, key: RunKey) -> Refuse | None:
+        return None
+
+    def keep_until(self, key: RunKey) -> float:
+        return 1e9
+
+    async def ask(self, question: LookUp) -> LookUpReply:
+        raise AssertionError("nobody else runs keys here")
+
+
+class Watch:
+    """An endpoint that answers."""
+
+    async def load(self) -> Load:
+        return Load()
+
+    async def cache_changes(self, after: int) -> tuple[CacheChange, ...]:
+        return ()
+
+
+def run_request(key: str) -> RunRequest:
+    return RunRequest(
+        request_id="r1",
+        organisation="bar",
+        target="service/booking",
+        key=key,
+        ticket="",
+        version=1,
+        stamp=1,
+        method="POST",
+        path="/bookings",
+        headers=(),
+        body=b"{}",
+        remaining=5.0,
+    )
+
+
+class GateTest(unittest.IsolatedAsyncioTestCase):
+    """One agent's gate over a faulty way to its endpoint."""
+
+    async def test_an_unforeseen_fault_leaves_the_agent_and_its_ledger(self) -> None:
+        """Everything that an agent ran becomes unknown at once.
+
+        One run fails inside a library in a way that nothing expects. The error passed the task
+        that carried the run, ended the process and with it the memory of all other runs.
+        """
+        clock = ManualClock(100.0)
+        member = Member(NAME, "127.0.0.1:1")
+        ledger = Ledger(clock, member, 7)
+        reporter = Reporter(NAME, "vm", 7, clock, AuditTrail("agent", clock), lambda: None)
+        async with anyio.create_task_group() as tasks:
+            gate = Gate(
+                clock,
+                NAME,
+                ledger,
+                Epochs(clock, NAME, 7),
+                TicketOffice("a key of the test fleet"),
+                OpenRules(),
+                reporter,
+                PauseDetector(clock),
+                FaultyUpstream(),
+                tasks,
+            )
+            cfg = service_configuration()
+            gate.configured(cfg)
+            reporter.configured(cfg)
+            reporter.listed(VmList(number=1, vms=()))
+            with anyio.move_on_after(5.0):
+                tasks.start_soon(reporter.poll, Watch())
+                while reporter.reason:
+                    await anyio.lowlevel.checkpoint()
+            first = await gate.run("entry", run_request("k"))
+            again = await gate.run("entry", run_request("k"))
+            tasks.cancel_scope.cancel()
+        self.assertEqual((first.code, again.code), (Code.ENDPOINT_ERROR, Code.ENDPOINT_ERROR))
+        self.assertEqual(ledger.running(), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
