Hold run-once answers of models to the id of their request

The relay checks the id within a model's answer; the gate checked the header only, which need not be there.

--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -5,10 +5,12 @@
 from typing import Protocol
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 from loguru import logger
 
 from carawayhub.agent.begin import Ask, Refuse, Replay, Run, Wait
+from carawayhub.agent.keyset import model_scope
 from carawayhub.agent.ledger import Ledger
 from carawayhub.agent.messages import (
     Answer,
@@ -40,6 +42,7 @@
 GRACE = 30.0
 """Seconds past its deadline for which a run may go on, so that a repeated key finds its answer."""
 
+OK_STATUS = 200
 LOOK_UPS = 4
 RETRY_AFTER = 1.0
 _DROPPED_FROM_ANSWER = HOP_BY_HOP_HEADERS | {b"content-length"}
@@ -49,6 +52,12 @@
 }
 
 
+class _AnswerId(msgspec.Struct):
+    """The part of a model's whole answer that names its request."""
+
+    id: str = ""
+
+
 class KeyRules(Protocol):
     """What decides whether a key without a record may be begun at this agent."""
 
@@ -258,6 +267,7 @@
                 if len(body) > MAX_BODY_BYTES:
                     return OutcomeUnknown(int(Code.ENDPOINT_ERROR))
         _check_id(req, headers)
+        _check_body(req, response.status, body)
         return Answer(response.status, headers, body)
 
     def _request(self, req: RunRequest, limit: float, deadline: float) -> UpstreamRequest:
@@ -293,6 +303,23 @@
             raise RequestError(Code.ANSWER_MIXED, "the answer's header names another request")
 
 
+def _check_body(req: RunRequest, status: int, body: bytes) -> None:
+    """Refuse a model's answer that does not repeat the id of its request.
+
+    Guards against an answer that was crossed with another one on its way, which need not carry the
+    header: with what an engine answers to a poll of its load a caller would hold no answer at all
+    and take it for the whole one.
+    """
+    if status != OK_STATUS or not req.target.startswith(model_scope("")):
+        return
+    try:
+        found = msgspec.json.decode(body, type=_AnswerId).id
+    except msgspec.DecodeError as exc:
+        raise RequestError(Code.ENDPOINT_ERROR, "the model's answer is no JSON") from exc
+    if req.request_id not in found:
+        raise RequestError(Code.ANSWER_MIXED, "the answer's id names another request")
+
+
 def _answered(req: RunRequest, answer: Answer, replayed: bool) -> RunReply:
     return RunReply(
         request_id=req.request_id,
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 
 import anyio
+import msgspec
 
 from carawayhub.agent.begin import Refuse
 from carawayhub.agent.gate import Gate
@@ -40,6 +41,31 @@
         yield
 
 
+class OneAnswer:
+    """A whole answer with status 200."""
+
+    status = 200
+    headers = ()
+
+    def __init__(self, body: bytes) -> None:
+        self._body = body
+
+    async def aiter_stream(self) -> AsyncIterator[bytes]:
+        yield self._body
+
+
+class AnsweringUpstream(Upstream):
+    """Gives the same answer to each request."""
+
+    def __init__(self, body: bytes) -> None:
+        super().__init__()
+        self._body = body
+
+    @asynccontextmanager
+    async def open(self, req: UpstreamRequest) -> AsyncIterator[OneAnswer]:  # type: ignore
+        yield OneAnswer(self._body)
+
+
 class OpenRules:
     """Lets every key be begun here."""
 
@@ -80,6 +106,37 @@
     )
 
 
+@asynccontextmanager
+async def open_gate(upstream: Upstream) -> AsyncIterator[Gate]:
+    """Give the gate of an agent whose endpoint answers polls."""
+    clock = ManualClock(100.0)
+    ledger = Ledger(clock, Member(NAME, "127.0.0.1:1"), 7)
+    reporter = Reporter(NAME, "vm", 7, clock, AuditTrail("agent", clock), lambda: None)
+    async with anyio.create_task_group() as tasks:
+        gate = Gate(
+            clock,
+            NAME,
+            ledger,
+            Epochs(clock, NAME, 7),
+            TicketOffice("a key of the test fleet"),
+            OpenRules(),
+            reporter,
+            PauseDetector(clock),
+            upstream,
+            tasks,
+        )
+        cfg = service_configuration()
+        gate.configured(cfg)
+        reporter.configured(cfg)
+        reporter.listed(VmList(number=1, vms=()))
+        with anyio.move_on_after(5.0):
+            tasks.start_soon(reporter.poll, Watch())
+            while reporter.reason:
+                await anyio.lowlevel.checkpoint()
+        yield gate
+        tasks.cancel_scope.cancel()
+
+
 class GateTest(unittest.IsolatedAsyncioTestCase):
     """One agent's gate over a faulty way to its endpoint."""
 
@@ -89,36 +146,29 @@
         One run fails inside a library in a way that nothing expects. The error passed the task
         that carried the run, ended the process and with it the memory of all other runs.
         """
-        clock = ManualClock(100.0)
-        member = Member(NAME, "127.0.0.1:1")
-        ledger = Ledger(clock, member, 7)
-        reporter = Reporter(NAME, "vm", 7, clock, AuditTrail("agent", clock), lambda: None)
-        async with anyio.create_task_group() as tasks:
-            gate = Gate(
-                clock,
-                NAME,
-                ledger,
-                Epochs(clock, NAME, 7),
-                TicketOffice("a key of the test fleet"),
-                OpenRules(),
-                reporter,
-                PauseDetector(clock),
-                FaultyUpstream(),
-                tasks,
-            )
-            cfg = service_configuration()
-            gate.configured(cfg)
-            reporter.configured(cfg)
-            reporter.listed(VmList(number=1, vms=()))
-            with anyio.move_on_after(5.0):
-                tasks.start_soon(reporter.poll, Watch())
-                while reporter.reason:
-                    await anyio.lowlevel.checkpoint()
+        async with open_gate(FaultyUpstream()) as gate:
             first = await gate.run("entry", run_request("k"))
             again = await gate.run("entry", run_request("k"))
-            tasks.cancel_scope.cancel()
         self.assertEqual((first.code, again.code), (Code.ENDPOINT_ERROR, Code.ENDPOINT_ERROR))
-        self.assertEqual(ledger.running(), 0)
+        self.assertEqual(gate._ledger.running(), 0)
+
+    async def test_answer_without_the_id_of_its_request_is_refused(self) -> None:
+        """A mood tag came back empty and was taken for whole.
+
+        Something between agent and engine crosses two answers. A run-once request gets what the
+        engine answered to a poll of its load, which has status 200 and no header with an id.
+        """
+        req = msgspec.structs.replace(run_request("k"), target="model/assistant")
+        cases = {
+            b'{"running": 1}': Code.ANSWER_MIXED,
+            b'{"id": "other"}': Code.ANSWER_MIXED,
+            b"no JSON": Code.ENDPOINT_ERROR,
+            b'{"id": "cmpl-r1"}': Code.OK,
+        }
+        for body, code in cases.items():
+            with self.subTest(body):
+                async with open_gate(AnsweringUpstream(body)) as gate:
+                    self.assertEqual((await gate.run("entry", req)).code, code)
 
 
 if __name__ == "__main__":
