--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -11,9 +11,8 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
+from benchmarks.capacity_counts import PLANNED, TODAY
 from benchmarks.capacity_model import (
-    PLANNED,
-    TODAY,
     Slopes,
     Term,
     Total,
--- a/benchmarks/links.py
+++ b/benchmarks/links.py
@@ -9,16 +9,13 @@
 """
 
 import json
-import socket
 import statistics
-import struct
 import subprocess
 import sys
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import asdict, dataclass
-from pathlib import Path
 from random import Random
 
 import anyio
@@ -26,6 +23,7 @@
 
 from benchmarks.link_parts import LONG, SEED, Side, expect, make_side
 from benchmarks.link_side import HOST, usage
+from benchmarks.tcp_counters import tcp_totals
 from carawayhub.addresses import Address
 from carawayhub.clock import SystemClock
 from carawayhub.peers.links import Link, Peer
@@ -44,9 +42,6 @@
 OPENED = 50
 MEMORY_LINKS = (0, 50, 100, 200)
 SEGMENT_HEADERS = 52
-TCP_INFO_LENGTH = 144
-TCP_INFO_COUNTERS = struct.Struct("<QQII")
-COUNTERS_AT = 120
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +164,7 @@
 
     def read(self) -> Sample:
         """Return the totals up to now."""
-        sent, received, segments = _tcp_totals(self.process.port)
+        sent, received, segments = tcp_totals(self.process.port)
         spent = self.process.ask()
         return Sample(
             time.process_time(),
@@ -366,36 +361,6 @@
     )
 
 
-def _tcp_totals(port: int) -> tuple[int, int, int]:
-    """Return bytes sent, bytes received and segments of this process's sockets to a port."""
-    sent = received = segments = 0
-    for fd in Path("/proc/self/fd").iterdir():
-        counters = _counters(int(fd.name), port)
-        if counters is not None:
-            sent += counters[0]
-            received += counters[1]
-            segments += counters[2] + counters[3]
-    return sent, received, segments
-
-
-def _counters(fd: int, port: int) -> tuple[int, int, int, int] | None:
-    try:
-        sock = socket.socket(fileno=fd)
-    except OSError:
-        return None
-    try:
-        if sock.family != socket.AF_INET or sock.getpeername()[1] != port:
-            return None
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_LENGTH)
-    except OSError:
-        return None
-    finally:
-        # The number belongs to the link that is measured, which closes it.
-        sock.detach()
-    sent, received, out, into = TCP_INFO_COUNTERS.unpack_from(info, COUNTERS_AT)
-    return sent, received, out, into
-
-
 def main(argv: list[str]) -> int:
     """Print the rows as a table, or as JSON with ``--json``."""
     rows = run()
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -4,7 +4,8 @@
 from dataclasses import replace
 
 from benchmarks.capacity import PAGE, compare, read_page
-from benchmarks.capacity_model import AGENT, ENTRY, LEADER, PLANNED, TODAY, WATCHER, Total
+from benchmarks.capacity_counts import PLANNED, TODAY
+from benchmarks.capacity_model import AGENT, ENTRY, LEADER, WATCHER, Total
 
 
 class PageTest(unittest.TestCase):
