Try the only endpoint again, and never call a begun answer not run

Cause: after a silent kept connection a model with one endpoint was refused, since the endpoint counted as tried although only a connection had failed. And when the resumption of a begun stream could not connect, the event that ends the stream said 'not run' of a request that had run. Both were found by the proofs with real processes and by the traces. Change: where no untried endpoint is left any is chosen again, within the same retry budget; the event of a begun answer says 'unknown'.

--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -234,7 +234,9 @@
             if not answer.started:
                 raise
             logger.bind(code=int(exc.code)).warning("answer cut: {}", exc)
-            await answer.part(error_event(exc))
+            # Whatever the code says of the attempt that failed last: a part of the answer is out,
+            # so the request did run.
+            await answer.part(error_event(exc.unvouched()))
             raise AnswerBrokenOff(str(exc)) from exc
         finally:
             # A caller that left before the first byte says nothing against the endpoint, and one
--- a/carawayhub/entry/relay.py
+++ b/carawayhub/entry/relay.py
@@ -122,6 +122,7 @@
         """
         tried: frozenset[str] = frozenset()
         failure: RequestError | None = None
+        attempts = 0
         while True:
             endpoint = self._choose(call, tried, failure)
             try:
@@ -129,7 +130,8 @@
             except RequestError as exc:
                 failure = _worse(failure, exc)
                 tried |= {endpoint}
-                await self._before_retry(call, answer, exc, failure, len(tried))
+                attempts += 1
+                await self._before_retry(call, answer, exc, failure, attempts)
                 logger.bind(request=call.request_id, endpoint=endpoint, code=int(exc.code)).info(
                     "attempt failed, trying another endpoint"
                 )
@@ -137,12 +139,24 @@
             return
 
     def _choose(self, call: Call, tried: frozenset[str], failure: RequestError | None) -> str:
+        """Return the endpoint for the next attempt: one that was not tried, else any.
+
+        What failed may be one connection and not the endpoint: something between the two ends may
+        have lost track of it while new connections work. Where an endpoint is the only one left it
+        is so tried again, on a new connection and within the same budget.
+        """
+        query = _query(call)
+        try:
+            return self._router.choose(query, tried).endpoint
+        except RequestError:
+            if failure is None:
+                raise
         try:
-            return self._router.choose(_query(call), tried).endpoint
+            return self._router.choose(query).endpoint
         except RequestError as exc:
             # An attempt that may have run makes the whole request unknown: "not run" would be a
             # lie although the router itself dispatched nothing this time.
-            raise (failure or exc) from exc
+            raise failure from exc
 
     async def _before_retry(
         self, call: Call, answer: Answer, exc: RequestError, worst: RequestError, attempts: int
--- a/tests/test_relay_answers.py
+++ b/tests/test_relay_answers.py
@@ -208,6 +208,18 @@
         await bench.run()
         self.assertEqual(bench.caller.body, WHOLE_BODY)
 
+    async def test_the_only_endpoint_is_tried_again_on_a_new_connection(self) -> None:
+        """The caller of a model with one endpoint is refused although the endpoint is well.
+
+        Its kept connection went silent for good while new ones work. The endpoint counted as tried
+        and was left out, so that none was left.
+        """
+        bench = Bench({"m1": [[Silence()], [STREAM_HEAD, chunk(event(0)) + END]], "m2": []})
+        bench.report("m2", ServingState.LEAVING)
+        await bench.run()
+        self.assertEqual(bench.caller.body, event(0) + DONE)
+        self.assertEqual(len(bench.network.connects), 2)
+
     async def test_refused_everywhere_is_answered_as_not_run(self) -> None:
         """Both endpoints refuse the connection: nothing was sent, and the caller is told so."""
         bench = Bench({"m1": [None] * 4, "m2": [None] * 4})
