--- a/carawayhub/entry/relay.py
+++ b/carawayhub/entry/relay.py
@@ -141,21 +141,23 @@
     def _choose(self, call: Call, tried: frozenset[str], failure: RequestError | None) -> str:
         """Return the endpoint for the next attempt: one that was not tried, else any.
 
-        What failed may be one connection and not the endpoint: something between the two ends may
-        have lost track of it while new connections work. Where an endpoint is the only one left it
-        is so tried again, on a new connection and within the same budget.
+        What went silent may be one connection and not the endpoint: something between the two ends
+        may have lost track of it while new connections work. Where a silent endpoint is the only
+        one left it is so tried again, on a new connection and within the same budget.
         """
         query = _query(call)
         try:
             return self._router.choose(query, tried).endpoint
-        except RequestError:
+        except RequestError as exc:
             if failure is None:
                 raise
+            # An attempt that may have run makes the whole request unknown: "not run" would be a
+            # lie although the router itself dispatched nothing this time.
+            if failure.code is not Code.ANSWER_STALLED:
+                raise failure from exc
         try:
             return self._router.choose(query).endpoint
         except RequestError as exc:
-            # An attempt that may have run makes the whole request unknown: "not run" would be a
-            # lie although the router itself dispatched nothing this time.
             raise failure from exc
 
     async def _before_retry(
