Read JSON answers of platform and endpoints in one place

Cause: the decoding of an answer, with its numbered error, stood word for word in the platform's client and in the endpoints' watch. Change: one function that both call; behaviour is the same.

--- a/carawayhub/endpoints/watch.py
+++ b/carawayhub/endpoints/watch.py
@@ -5,7 +5,6 @@
 """
 
 from enum import Enum
-from typing import Any
 
 import anyio
 import httpcore
@@ -14,6 +13,7 @@
 from carawayhub.codes import Code
 from carawayhub.endpoints.ports import CacheChange, Load
 from carawayhub.errors import PlatformError
+from carawayhub.platform.answers import decode_answer
 
 ANSWER_TIMEOUT = 1.0
 OK_STATUS = 200
@@ -46,11 +46,13 @@
 
     async def load(self) -> Load:
         """Return the engine's load."""
-        return _decode(await self._get("/load"), Load)
+        return decode_answer(await self._get("/load"), Load)
 
     async def cache_changes(self, after: int) -> tuple[CacheChange, ...]:
         """Return changes of the prefix cache numbered above ``after``."""
-        page: _EventPage = _decode(await self._get(f"/cache/events?after={after}"), _EventPage)
+        page: _EventPage = decode_answer(
+            await self._get(f"/cache/events?after={after}"), _EventPage
+        )
         return tuple(
             CacheChange(event.number, event.kind is _EventKind.ADDED, event.block)
             for event in page.events
@@ -104,10 +106,3 @@
     if response.status != OK_STATUS:
         raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{url}: status {response.status}")
     return response.content
-
-
-def _decode(body: bytes, kind: Any) -> Any:
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as exc:
-        raise PlatformError(Code.PLATFORM_MALFORMED, str(exc)) from exc
--- a/carawayhub/platform/client.py
+++ b/carawayhub/platform/client.py
@@ -1,14 +1,13 @@
 """The platform's services over HTTP."""
 
 import hashlib
-from typing import Any
 
 import anyio
 import httpcore
-import msgspec
 
 from carawayhub.codes import Code
 from carawayhub.errors import PlatformError
+from carawayhub.platform.answers import decode_answer
 from carawayhub.platform.ports import PublishedManifest, VmList
 
 OK_STATUS = 200
@@ -39,7 +38,7 @@
     async def manifest(self, after: int, wait: float) -> PublishedManifest:
         """Return the published version; see ``ConfigurationService``."""
         body = await self._get(f"/config/manifest?after={after}&wait={wait:g}", wait)
-        return _decode(body, PublishedManifest)
+        return decode_answer(body, PublishedManifest)
 
     async def file(self, digest: str) -> bytes:
         """Return the content of a file; see ``ConfigurationService``."""
@@ -51,7 +50,7 @@
     async def vms(self, after: int, wait: float) -> VmList:
         """Return the list of VMs; see ``VmDirectory``."""
         body = await self._get(f"/vms?after={after}&wait={wait:g}", wait)
-        return _decode(body, VmList)
+        return decode_answer(body, VmList)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -68,10 +67,3 @@
         if len(response.content) > MAX_VALUE_BYTES:
             raise PlatformError(Code.PLATFORM_MALFORMED, f"{path}: over {MAX_VALUE_BYTES} bytes")
         return response.content
-
-
-def _decode(body: bytes, kind: Any) -> Any:
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as exc:
-        raise PlatformError(Code.PLATFORM_MALFORMED, str(exc)) from exc
