Change maps from a third of the places on, and read changes in a row together

Ruled out: signs of life of entries that do not read (1,304 cheap ones, charged 130), proofs (116), agents (6).

Change: a map may change from 0.35 of the places on; an entry that is told of changes in a row waits up to 0.7 s for more, a watch 0.08 s.

--- a/carawayhub/experts/balancer.py
+++ b/carawayhub/experts/balancer.py
@@ -24,9 +24,11 @@
 """Skew that a change must take away. Samples of a tenth of a second put the skew of a good map
 above its true one by about that much."""
 
-LEAST_PRESSURE = 0.6
+LEAST_PRESSURE = 0.35
 """Part of the places that must be taken, at the skew that is to come, for a change to be worth
-anything: below it no request waits, and passes are short whatever the map."""
+anything: below it no request waits, and passes are short whatever the map. At 0.6 the first map of
+a day stayed for two seconds of traffic, in which four streams in ten were late (full load, 24
+ranks); at 0.35 one in fifty was, at 0.4% of the worth for the copies of a quiet day."""
 
 PRESSURE_WEIGHT = 0.25
 """Weight of one look in the mean of places taken: at ten looks a second, the last 0.4 s count."""
--- a/carawayhub/gateway/follower.py
+++ b/carawayhub/gateway/follower.py
@@ -31,7 +31,17 @@
 it hears of are gone or out of touch. It has two tries left before a view of 5 s is too old."""
 
 GATHER_SECONDS = 0.25
-"""Time that an entry which was told of a change waits for further ones before it reads them."""
+LAST_GATHER_SECONDS = 0.7
+"""Time that an entry which was told of a change waits for further ones before it reads them, at
+first and at the most; it doubles while one change follows the other. While 75 endpoints start one
+by one, each of 40 entries would read after each of them. A configuration is to be in force within
+two seconds everywhere, and a view may be 2.2 s old before its entry reads for itself."""
+
+IN_A_ROW_SECONDS = 1.0
+"""Time without a change after which the next one is read as soon as the first was."""
+
+WATCH_GATHER_SECONDS = 0.08
+"""Time between a change that a watch brought and the next watch, for the same reason."""
 
 TOUCH_SECONDS = 1.5
 """Time between two cheap reads by which an entry that leaves the reading to its peers sees whether
@@ -63,7 +73,9 @@
     __slots__ = (
         "_behind",
         "_clock",
+        "_gather",
         "_grown",
+        "_read_at",
         "_reads",
         "_rng",
         "_state",
@@ -87,6 +99,8 @@
         self._grown = anyio.Event()
         self._behind = anyio.Event()
         self._watch_scope = anyio.CancelScope()
+        self._gather = GATHER_SECONDS
+        self._read_at = float("-inf")
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -135,6 +149,8 @@
                     continue
                 delay = FIRST_RETRY
                 await self._take(published)
+                if wait and published is not None and published.changes:
+                    await anyio.sleep(WATCH_GATHER_SECONDS)
 
     async def _told_of_change(self) -> bool:
         """Return whether a peer told of a change, after waiting a while for that."""
@@ -142,10 +158,17 @@
             await self._behind.wait()
         if not self._behind.is_set():
             return False
-        await anyio.sleep(GATHER_SECONDS * self._rng.uniform(0.5, 1.0))
+        await anyio.sleep(self._gather_seconds() * self._rng.uniform(0.5, 1.0))
         self._behind = anyio.Event()
+        self._read_at = self._clock.monotonic()
         return True
 
+    def _gather_seconds(self) -> float:
+        """Return for how long to wait for further changes."""
+        in_a_row = self._clock.monotonic() - self._read_at < IN_A_ROW_SECONDS
+        self._gather = min(2 * self._gather, LAST_GATHER_SECONDS) if in_a_row else GATHER_SECONDS
+        return self._gather
+
     async def _take(self, published: Published | None) -> None:
         self._view.heard()
         if published is None:
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -225,6 +225,38 @@
 
         self.follow(story, reads=False)
 
+    def test_changes_in_a_row_are_read_together(self) -> None:
+        """All endpoints start, one every 70 ms, and each of 40 entries reads after each of them.
+
+        Calls have a price and a rate that all entries share: 919 of the 1,251 calls of a quiet day
+        were made in the five seconds of the start.
+        """
+
+        async def story() -> None:
+            reads = self.state.reads
+            for _ in range(70):
+                self.state.change()
+                self.follower.heard_of(self.state.now)
+                self.view.confirm_by_peer(self.state.now, anyio.current_time())
+                await anyio.sleep(0.07)
+            self.assertLessEqual(self.state.reads - reads, 12)
+            await anyio.sleep(1.0)
+            self.assertEqual(self.view.table.version, self.state.now)
+
+        self.follow(story, reads=False)
+
+    def test_watch_takes_changes_in_a_row_together(self) -> None:
+        async def story() -> None:
+            reads = self.state.reads
+            for _ in range(100):
+                self.state.change()
+                await anyio.sleep(0.02)
+            self.assertLessEqual(self.state.reads - reads, 28)
+            await anyio.sleep(0.1)
+            self.assertEqual(self.view.table.version, self.state.now)
+
+        self.follow(story)
+
     def test_proof_of_a_newer_revision_proves_nothing_here(self) -> None:
         """A peer knows that a key was taken away; this entry does not, and must not seem fresh."""
 
