Bound heads and idle connections by the configuration in force

Cause: heads of any slowness were waited for, and a connection that never asked anything was kept for ever, each with one of a few thousand descriptors. The size of a head and the time that a connection may lie idle were constants, whatever the operators published; a refusal of a head could be written into the middle of the answer to the request before it.

Ruled out: uvicorn's own timer, which runs from the first answer on only.

Change: size and time of a head and idle time come from the configuration, as it is when a connection begins; a late or large head is refused, or its connection closed while an answer is under way. Tests in tests/test_http.py, the first three fail without it.

--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -28,7 +28,7 @@
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.tally import Tally
 from carawayhub.gateway.view import FleetView
-from carawayhub.http import HttpServer, bind
+from carawayhub.http import ConnectionLimits, HttpServer, bind
 
 KEPT_TIMES = 3.0
 """Times the stated seconds for which some callers keep an answer of the directory."""
@@ -199,7 +199,7 @@
         Args:
             probes: The servers of readiness and directory; they run until the end.
         """
-        server = HttpServer(self._app, bind(self._options.callers))
+        server = HttpServer(self._app, bind(self._options.callers), self._connection_limits)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_signals)
             tasks.start_soon(self._follower.run)
@@ -288,6 +288,14 @@
             if len(pool.line):
                 pool.serve_line()
 
+    def _connection_limits(self) -> ConnectionLimits:
+        limits = self._limits()
+        return ConnectionLimits(
+            head_bytes=limits.head_bytes,
+            head_timeout=limits.head_timeout,
+            idle_timeout=limits.idle_timeout,
+        )
+
     def _limits(self) -> CallerLimits:
         table = self._view.table
         return table.limits if table is not None else CallerLimits()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,13 +1,15 @@
 """The HTTP server that entries and the operators' pages share."""
 
 import socket
+import time
 import unittest
 from typing import Any
 
+import anyio
 from anyio.from_thread import start_blocking_portal
 
 from carawayhub.addresses import Address
-from carawayhub.http import MAX_HEAD_BYTES, HttpServer, bind
+from carawayhub.http import MAX_HEAD_BYTES, ConnectionLimits, HttpServer, bind
 
 START = b"GET / HTTP/1.1\r\nhost: h\r\nx-long: "
 READ = 262_144
@@ -56,5 +58,64 @@
         self.assertEqual(found.count(b"200 OK"), 2)
 
 
+class TimeTest(unittest.TestCase):
+    """Connections on which nothing or little comes."""
+
+    def connect(self, limits: ConnectionLimits, app=hello) -> socket.socket:
+        portal = self.enterContext(start_blocking_portal())
+        sock = bind(Address("127.0.0.1", 0))
+        server = HttpServer(app, sock, lambda: limits)
+        portal.start_task_soon(server.run)
+        self.addCleanup(portal.call, server.stop)
+        return self.enterContext(socket.create_connection(sock.getsockname(), TIMEOUT))
+
+    def test_connection_that_never_asks_is_closed(self) -> None:
+        """Peers that connect and say nothing keep all descriptors, and callers cannot connect."""
+        conn = self.connect(ConnectionLimits(idle_timeout=0.2))
+        self.assertEqual(conn.recv(READ), b"")
+
+    def test_head_that_comes_byte_by_byte_is_refused(self) -> None:
+        conn = self.connect(ConnectionLimits(head_timeout=0.3))
+        with self.assertRaises(ConnectionError):
+            for _ in range(200):
+                conn.sendall(b"G")
+                time.sleep(0.02)
+
+    def test_idle_connection_is_kept_for_as_long_as_the_limits_say(self) -> None:
+        conn = self.connect(ConnectionLimits(idle_timeout=2.0))
+        for _ in range(2):
+            conn.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            found = b""
+            while b"hello" not in found:
+                part = conn.recv(READ)
+                self.assertTrue(part, "closed though it was not idle for so long")
+                found += part
+            time.sleep(0.1)
+        self.assertEqual(conn.recv(READ), b"")
+
+    def test_late_head_leaves_the_answer_before_it_alone(self) -> None:
+        """A caller begins its next request while it still receives an answer.
+
+        400 within that answer would be taken for a part of it.
+        """
+
+        async def slow(scope: Any, receive: Any, send: Any) -> None:
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            for _ in range(5):
+                await anyio.sleep(0.1)
+                await send({"type": "http.response.body", "body": b"part", "more_body": True})
+            await send({"type": "http.response.body", "body": b"last"})
+
+        conn = self.connect(ConnectionLimits(head_timeout=0.15), slow)
+        conn.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\nGET / HT")
+        found = b""
+        while part := conn.recv(READ):
+            found += part
+        answer, _, rest = found.partition(b"0\r\n\r\n")
+        self.assertNotIn(b" 400 ", answer)
+        self.assertIn(b"last", answer)
+        self.assertIn(b" 400 ", rest)
+
+
 if __name__ == "__main__":
     unittest.main()
