Serve metrics of agents, and log when engines refuse all

Cause: agents told their counters in logs only, though the users want counters and histograms of every process at the address of its settings; a service whose engines refuse everything, and a request that waits for them, showed in no line.

Change: agents answer at the port and path that the deploy file names, with looks, pressure, changes by how they ended, copies, skew and the times of changes; quantiles are written by one function for entries and agents; a line when engines refuse all, one when they take requests again, one for each request that waits for that.

--- a/carawayhub/experts/agent.py
+++ b/carawayhub/experts/agent.py
@@ -26,6 +26,7 @@
 from carawayhub.experts.planner import Plan
 from carawayhub.experts.remote import RankDesk, RemoteRank, relay
 from carawayhub.experts.switch import Ended, Switch
+from carawayhub.experts.tally import GroupTally
 from carawayhub.gateway.model import ExpertShape
 
 LOOK_SECONDS = 0.08
@@ -127,6 +128,7 @@
         "_options",
         "_rank",
         "_roster",
+        "_tally",
     )
 
     def __init__(self, options: AgentOptions, rank: Rank, roster: Roster, clock: Clock) -> None:
@@ -141,6 +143,11 @@
         self._giver_heard_at = clock.monotonic()
         self._looked_at = clock.monotonic()
         self._lead_state: _Lead | None = None
+        self._tally = GroupTally()
+
+    def metrics(self) -> str:
+        """Return the metrics as text."""
+        return self._tally.page()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -156,6 +163,7 @@
                 failures = 0
             except (GroupError, PlatformError) as exc:
                 failures += 1
+                self._tally.failed_looks += 1
                 logger.bind(error=str(exc), failures=failures).info("look given up")
             await anyio.sleep(max(self._pause(), min(failures * CALM_SECONDS, MOST_PAUSE)))
 
@@ -170,6 +178,7 @@
         return max(CALM_SECONDS if calm else LOOK_SECONDS, numbers / NUMBERS_A_SECOND)
 
     async def _look(self) -> None:
+        self._tally.looks += 1
         report = await self._rank.report()
         now = self._clock.monotonic()
         if now - self._looked_at > JUST_WOKEN:
@@ -239,6 +248,7 @@
         await self._know_placement(lead, report)
         growths = await self._growths(lead)
         best = lead.balancer.decide(lead.placement, growths)
+        self._tally.pressure = lead.balancer.pressure
         if best is not None:
             await self._change(lead, best, report)
 
@@ -248,6 +258,8 @@
             tasks.start_soon(self._go_on_telling)
             ended = await lead.switch.change(best.placement)
             tasks.cancel_scope.cancel()
+        seconds = self._clock.monotonic() - began
+        self._tally.changed(best, ended, seconds)
         times = lead.switch.times
         logger.bind(
             ended=ended.value,
@@ -260,7 +272,7 @@
             ordered=round(times.ordered, 3),
             copied=round(times.copied, 3),
             held=round(times.held, 3),
-            seconds=round(self._clock.monotonic() - began, 3),
+            seconds=round(seconds, 3),
         ).info("change of map")
         if ended is Ended.SWITCHED:
             lead.placement = best.placement
--- /dev/null
+++ b/carawayhub/experts/tally.py
@@ -0,0 +1,58 @@
+"""Counters and times of the agent of a rank, as text for metric collectors."""
+
+from collections import Counter
+
+from carawayhub.experts.planner import Plan
+from carawayhub.experts.switch import Ended
+from carawayhub.output.metrics import Recorder, summary_lines
+
+
+class GroupTally:
+    """What one agent measured since it started.
+
+    Attributes:
+        looks: Looks at its rank or group.
+        failed_looks: Those that were given up.
+        pressure: Part of the group's places that will be taken, as last looked at; 0 for an agent
+            that does not decide for its group.
+    """
+
+    __slots__ = ("_changes", "_copies", "_plan", "_times", "failed_looks", "looks", "pressure")
+
+    def __init__(self) -> None:
+        self._changes: Counter[Ended] = Counter()
+        self._copies = 0
+        self._plan: Plan | None = None
+        self._times = Recorder()
+        self.looks = 0
+        self.failed_looks = 0
+        self.pressure = 0.0
+
+    def changed(self, plan: Plan, ended: Ended, seconds: float) -> None:
+        """Count a change of map and how it ended."""
+        self._changes[ended] += 1
+        if ended is not Ended.SWITCHED:
+            return
+        self._copies += plan.copies
+        self._plan = plan
+        self._times.record(seconds)
+
+    def page(self) -> str:
+        """Return all counters and times."""
+        lines = [
+            "# TYPE carawayhub_agent_looks_total counter",
+            f"carawayhub_agent_looks_total {self.looks}",
+            f"carawayhub_agent_failed_looks_total {self.failed_looks}",
+            "# TYPE carawayhub_agent_pressure gauge",
+            f"carawayhub_agent_pressure {self.pressure:.3f}",
+            "# TYPE carawayhub_agent_changes_total counter",
+        ]
+        for ended in Ended:
+            labels = f'ended="{ended.name.lower()}"'
+            lines.append(f"carawayhub_agent_changes_total{{{labels}}} {self._changes[ended]}")
+        lines.append(f"carawayhub_agent_copies_total {self._copies}")
+        if self._plan is not None:
+            lines.append(f"carawayhub_agent_skew_before {self._plan.skew_before:.3f}")
+            lines.append(f"carawayhub_agent_skew_after {self._plan.skew_after:.3f}")
+        lines += summary_lines("carawayhub_agent_change_milliseconds", "", self._times)
+        return "\n".join(lines) + "\n"
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -155,7 +155,16 @@
             The place, None where there is none in time.
         """
         now = self._clock.monotonic()
-        ends_at = now + min(self._refusals.wait_left(), _longest_wait(call, now))
+        longest = min(self._refusals.wait_left(), _longest_wait(call, now))
+        if longest <= 0.0:
+            return None
+        logger.bind(
+            request=call.req.id.decode("latin-1"),
+            service=self._name,
+            longest=round(longest, 3),
+            endpoints=len(self._endpoints(only)),
+        ).info("refused, waits for endpoints that take requests again")
+        ends_at = now + longest
         while self._clock.monotonic() < ends_at and self._endpoints(only):
             chosen = self._choose(call.work, frozenset(), only)
             if chosen is not None and chosen.free:
@@ -172,13 +181,19 @@
         if not self._kv_tokens():
             return
         self._health.refused(place.endpoint.id)
-        self._refusals.refused()
+        if self._refusals.refused():
+            logger.bind(service=self._name, endpoint=place.endpoint.id).warning(
+                "engines refuse all requests, few ask them again"
+            )
 
     def started(self, place: Place, seconds: float) -> None:
         """Note the first event of a request, ``seconds`` after it was sent."""
         weight = START_WEIGHT if self._start_seconds else 1.0
         self._start_seconds += weight * (seconds - self._start_seconds)
         if self._refusals.answered():
+            logger.bind(service=self._name, endpoint=place.endpoint.id).info(
+                "engines take requests again"
+            )
             self._health.take_again(each.id for each in self._endpoints())
         if not place.read:
             place.read = True
--- a/carawayhub/gateway/refusals.py
+++ b/carawayhub/gateway/refusals.py
@@ -41,8 +41,8 @@
         """Whether engines refuse whatever they get."""
         return self._count >= CLOSED_AFTER
 
-    def refused(self) -> None:
-        """Note a refusal."""
+    def refused(self) -> bool:
+        """Note a refusal; return whether engines count as closed from it on."""
         now = self._clock.monotonic()
         if not self._count or now - self._last > WAIT_SECONDS:
             self._since = now
@@ -50,6 +50,7 @@
         self._count += 1
         self._last = now
         self._ask_at = now + ASK_SECONDS
+        return self._count == CLOSED_AFTER
 
     def answered(self) -> bool:
         """Note an answer; return whether engines were closed before."""
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -3,9 +3,7 @@
 from collections import Counter
 
 from carawayhub.codes import Code
-from carawayhub.output.metrics import Recorder
-
-QUANTILES = ((0.5, 50.0), (0.95, 95.0), (0.99, 99.0))
+from carawayhub.output.metrics import Recorder, summary_lines
 
 
 class Tally:
@@ -36,10 +34,6 @@
             lines.append(f"carawayhub_gateway_requests_total{{{labels}}} {count}")
         lines.append("# TYPE carawayhub_gateway_milliseconds summary")
         for route, recorder in sorted(self._times.items()):
-            histogram = recorder.histogram()
-            for name, percentile in QUANTILES:
-                value = histogram.get_value_at_percentile(percentile)
-                lines.append(
-                    f'carawayhub_gateway_milliseconds{{route="{route}",quantile="{name}"}} {value}'
-                )
+            labels = f'route="{route}"'
+            lines += summary_lines("carawayhub_gateway_milliseconds", labels, recorder)
         return "\n".join(lines) + "\n"
--- a/carawayhub/output/metrics.py
+++ b/carawayhub/output/metrics.py
@@ -181,6 +181,25 @@
     return "\n".join(lines) + "\n"
 
 
+def summary_lines(metric: str, labels: str, recorder: Recorder) -> list[str]:
+    """Return the quantiles and the count of one histogram in the text format.
+
+    Args:
+        metric: Name of the metric.
+        labels: Its labels, written out; empty for none.
+        recorder: The measurements.
+    """
+    histogram = recorder.histogram()
+    comma = "," if labels else ""
+    lines = [
+        f'{metric}{{{labels}{comma}quantile="{each / 100:g}"}} '
+        f"{histogram.get_value_at_percentile(each)}"
+        for each in PERCENTILES
+    ]
+    braces = f"{{{labels}}}" if labels else ""
+    return [*lines, f"{metric}_count{braces} {histogram.get_total_count()}"]
+
+
 def _escaped(name: str) -> str:
     """Return a name as the value of a label."""
     return name.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/carawayhub/platform/agent.py
+++ b/carawayhub/platform/agent.py
@@ -13,6 +13,8 @@
 from carawayhub.experts.agent import AgentOptions, ExpertAgent
 from carawayhub.gateway.model import EngineProfile, superseded
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
+from carawayhub.http import HttpServer, bind
+from carawayhub.platform.probes import METRICS_PORT, metrics_app
 from carawayhub.platform.ranks import RankClient
 from carawayhub.platform.settings import NodeSettings
 from carawayhub.platform.store import StoreClient
@@ -22,7 +24,7 @@
     """Run an agent until it is told to stop.
 
     Raises:
-        CommandError: SETTINGS_INVALID.
+        CommandError: SETTINGS_INVALID, PORT_IN_USE.
     """
     if settings.endpoint is None:
         raise CommandError(Code.SETTINGS_INVALID, "app is missing")
@@ -34,9 +36,11 @@
     rank = RankClient(settings.endpoint, source=settings.ip)
     roster = StoreRoster(StoreClient(settings.store, settings.ip), settings.service)
     agent = ExpertAgent(options, rank, roster, clock)
+    metrics = HttpServer(metrics_app(agent.metrics), bind(Address(settings.ip, METRICS_PORT)))
     logger.bind(service=settings.service, endpoint=str(settings.endpoint)).info("agent starts")
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(agent.run)
+        tasks.start_soon(metrics.run)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for each in signals:
                 if each is not signal.SIGHUP:
--- a/carawayhub/platform/entry.py
+++ b/carawayhub/platform/entry.py
@@ -10,13 +10,10 @@
 from carawayhub.gateway.process import GatewayOptions, GatewayProcess
 from carawayhub.http import HttpServer, bind
 from carawayhub.platform.headers import PlatformWire
-from carawayhub.platform.probes import probe_app
+from carawayhub.platform.probes import METRICS_PORT, probe_app
 from carawayhub.platform.settings import NodeSettings
 from carawayhub.platform.store import StoreClient
 
-METRICS_PORT = 9464
-"""Port of the metrics, which ``deploy/system.toml`` names to the platform as well."""
-
 
 async def run_gateway(
     settings: NodeSettings,
--- a/carawayhub/platform/probes.py
+++ b/carawayhub/platform/probes.py
@@ -13,6 +13,10 @@
 UNAVAILABLE_STATUS = 503
 NOT_FOUND_STATUS = 404
 
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+"""Where processes answer with their metrics; ``deploy/system.toml`` names both to the platform."""
+
 Application = Callable[[dict[str, Any], Receive, Send], Awaitable[None]]
 
 
@@ -42,7 +46,7 @@
                 found = addresses()
                 body = msgspec.json.encode(_EntryList(found, ANSWER_SECONDS))
                 await _answer(send, OK_STATUS if found else UNAVAILABLE_STATUS, body)
-            case "/metrics":
+            case _ if scope["path"] == METRICS_PATH:
                 await _answer(send, OK_STATUS, metrics().encode(), b"text/plain")
             case _:
                 await _answer(send, NOT_FOUND_STATUS, b"{}")
@@ -50,6 +54,22 @@
     return app
 
 
+def metrics_app(metrics: Callable[[], str]) -> Application:
+    """Return the application that answers with metrics alone.
+
+    Args:
+        metrics: The metrics as text.
+    """
+
+    async def app(scope: dict[str, Any], receive: Receive, send: Send) -> None:
+        if scope["path"] == METRICS_PATH:
+            await _answer(send, OK_STATUS, metrics().encode(), b"text/plain")
+        else:
+            await _answer(send, NOT_FOUND_STATUS, b"{}")
+
+    return app
+
+
 async def _answer(send: Send, status: int, body: bytes, kind: bytes = JSON_TYPE) -> None:
     headers = [(b"content-type", kind), (b"content-length", str(len(body)).encode())]
     await send({"type": "http.response.start", "status": status, "headers": headers})
--- a/tests/test_experts_balance.py
+++ b/tests/test_experts_balance.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 import zlib
+from dataclasses import replace
 
 import msgspec
 
@@ -12,7 +13,8 @@
 from carawayhub.experts.demand import Demand
 from carawayhub.experts.model import Growth, first_placement, is_whole
 from carawayhub.experts.planner import CopyLimits, plan
-from carawayhub.gateway.model import EngineProfile, ExpertShape
+from carawayhub.gateway.model import ExpertShape
+from tests.gateway_world import engine
 
 SHAPE = ExpertShape(
     layers=16,
@@ -23,18 +25,7 @@
     expert_bytes=150e6,
     link_rate=5.5e9,
 )
-PROFILE = EngineProfile(
-    places=5,
-    kv_tokens=155_000,
-    step=0.006,
-    step_per_request=0.0009,
-    read_rate=61_000.0,
-    chunk=512,
-    stride=6,
-    usual_prompt=800.0,
-    usual_answer=140.0,
-    experts=SHAPE,
-)
+PROFILE = replace(engine(), places=5, experts=SHAPE)
 LIMITS = CopyLimits(places=5, new_in_set=2, new_in_rank=3, least_gain=0.02)
 FIRST = first_placement(SHAPE.layers, SHAPE.experts, RANKS)
 
--- /dev/null
+++ b/tests/test_platform_metrics.py
@@ -0,0 +1,75 @@
+"""Metrics of entries and agents, where the deploy file says that they are."""
+
+import tomllib
+import unittest
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from carawayhub.codes import Code
+from carawayhub.experts.planner import Plan
+from carawayhub.experts.switch import Ended
+from carawayhub.experts.tally import GroupTally
+from carawayhub.gateway.tally import Tally
+from carawayhub.platform.probes import METRICS_PATH, METRICS_PORT, metrics_app, probe_app
+
+DEPLOY_FILE = Path(__file__).parent.parent / "deploy" / "system.toml"
+
+
+def get(app: Any, path: str) -> tuple[int, str]:
+    """Return status and body of an answer."""
+    sent: list[dict[str, Any]] = []
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    anyio.run(app, {"type": "http", "path": path}, None, send)
+    return sent[0]["status"], sent[1]["body"].decode()
+
+
+class Metrics(unittest.TestCase):
+    """What collectors read."""
+
+    def test_deploy_file_names_the_address_for_every_role(self) -> None:
+        roles = tomllib.loads(DEPLOY_FILE.read_text(encoding="utf-8"))["roles"]
+        named = {name: role.get("metrics") for name, role in roles.items()}
+        expected = f"{METRICS_PORT}{METRICS_PATH}"
+        self.assertEqual(named, {"entry": expected, "agent": expected})
+
+    def test_agent_tells_changes_by_how_they_ended(self) -> None:
+        tally = GroupTally()
+        tally.looks, tally.pressure = 40, 0.75
+        tally.changed(Plan((), 3.4, 1.5, 72, 3), Ended.SWITCHED, 0.26)
+        tally.changed(Plan((), 3.0, 1.4, 60, 3), Ended.GIVEN_UP, 0.02)
+        status, text = get(metrics_app(tally.page), METRICS_PATH)
+        self.assertEqual(status, 200)
+        for line in (
+            "carawayhub_agent_looks_total 40",
+            "carawayhub_agent_pressure 0.750",
+            'carawayhub_agent_changes_total{ended="switched"} 1',
+            'carawayhub_agent_changes_total{ended="given_up"} 1',
+            "carawayhub_agent_copies_total 72",
+            "carawayhub_agent_skew_after 1.500",
+            "carawayhub_agent_change_milliseconds_count 1",
+        ):
+            self.assertIn(line, text.splitlines())
+
+    def test_entry_tells_ends_and_quantiles_of_each_route(self) -> None:
+        tally = Tally()
+        for _ in range(9):
+            tally.ended("songs", "armor", Code.OK, 200, 0.02)
+        tally.ended("songs", "armor", Code.OVERLOADED, 503, 0.001)
+        app = probe_app(lambda: True, list, tally.page)
+        text = get(app, METRICS_PATH)[1].splitlines()
+        labels = 'route="songs",organisation="armor",code="0",status="200"'
+        self.assertIn(f"carawayhub_gateway_requests_total{{{labels}}} 9", text)
+        self.assertIn('carawayhub_gateway_milliseconds{route="songs",quantile="0.5"} 20', text)
+        self.assertIn('carawayhub_gateway_milliseconds_count{route="songs"} 10', text)
+
+    def test_other_paths_are_not_found(self) -> None:
+        self.assertEqual(get(metrics_app(str), "/v1/ready")[0], 404)
+
+
+if __name__ == "__main__":
+    unittest.main()
