--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -15,10 +15,10 @@
 import sys
 import tempfile
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 from loguru import logger
@@ -134,7 +134,7 @@
                 self._register(name)
             self._publish()
             address = self._link("store", store)
-            ips = [f"{_subnet()}.{11 + at}" for at in range(ENTRIES)]
+            ips = [f"{subnet()}.{11 + at}" for at in range(ENTRIES)]
             async with self.proxy.running():
                 try:
                     for ip in ips:
@@ -161,7 +161,7 @@
 
     def _link(self, name: str, target: str) -> str:
         """Put the proxy before an address, on an address that only this run has."""
-        listen = f"{_subnet()}.9:{LINK_PORT + len(self.proxy.links)}"
+        listen = f"{subnet()}.9:{LINK_PORT + len(self.proxy.links)}"
         self.proxy.add(name, listen, target)
         return listen
 
@@ -421,6 +421,11 @@
         if len(late_asks) < CALLERS or served < SERVED_LEAST * (len(late_asks) - CALLERS):
             self.problems.append(f"recovery: {served} of {len(late_asks)} served")
 
+    def line(self) -> str:
+        """Return the outcome in one line."""
+        statuses = dict(sorted(Counter(ask.status for ask in self.asks).items()))
+        return f"{len(self.asks)} requests {statuses}"
+
     def _check_drain(self, run: Ran) -> None:
         """Look whether a replica that had said it was leaving got new work much later."""
         since = self.drained.get(run.instance)
@@ -431,7 +436,7 @@
             self.problems.append(f"{run.request}: replica had been leaving for {late:.1f} s")
 
 
-def _subnet() -> str:
+def subnet() -> str:
     """Return loopback addresses of this process alone: entries stand on fixed ports."""
     number = os.getpid()
     return f"127.{1 + number // 250 % 250}.{1 + number % 250}"
@@ -444,9 +449,31 @@
     return soak
 
 
-def main() -> int:
-    """Play seeds and print a line for each; the status tells whether all promises were kept."""
-    parser = argparse.ArgumentParser(description=__doc__)
+class Played(Protocol):
+    """What became of one seed.
+
+    Attributes:
+        struck: Faults that struck.
+        problems: Broken promises.
+    """
+
+    struck: Counter[str]
+    problems: list[str]
+
+    def line(self) -> str:
+        """Return the outcome in one line."""
+
+
+def main_of(play_one: Callable[[int, Path], Awaitable[Played]], description: str) -> int:
+    """Play seeds and print a line for each; the status tells whether all promises were kept.
+
+    Args:
+        play_one: Plays one seed, with its logs in a folder.
+        description: What the command says of itself.
+    """
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    os.environ.setdefault("PYTHONUNBUFFERED", "1")
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--seed", type=int, action="append", default=[])
     parser.add_argument("--seeds", type=int, default=0, help="fresh seeds")
     options = parser.parse_args()
@@ -455,10 +482,9 @@
     failed = 0
     for seed in [*options.seed, *fresh]:
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        soak = anyio.run(play, seed, folder)
-        statuses = dict(sorted(Counter(ask.status for ask in soak.asks).items()))
+        soak = anyio.run(play_one, seed, folder)
         verdict = "kept" if not soak.problems else f"BROKEN, logs in {folder}"
-        print(f"seed {seed}: {len(soak.asks)} requests {statuses}, {verdict}", flush=True)
+        print(f"seed {seed}: {soak.line()}, {verdict}", flush=True)
         print(f"  faults: {dict(soak.struck)}", flush=True)
         for problem in soak.problems[:10]:
             print(f"  {problem}", flush=True)
@@ -467,6 +493,4 @@
 
 
 if __name__ == "__main__":
-    signal.signal(signal.SIGINT, signal.default_int_handler)
-    os.environ.setdefault("PYTHONUNBUFFERED", "1")
-    sys.exit(main())
+    sys.exit(main_of(play, __doc__ or ""))
