Take out a time of changes that nothing reads

Cause: ChangeTimes.switched was set at the end of each change and read nowhere; the agent logs and counts the same span, measured by itself.

Change: the field is gone; behaviour stays. Formatter, linter and type checker are clean, the 37 tests of the switch, members, balance and metrics pass.

--- a/carawayhub/experts/switch.py
+++ b/carawayhub/experts/switch.py
@@ -106,13 +106,11 @@
         ordered: Every rank was told to prepare the map.
         copied: Every rank has copied its experts.
         held: A pass is held.
-        switched: The pass was let go with all ranks armed.
     """
 
     ordered: float = 0.0
     copied: float = 0.0
     held: float = 0.0
-    switched: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,9 +189,7 @@
             return Ended.OVERTAKEN
         aim = _Aim(first.epoch, version, held, held)
         if await self._all_prepared(aim):
-            ended = await self._complete(aim)
-            self.times.switched = self._since()
-            return ended
+            return await self._complete(aim)
         return await self._release(aim, untouched_until)
 
     async def finish(self, held_seconds: float = 0.0) -> Ended:
