Take the bound by pace back, and copy experts by the pressure of their group

With a rank that turned slow, fewer requests do not make passes shorter.

Decider: ranks that cannot be reached were told of after 20 s where a change of map began to stage just before all ranks were to be read, which put that reading off anew.

--- a/benchmarks/group_load.py
+++ b/benchmarks/group_load.py
@@ -1,6 +1,6 @@
 """A lock-step group under more load than it can serve: what callers get of the entries' decisions.
 
-The entries' own pools, lines and paces run in virtual time before a model of a group: all ranks
+The entries' own pools, lines and claims run in virtual time before a model of a group: all ranks
 execute each pass together, a pass takes what its work takes times a stretch, and the stretch jumps
 whenever other experts come into demand and falls again as maps follow. Callers come at a rate of
 their own, come back once when they are asked to, and count an answer as in time where its first
@@ -38,7 +38,6 @@
     Service,
     Share,
 )
-from carawayhub.gateway.pace import GroupLoad, usual_pass
 from carawayhub.gateway.pool import Place, ServicePool
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
 from carawayhub.gateway.retryshare import RetryShare
@@ -149,9 +148,8 @@
             if not any(self.running):
                 await anyio.sleep(0.005)
                 continue
-            work = GroupLoad(self._load.ranks, sum(writing), sum(read))
             stretch = self._load.stretch(anyio.current_time())
-            await anyio.sleep(stretch * usual_pass(work, PROFILE))
+            await anyio.sleep(stretch * _usual_pass(self._load.ranks, sum(writing), sum(read)))
             self.passes += 1
             for rank in self.running:
                 self._end(rank)
@@ -340,7 +338,6 @@
             else:
                 pool.started(place, now - sent_at)
                 in_time = now - arrived <= TARGET
-            pool.event(place)
             before = now
         return "in time" if in_time else "late"
 
@@ -357,6 +354,18 @@
     return fleets[0]
 
 
+def _usual_pass(ranks: int, writing: int, reading: int) -> float:
+    """Return the seconds of a pass in which nothing but its work counts.
+
+    Args:
+        ranks: Ranks of the group.
+        writing: Requests that write.
+        reading: Prompt tokens that are read.
+    """
+    step = PROFILE.step + PROFILE.step_per_request * writing / ranks
+    return PROFILE.stride * step + reading / ranks / PROFILE.read_rate
+
+
 def _call(prompt: int, events: int, left: float, *, returned: bool) -> Admitted:
     now = anyio.current_time()
     req = CallerRequest(
--- a/carawayhub/experts/balancer.py
+++ b/carawayhub/experts/balancer.py
@@ -7,7 +7,7 @@
 from carawayhub.experts.planner import CopyLimits, Plan, plan, skew
 from carawayhub.gateway.model import EngineProfile, ExpertShape
 
-BYTES_FOR_SKEW = 5e10
+BYTES_FOR_SKEW = 2e10
 """Bytes of copies for each rank that a full group may make to take 1.0 off its skew; a group half
 full half as many. Copies beyond that take away too little to be worth their price. Ranks copy side
 by side, so more of them cost no time while each has one: with experts of 2.2 GB, at a tenth of this
@@ -32,6 +32,10 @@
 a day stayed for two seconds of traffic, in which four streams in ten were late (full load, 24
 ranks); at 0.35 one in fifty was, at 0.4% of the worth for the copies of a quiet day."""
 
+PRESSURE_POWER = 2
+"""Power of the pressure by which copies are worth less in a group that is not full: passes are
+short there whatever the skew."""
+
 PRESSURE_WEIGHT = 0.25
 """Weight of one look in the mean of places taken: at ten looks a second, the last 0.4 s count."""
 
@@ -71,7 +75,7 @@
         if self.pressure < LEAST_PRESSURE:
             return None
         best = plan(current, shares, self._limits(len(current[0])))
-        if best.skew_before - best.skew_after < LEAST_GAIN:
+        if (best.skew_before - best.skew_after) * min(1.0, self.pressure) < LEAST_GAIN:
             return None
         shape = self._shape
         return best if is_whole(best.placement, shape.experts, shape.places) else None
@@ -79,7 +83,7 @@
     def _limits(self, ranks: int) -> CopyLimits:
         shape = self._shape
         copies_for_skew = BYTES_FOR_SKEW * ranks / max(1.0, shape.expert_bytes)
-        worth = copies_for_skew * min(1.0, self.pressure)
+        worth = copies_for_skew * min(1.0, self.pressure) ** PRESSURE_POWER
         return CopyLimits(
             places=shape.places,
             new_in_set=shape.spare,
--- a/carawayhub/gateway/model.py
+++ b/carawayhub/gateway/model.py
@@ -222,17 +222,6 @@
         """Return all routes."""
         return tuple(route for paths in self._by_host.values() for route in paths.values())
 
-    def accepted_pause(self, service: str) -> float:
-        """Return the shortest pause of streams that a route to a service accepts, 0 for none."""
-        pauses = [
-            route.gap
-            for route in self.routes()
-            if route.repeat is Repeat.STREAM
-            and route.gap > 0.0
-            and any(share.service == service for share in route.shares)
-        ]
-        return min(pauses, default=0.0)
-
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of that host whose prefix is the longest that starts ``path``."""
         prefixes = self._by_host.get(host.lower()) or self._by_host.get(_without_port(host.lower()))
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Sequence, Set
+from collections.abc import Callable, Set
 from dataclasses import dataclass
 
 import anyio
@@ -11,12 +11,12 @@
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
 from carawayhub.errors import RequestError
-from carawayhub.gateway.admission import EngineAdmission, EngineService
 from carawayhub.gateway.calls import Admitted
+from carawayhub.gateway.claims import Claims
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.line import Line, Waiter, Wish
 from carawayhub.gateway.loads import Loads, Work
-from carawayhub.gateway.model import Endpoint, EngineProfile, Repeat
+from carawayhub.gateway.model import Endpoint, Repeat
 from carawayhub.gateway.placement import Chosen, Placement
 from carawayhub.gateway.refusals import Refusals
 from carawayhub.gateway.retryshare import RetryShare
@@ -53,13 +53,11 @@
         endpoint: The endpoint.
         work: What the request needs there.
         read: Whether its prompt has been read.
-        event_at: When its latest event came, 0 before the first.
     """
 
     endpoint: Endpoint
     work: Work
     read: bool = False
-    event_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -91,12 +89,11 @@
     """
 
     __slots__ = (
-        "_accepted",
-        "_accepted_of",
-        "_admission",
+        "_claims",
         "_clock",
         "_loads",
         "_name",
+        "_news",
         "_health",
         "_placement",
         "_refusals",
@@ -126,9 +123,8 @@
         self._clock = clock
         self._health = health
         self._refusals = Refusals(clock)
-        self._admission = EngineAdmission(loads, clock, rng, news)
-        self._accepted = 0.0
-        self._accepted_of = -1
+        self._claims = Claims(clock, rng)
+        self._news = news
         self._placement = Placement(loads, health, rng)
         self._spread = spread
         self._start_seconds = 0.0
@@ -210,14 +206,6 @@
             place.read = True
             self._loads.has_read(place.endpoint.id, place.work.reading)
 
-    def event(self, place: Place) -> None:
-        """Note an event of a stream: the pause before it shows how long a pass took."""
-        now = self._clock.monotonic()
-        before, place.event_at = place.event_at, now
-        service = self._engines() if before else None
-        if service is not None:
-            self._admission.paused(place.endpoint, now - before, service)
-
     def release(self, place: Place, *, ran: bool = True) -> None:
         """Give a place back and hand it to who is next.
 
@@ -229,7 +217,7 @@
         work = place.work
         left = Work(work.requests, 0 if place.read else work.reading, work.tokens)
         self._loads.end(place.endpoint.id, left)
-        self._admission.freed()
+        self._claims.freed()
         if ran:
             self.line.ended()
         self.serve_line()
@@ -253,28 +241,34 @@
         return None if len(self.line) else self._free_place(work)
 
     def _free_place(self, work: Work) -> Place | None:
-        service = self._engines()
-        endpoints: Sequence[Endpoint] = self._endpoints()
-        if service is not None:
-            endpoints = self._admission.open_to(work, self._wanted(), service)
-        chosen = self._choose_from(endpoints, work, frozenset())
+        if not self._may_claim():
+            return None
+        chosen = self._choose(work, frozenset())
         if chosen is None or not chosen.free:
             return None
-        self._admission.taken()
+        self._claims.taken()
         return self._begin(chosen.endpoint, work)
 
+    def _may_claim(self) -> bool:
+        """Return whether a free place of the engines is this entry's to take."""
+        if not self._kv_tokens():
+            return True
+        return self._claims.may_take(self._free_places(), self._wanted(), self._news())
+
+    def _free_places(self) -> int:
+        """Return the places that are free as far as is known."""
+        return sum(
+            max(0, each.places - self._loads.total(each.id).requests) for each in self._endpoints()
+        )
+
     def _wanted(self) -> float:
         """Return the requests that come to all entries before they hear of each other."""
         return self.retries.rate() * self._spread()
 
     def _choose(self, work: Work, tried: Set[str], only: Set[str] | None = None) -> Chosen | None:
-        return self._choose_from(self._endpoints(only), work, tried)
-
-    def _choose_from(
-        self, endpoints: Sequence[Endpoint], work: Work, tried: Set[str]
-    ) -> Chosen | None:
-        if not endpoints or not self._refusals.may_send():
+        if not self._refusals.may_send():
             return None
+        endpoints = self._endpoints(only)
         arrivals = self._wanted()
         sample = max(LEAST_SAMPLE, math.ceil(SAMPLE_PART * len(endpoints) / max(1.0, arrivals)))
         return self._placement.choose(endpoints, work, self._kv_tokens(), tried, sample)
@@ -323,21 +317,11 @@
             waiting=len(self.line),
             places_a_second=round(self.line.rate(), 1),
             expected=round(self.line.expected_wait(wish.rank, returned=wish.returned), 3),
-            groups=self._group_state(),
+            free=self._free_places(),
             patience=round(wish.patience, 3),
             returned=wish.returned,
         ).info("turned away, it would wait in vain")
 
-    def _group_state(self) -> dict[str, str]:
-        """Return requests, prompt tokens to read and stretch of each group, for the log."""
-        service = self._engines()
-        if service is None:
-            return {}
-        return {
-            group: f"{load.requests}/{load.reading}/{self._admission.stretch_of(group):.2f}"
-            for group, load in self._admission.group_loads(service.endpoints).items()
-        }
-
     def _begin(self, endpoint: Endpoint, work: Work) -> Place:
         self._refusals.sent()
         self._loads.begin(endpoint.id, work)
@@ -347,31 +331,10 @@
         found = self._view.serving(self._name)
         return found if only is None else tuple(each for each in found if each.id in only)
 
-    def _engines(self) -> EngineService | None:
-        """Return what is published of the service, None where it has no engines."""
-        profile = self._profile()
-        if profile is None:
-            return None
-        return EngineService(
-            profile=profile, accepted=self._accepted_pause(), endpoints=self._endpoints()
-        )
-
-    def _accepted_pause(self) -> float:
-        """Return the shortest pause that callers of the service accept, as last published."""
-        table = self._view.table
-        if table is not None and table.version != self._accepted_of:
-            self._accepted_of = table.version
-            self._accepted = table.accepted_pause(self._name)
-        return self._accepted
-
-    def _profile(self) -> EngineProfile | None:
+    def _kv_tokens(self) -> int:
         table = self._view.table
         service = table.services.get(self._name) if table is not None else None
-        return service.engine if service is not None else None
-
-    def _kv_tokens(self) -> int:
-        profile = self._profile()
-        return profile.kv_tokens if profile is not None else 0
+        return service.engine.kv_tokens if service is not None and service.engine else 0
 
 
 def _longest_wait(call: Admitted, now: float) -> float:
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -286,7 +286,6 @@
                 seconds = self._now() - sent_at
                 pool.started(place, seconds)
                 self._parts.health.answered(place.endpoint.id, seconds, ok=True)
-            pool.event(place)
             if not course.answer.started:
                 await course.answer.start(head.status, head.headers)
             await course.answer.part(whole)
--- a/carawayhub/groups/decider.py
+++ b/carawayhub/groups/decider.py
@@ -143,6 +143,7 @@
         self._formations = 0
         self._current: ExpertMap | None = None
         self._decide_at = clock.monotonic() + self._options.decision_interval
+        self._read_all_at = clock.monotonic()
 
     async def run(self) -> None:
         """Tend the group until cancelled; cancelling is safe at any point."""
@@ -245,6 +246,7 @@
 
         Members of one formation that wait for no verdict all go to one map, so rank 0 tells it.
         """
+        self._read_all_at = self._clock.monotonic() + self._options.full_read_interval
         state = states[0]
         if self._current is None or self._current.id != state.next_map:
             self._current = await read_map(self._ports[0], state)
@@ -258,12 +260,14 @@
         """Decide at each interval; return when the ranks have to be read again.
 
         Only rank 0 is read often: no rank steps without it, so a rank that waits for a verdict or
-        is gone shows as steps that do not go on at rank 0 as well.
+        is gone shows as steps that do not go on at rank 0 as well. One that cannot be reached from
+        here, while the group steps on, shows only when all are read. So that time is one for the
+        decider: were it counted anew when a change begins to stage, one that begins just before it
+        would put it off again, and ranks that are cut off were told of after 20 s, not 10.
         """
         entered = -1
         still = 0
-        read_all_at = self._clock.monotonic() + self._options.full_read_interval
-        while self._clock.monotonic() < read_all_at:
+        while self._clock.monotonic() < self._read_all_at:
             await anyio.sleep(self._options.watch_interval)
             replies = await give(self._ports, {0: Read(term=self._term)})
             if 0 not in replies:
@@ -358,6 +362,7 @@
             await self._watch(deciding=False)
             if not formed(await self._read(), self._group.ranks):
                 raise GroupError(Code.GROUP_BROKEN, "a rank left the formation while staging")
+            self._read_all_at = self._clock.monotonic() + self._options.full_read_interval
 
     async def _stage(self, old: ExpertMap | None, new: ExpertMap) -> None:
         staging = Staging(
--- a/tests/group_bench.py
+++ b/tests/group_bench.py
@@ -75,8 +75,8 @@
     SECOND = ((0, 1, 1, 0, 2, 0),)
     THIRD = ((0, 1, 1, 2, 2, 1),)
 
-    def __init__(self, *, checks_fencing=True, ranks=3):
-        self.clock = SystemClock()
+    def __init__(self, *, checks_fencing=True, ranks=3, clock=None):
+        self.clock = clock or SystemClock()
         self.rng = random.Random(7)
         self.store = WeightStore(100_000_000.0, self.clock)
         self.ranks = [
--- a/tests/test_groups_staging.py
+++ b/tests/test_groups_staging.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from benchmarks.virtual_time import LoopClock, run
 from carawayhub.clock import ManualClock
 from carawayhub.errors import GroupError
 from carawayhub.groups.maps import ExpertMap, check_map, even_map, fetches, moved_bytes
@@ -127,6 +128,34 @@
             self.assertTrue(decider.status.formed)
         self.assertEqual(bench.group.two_maps(), ())
 
+    def test_ranks_cut_off_are_told_of_in_time_though_a_change_begins(self):
+        """Half of a group could not be reached, and its agent said so only after 20 seconds.
+
+        The group steps on, so the loss shows only when all ranks are read. A change of the map
+        began just before that was due, and put it off for as long again.
+        """
+        interval = 10.0
+        options = replace(FAST, full_read_interval=interval, watch_interval=0.25)
+
+        async def story():
+            clock = LoopClock()
+            bench = GroupBench(clock=clock)
+            decider = bench.decider(options=options)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(bench.group.run, 0.05)
+                tasks.start_soon(decider.run)
+                await bench.until(lambda: decider.status.formed)
+                cut_at = clock.monotonic()
+                decider.ports[1].cut = True
+                await anyio.sleep(0.9 * interval)
+                bench.store.refuse_all = True
+                decider.chooser.rows = bench.SECOND
+                await bench.until(lambda: not decider.status.formed)
+                self.assertLess(clock.monotonic() - cut_at, interval + 2.0)
+                tasks.cancel_scope.cancel()
+
+        run(story)
+
     async def test_rank_that_never_prepares(self):
         """One rank cannot be told what to stage: the change is given up, the old map goes on."""
         bench = GroupBench()
