--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -18,6 +18,7 @@
     "routing",
     "limits",
     "overload",
+    "group_load",
     "ledger",
     "dissemination",
     "membership",
--- a/benchmarks/group_load.py
+++ b/benchmarks/group_load.py
@@ -18,6 +18,7 @@
 import anyio
 import msgspec
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from loguru import logger
 
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.addresses import Address
@@ -50,7 +51,12 @@
 PAUSE = 0.12
 SILENCE = 2.0
 NEWS_SECONDS = 0.1
+"""Seconds between two datagrams of an entry to its peers."""
+
 FOLLOWED_PART = 1.0 / 3.0
+"""Part of the time left within which callers follow a request to come back."""
+
+SEEDS = 3
 
 PROFILE = EngineProfile(
     places=6,
@@ -456,10 +462,8 @@
 
 def main(argv: list[str]) -> int:
     """Play all loads and print what callers got of each."""
-    from loguru import logger
-
     logger.disable("carawayhub")
-    seeds = int(argv[argv.index("--seeds") + 1]) if "--seeds" in argv else 3
+    seeds = int(argv[argv.index("--seeds") + 1]) if "--seeds" in argv else SEEDS
     rows = {}
     for name, load in LOADS.items():
         fleets = [play(load, seed) for seed in range(seeds)]
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -23,17 +23,9 @@
 from carawayhub.platform.published import decode_route_table
 from carawayhub.platform.registrations import decode_endpoint
 from tests.gateway_world import endpoint, table
+from tests.test_platform_wire import BEAT
 
-ENTRY = {
-    "Service": "a",
-    "Address": "10.1.0.9:8601",
-    "Zone": "z1",
-    "Version": "v1",
-    "Slots": 6,
-    "State": "ready",
-    "ColdLeftMs": 0,
-    "Seq": 4,
-    "Stage": "unified",
+ENTRY = BEAT | {
     "group": {"Name": "g0", "epoch": 2, "rank": 3, "State": "open"},
     "size": 12,
     "born": 1_790_000_000_000,
