--- a/carawayhub/experts/balancer.py
+++ b/carawayhub/experts/balancer.py
@@ -10,10 +10,10 @@
 BYTES_FOR_SKEW = 2e10
 """Bytes of copies for each rank that a full group may make to take 1.0 off its skew; a group half
 full a quarter as many. Copies beyond that take away too little to be worth their price. Ranks copy
-side by side, so more of them cost no time while each has one. With experts of 2.2 GB and demand that
-moves every 3.7 s the skew was 1.97 and 2.03 and the worth 0.447 and 0.382 at a quarter of this and a
-least gain of 0.2; with these 1.82 and 1.96, and 0.503 and 0.400 (a jump to 1.8, two seeds). At two
-and a half times this, the copies cost 0.02 of worth where experts have 0.78 GB."""
+side by side, so more of them cost no time while each has one. With experts of 2.2 GB and demand
+that moves every 3.7 s the skew was 1.97 and 2.03 and the worth 0.447 and 0.382 at a quarter of this
+and a least gain of 0.2; with these 1.82 and 1.96, and 0.503 and 0.400 (a jump to 1.8, two seeds).
+At two and a half times this, the copies cost 0.02 of worth where experts have 0.78 GB."""
 
 COPY_SECONDS = 0.17
 """Seconds for which the rank with most copies copies in one change. Demand stays for two to four
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -23,9 +23,9 @@
 """
 
 WORDS_OF_THE_PAST = 3
-"""Heartbeats after which a lifetime that seems to be a former one counts as the present one. One may
-come late after a replica has started again; one that goes on has a clock that was set back, and what
-it says last, as that it drains, must hold."""
+"""Heartbeats after which a lifetime that seems to be a former one counts as the present one. One
+may come late after a replica has started again; one that goes on has a clock that was set back, and
+what it says last, as that it drains, must hold."""
 
 LAPSE_HEARTBEATS = 1.0
 """Heartbeats of endpoints for which calls must have failed before entries may have lapsed.
