Let two entries read the store for all, and hand its contents on among entries

Each entry listed everything at its start, read each gathered change itself, touched the store every 1.5 s, and called a store that was away ten times a second.

Change: the first entries of two failure domains read (first_of_domains); who hears of a newer revision asks a peer for what it misses, and the store only if no peer can tell. Contents are handed on as they were written, with the revision of each key, so that a part is never taken for the whole and nothing goes back (StoreMirror; test_platform_mirror searches 40 random histories of reads, hand-overs, lost and doubled answers and new starts). An entry that starts waits 0.8 s at the most for a peer to tell it everything; seeds read at once. Proofs of age stay what they were: counted from when the proving read was sent; their intervals follow from the bound of revoked keys, as parts of it, where they were fixed for five seconds. Failed calls of entries that only lack news back off to 2 s.

--- a/carawayhub/experts/agent.py
+++ b/carawayhub/experts/agent.py
@@ -13,7 +13,6 @@
 from carawayhub.errors import GroupError, PlatformError
 from carawayhub.experts.balancer import Balancer
 from carawayhub.experts.demand import GrowthMeter
-from carawayhub.experts.link import AgentLink, Answer, Question
 from carawayhub.experts.members import Family, GroupMembers, Roster
 from carawayhub.experts.model import (
     Growth,
@@ -24,12 +23,13 @@
     ReadableRank,
     first_placement,
 )
-from carawayhub.experts.pace import LinkPace
 from carawayhub.experts.planner import Plan
 from carawayhub.experts.remote import RankDesk, RemoteRank, relay
 from carawayhub.experts.switch import Switch
 from carawayhub.experts.tally import GroupTally
 from carawayhub.gateway.model import ExpertShape
+from carawayhub.peers.pace import LinkPace
+from carawayhub.peers.questions import Answer, Question, QuestionLink
 
 LOOK_SECONDS = 0.08
 """Seconds between two looks at the demand of a busy group: about a pass of its engines. Demand
@@ -140,7 +140,7 @@
         self._rank = rank
         self._roster = roster
         self._clock = clock
-        self._link = AgentLink(
+        self._link = QuestionLink(
             options.ip, options.port, self._handle, LinkPace(clock, options.link_rate)
         )
         self._members = GroupMembers(options.ip, self._link, options.direct, roster, clock)
--- a/carawayhub/experts/members.py
+++ b/carawayhub/experts/members.py
@@ -11,11 +11,11 @@
 from carawayhub.addresses import Address
 from carawayhub.clock import Clock
 from carawayhub.errors import GroupError
-from carawayhub.experts.link import AgentLink
 from carawayhub.experts.mapwire import MapEncoder
 from carawayhub.experts.model import Rank, RankReport, ReadableRank, TakesOrders
 from carawayhub.experts.remote import RelayedOrders, RemoteRank
 from carawayhub.gateway.model import EngineProfile
+from carawayhub.peers.questions import QuestionLink
 
 FIRST_ROSTER_SECONDS = 0.3
 ROSTER_SECONDS = 2.0
@@ -123,7 +123,7 @@
     def __init__(
         self,
         ip: str,
-        link: AgentLink,
+        link: QuestionLink,
         direct: Callable[[Address, str], Rank],
         roster: Roster,
         clock: Clock,
--- a/carawayhub/experts/remote.py
+++ b/carawayhub/experts/remote.py
@@ -10,7 +10,6 @@
 from carawayhub.codes import Code
 from carawayhub.errors import GroupError
 from carawayhub.experts.demand import GrowthMeter
-from carawayhub.experts.link import AgentLink, Answer, Question
 from carawayhub.experts.mapwire import KnownMaps, MapChange, MapEncoder
 from carawayhub.experts.model import (
     Arm,
@@ -25,6 +24,7 @@
     RankOrder,
     RankReport,
 )
+from carawayhub.peers.questions import Answer, Question, QuestionLink
 
 RELAY = "relay"
 REPORT = "report"
@@ -55,7 +55,7 @@
     __slots__ = ("_direct", "_ip", "_link", "_maps", "silent")
 
     def __init__(
-        self, link: AgentLink, ip: str, direct: Rank, maps: MapEncoder | None = None
+        self, link: QuestionLink, ip: str, direct: Rank, maps: MapEncoder | None = None
     ) -> None:
         self._link = link
         self._ip = ip
@@ -158,7 +158,7 @@
 
     __slots__ = ("_address", "_instance", "_ip", "_link")
 
-    def __init__(self, link: AgentLink, ip: str, instance: str, address: Address) -> None:
+    def __init__(self, link: QuestionLink, ip: str, instance: str, address: Address) -> None:
         self._link = link
         self._ip = ip
         self._instance = instance
--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -8,7 +8,8 @@
 import random
 import secrets
 import socket
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import anyio
@@ -29,7 +30,7 @@
 FAMILY_EVERY = 8
 """Datagrams of which one names the peers, which change seldom."""
 
-ROUNDS_KEPT = 64
+ROUNDS_KEPT = 256
 """Rounds of datagrams whose time is remembered, for peers to answer to: several seconds."""
 
 INTERVALS_OF_SILENCE = 6
@@ -42,6 +43,16 @@
 """Seconds without a further entry after which all are held to be known: a few rounds of datagrams,
 each of which may name more."""
 
+READERS = 2
+"""Entries that read the published state for all, in different failure domains. With one, its loss
+would leave all without proofs until another takes over; a third added calls alone."""
+
+MEETING_INTERVAL = 0.15
+"""The same while no peer is known: an entry that starts waits for what its peers know."""
+
+LEAST_INTERVAL = 0.1
+"""Seconds between two rounds of datagrams at the least, whatever there is to tell."""
+
 MOST_REFUSING = 64
 """Refusing endpoints that one datagram names: a kilobyte."""
 
@@ -87,6 +98,7 @@
 
     __slots__ = (
         "_clock",
+        "_greet",
         "_grown_at",
         "_incarnation",
         "_loads",
@@ -96,6 +108,7 @@
         "_rng",
         "_seeds",
         "_urgent",
+        "_wake",
         "most_entries",
         "_sent",
         "on_loads",
@@ -122,7 +135,9 @@
         self._incarnation = secrets.token_hex(4)
         self._number = 0
         self._peers: dict[str, PeerEntry] = {}
-        self._urgent = anyio.Event()
+        self._urgent = False
+        self._wake = anyio.Event()
+        self._greet: set[str] = set()
         self.phase = Phase.STARTING
         self.most_entries = 0
         self._grown_at = float("-inf")
@@ -158,18 +173,35 @@
     def set_phase(self, phase: Phase) -> None:
         """Change what this entry says of itself, and tell it at once."""
         self.phase = phase
-        self._urgent.set()
+        self.tell_soon()
+
+    def is_reader(self) -> bool:
+        """Return whether this entry reads the published state for the others.
 
-    def is_first_of_domain(self) -> bool:
-        """Return whether this entry is the one of its failure domain that acts for the others."""
-        domain = self._own.failure_domain
+        Entries that know the same choose the same ones, in as many failure domains as there are;
+        who knows less may read as well, which costs some calls and no more.
+        """
         fit = (Phase.STARTING, Phase.READY)
-        others = [
-            each.ip
+        if self.phase not in fit or not self.own_news().reads:
+            return False
+        candidates = [(self._own.failure_domain, self._own.ip)] + [
+            (each.failure_domain, each.ip)
             for each in self._peers.values()
-            if each.failure_domain == domain and each.phase in fit
+            if each.phase in fit and each.reads
         ]
-        return self.phase in fit and all(self._own.ip < ip for ip in others)
+        return self._own.ip in first_of_domains(candidates, READERS)
+
+    def peers_beyond(self, revision: int) -> list[str]:
+        """Return the peers that know more than ``revision``, those of the own domain first."""
+        found = [each for each in self._peers.values() if each.revision > revision]
+        self._rng.shuffle(found)
+        found.sort(key=lambda each: each.failure_domain != self._own.failure_domain)
+        return [each.ip for each in found]
+
+    def tell_soon(self) -> None:
+        """Tell all peers at once, as what this entry knows has changed."""
+        self._urgent = True
+        self._wake.set()
 
     def entries(self, phase: Phase) -> list[PeerEntry]:
         """Return the peers that live and say this of themselves."""
@@ -226,9 +258,14 @@
             hello.callers,
             hello.failure_domain,
             now + silence,
+            hello.news.revision,
+            hello.news.reads,
         )
         if known is None or known.phase is not phase or known.incarnation != hello.incarnation:
             logger.bind(peer=hello.ip, phase=phase.name).info("peer heard")
+        if known is None or known.incarnation != hello.incarnation:
+            self._greet.add(hello.ip)
+            self._wake.set()
         self._loads.heard(
             hello.ip,
             {row.endpoint_id: Work(row.requests, row.reading, row.tokens) for row in hello.works},
@@ -263,17 +300,42 @@
         """Tell peers and seeds in turn; a datagram socket takes one sender at a time."""
         seeds_due = float("-inf")
         while True:
-            self._urgent = anyio.Event()
+            self._urgent = False
             self._drop_silent()
             hello = self._hello()
             told = set(self._peers)
             if self._clock.monotonic() >= seeds_due:
                 told |= self._seeds
-                seeds_due = self._clock.monotonic() + SEED_INTERVAL * self._rng.uniform(0.5, 1.0)
+                pause = SEED_INTERVAL if self._peers else MEETING_INTERVAL
+                seeds_due = self._clock.monotonic() + pause * self._rng.uniform(0.5, 1.0)
             for ip in told:
                 await self._send(sock, ip, self._datagram(ip, hello))
-            with anyio.move_on_after(self.interval * self._rng.uniform(0.9, 1.1)):
-                await self._urgent.wait()
+            await self._wait_for_round(sock)
+
+    async def _wait_for_round(self, sock: anyio.abc.UDPSocket) -> None:
+        """Wait until peers are to be told again; greet those that are met meanwhile at once.
+
+        An entry that starts learns so in a few milliseconds what its peers know, and need not read
+        it from the store.
+        """
+        began_at = self._clock.monotonic()
+        due_at = began_at + self.interval * self._rng.uniform(0.9, 1.1)
+        while (now := self._clock.monotonic()) < due_at:
+            until = began_at + LEAST_INTERVAL if self._urgent else due_at
+            if now >= until:
+                return
+            await self._greet_met(sock)
+            with anyio.move_on_after(until - now):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+
+    async def _greet_met(self, sock: anyio.abc.UDPSocket) -> None:
+        met, self._greet = self._greet, set()
+        if not met:
+            return
+        hello = self._hello(names_peers=True)
+        for ip in met:
+            await self._send(sock, ip, self._datagram(ip, hello))
 
     def hello(self, ip: str = "") -> bytes:
         """Return the next datagram for a peer."""
@@ -298,7 +360,7 @@
             self._loads.forget(peer.ip)
             logger.bind(peer=peer.ip, phase=peer.phase.name).warning("peer went silent")
 
-    def _hello(self) -> msgspec.Raw:
+    def _hello(self, *, names_peers: bool = False) -> msgspec.Raw:
         self._number += 1
         self._sent[self._number] = self._clock.monotonic()
         self._sent.pop(self._number - ROUNDS_KEPT, None)
@@ -310,7 +372,7 @@
             callers=self._own.callers,
             failure_domain=self._own.failure_domain,
             interval=self.interval,
-            peers=list(self._peers) if self._number % FAMILY_EVERY == 1 else [],
+            peers=list(self._peers) if names_peers or self._number % FAMILY_EVERY == 1 else [],
             news=self.own_news(),
             refusing=self.own_refusing()[:MOST_REFUSING],
             works=[
@@ -321,6 +383,21 @@
         return msgspec.Raw(msgspec.msgpack.encode(hello))
 
 
+def first_of_domains(entries: Sequence[tuple[str, str]], count: int) -> frozenset[str]:
+    """Return the entries that act for all: the first of each failure domain, then the second ones.
+
+    Args:
+        entries: Failure domain and IP number of each that may.
+        count: How many are wanted.
+    """
+    seen: Counter[str] = Counter()
+    order = []
+    for domain, ip in sorted(entries, key=lambda each: each[1]):
+        order.append((seen[domain], ip))
+        seen[domain] += 1
+    return frozenset(ip for _, ip in sorted(order)[:count])
+
+
 def _is_newer(hello: Hello, known: PeerEntry | None) -> bool:
     """Return whether a datagram says something new; datagrams may overtake each other."""
     if known is None or known.incarnation != hello.incarnation:
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -61,11 +61,13 @@
         revision: Everything up to it is known.
         age: Seconds since that was proved to be the newest, when the datagram was written.
         grace: Seconds for which entries that are removed are held to have lapsed only.
+        reads: Whether the published state answers the sender.
     """
 
     revision: int
     age: float
     grace: float
+    reads: bool = True
 
 
 class Datagram(msgspec.Struct, array_like=True):
@@ -111,6 +113,8 @@
         callers: ``ip:port`` at which it takes callers.
         failure_domain: Where it stands.
         silent_at: When it counts as gone.
+        revision: Everything published up to it is known there.
+        reads: Whether the published state answers it.
     """
 
     ip: str
@@ -120,3 +124,5 @@
     callers: str
     failure_domain: str
     silent_at: float
+    revision: int
+    reads: bool
--- a/carawayhub/gateway/ports.py
+++ b/carawayhub/gateway/ports.py
@@ -68,9 +68,46 @@
     unreadable: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """Published content that a peer handed on.
+
+    Attributes:
+        published: The content.
+        whole: Whether it is all that is published, as a snapshot is.
+    """
+
+    published: Published
+    whole: bool
+
+
+class Mirror(Protocol):
+    """What was read of the published state, as it is handed on among entries.
+
+    Attributes:
+        revision: Everything up to it is known.
+    """
+
+    revision: int
+
+    def told_after(self, revision: int) -> bytes | None:
+        """Return what is known beyond a revision, None where nothing is or it is too much."""
+
+    def take(self, data: bytes) -> Handed | None:
+        """Take in what a peer told; return it, None where nothing of it is new.
+
+        Raises:
+            PlatformError: PLATFORM_MALFORMED.
+        """
+
+
 class PublishedState(Protocol):
     """The read side of what operators and endpoints publish."""
 
+    @property
+    def mirror(self) -> Mirror:
+        """What was read so far."""
+
     async def snapshot(self) -> Published:
         """Return all that is published.
 
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -18,6 +18,7 @@
 from carawayhub.gateway.directory import ANSWER_SECONDS, EntryDirectory
 from carawayhub.gateway.follower import Follower
 from carawayhub.gateway.gossip import Gossip, OwnPlace
+from carawayhub.gateway.handing import Handing
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.hello import News, Phase
 from carawayhub.gateway.loads import Loads
@@ -29,6 +30,7 @@
 from carawayhub.gateway.tally import Tally
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
+from carawayhub.peers.pace import LinkPace
 
 KEPT_TIMES = 3.0
 """Times the stated seconds for which some callers keep an answer of the directory."""
@@ -39,11 +41,11 @@
 TICK = 0.25
 """Seconds between two looks at what changes with time alone."""
 
-TOUCH_PART = 0.55
+TOUCH_PART = 0.7
 """Part of the time in which keys that were taken away may still open something after which an entry
 without news of the store leaves the directories: its callers go to others before it must refuse."""
 
-CUT_ALLOWANCE = 0.8
+CUT_ALLOWANCE = 1.1
 """Seconds added to the time without an answer of the store: it was lost before a call showed it."""
 
 LAST_CALL = 0.5
@@ -58,7 +60,9 @@
         callers: Where it takes callers.
         seeds: IP numbers of entries that may live.
         ip: IP number of the VM.
-        peer_port: Port of all entries for their exchange.
+        peer_port: Port of all entries for what they tell each other of themselves.
+        content_port: Port of all entries for published content.
+        link_rate: Bytes a second that the link of the VM carries, 0 where that is not known.
         failure_domain: Where it stands.
         heartbeat: Seconds between two heartbeats of an endpoint.
         revoke_after: Seconds after which a key that was taken away must open nothing.
@@ -72,6 +76,8 @@
     seeds: frozenset[str]
     ip: str
     peer_port: int
+    content_port: int
+    link_rate: float
     failure_domain: str
     heartbeat: float
     revoke_after: float
@@ -100,6 +106,7 @@
         "_directory",
         "_follower",
         "_gossip",
+        "_handing",
         "_health",
         "_loads",
         "_options",
@@ -138,7 +145,24 @@
             failure_domain=options.failure_domain,
         )
         self._gossip = Gossip(own, options.seeds, self._loads, clock, rng)
-        self._follower = Follower(state, self._view, clock, rng, self._gossip.is_first_of_domain)
+        self._handing = Handing(
+            options.ip,
+            options.content_port,
+            state.mirror,
+            self._gossip,
+            LinkPace(clock, options.link_rate),
+        )
+        self._follower = Follower(
+            state,
+            self._view,
+            clock,
+            rng,
+            options.revoke_after,
+            self._gossip.is_reader,
+            self._handing.beyond,
+            first=options.ip in options.seeds,
+        )
+        self._follower.on_grown = self._gossip.tell_soon
         self._gossip.on_loads = self._serve_lines
         self._gossip.own_news = self._news
         self._gossip.on_news = self._take_news
@@ -205,6 +229,7 @@
             tasks.start_soon(self._watch_signals)
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._gossip.run)
+            tasks.start_soon(self._handing.run)
             tasks.start_soon(self._tick)
             for probe in probes:
                 tasks.start_soon(probe.run)
@@ -276,7 +301,7 @@
 
     def _news(self) -> News:
         view = self._view
-        return News(view.revision, view.age, view.grace)
+        return News(view.revision, view.age, view.grace, view.cut_off == 0.0)
 
     def _take_news(self, news: News, proved_at: float) -> None:
         if news.grace > 0:
--- a/carawayhub/experts/link.py
+++ b/carawayhub/peers/questions.py
@@ -1,8 +1,9 @@
-"""Questions and answers between the agents of a group, as datagrams.
+"""Questions and answers between processes, as datagrams.
 
-An order to a rank may be lost or take effect late in any case, so nothing is gained from a
-connection between the agents: a lost datagram is one more order without an answer. Orders given by
-the agent beside a rank cost the platform nothing, those from another VM do.
+Agents ask each other for counters and give orders so. An order to a rank may be lost or take effect
+late in any case, so nothing is gained from a connection: a lost datagram is one more order without
+an answer. Entries ask each other for published content, and read it themselves where no answer
+comes.
 """
 
 import secrets
@@ -15,17 +16,17 @@
 import msgspec
 from loguru import logger
 
-from carawayhub.experts.pace import LinkPace
+from carawayhub.peers.pace import LinkPace
 
 ANSWER_SECONDS = 0.25
-"""Seconds for an answer: the call to the rank beside the other agent, and the way both ways."""
+"""Seconds for an answer: a call of the other process on its own VM, and the way both ways."""
 
 COMPRESSED_FROM = 512
 """Bytes of a datagram from which on it is compressed: counters shrink to a third, and the links of
 agents are slow enough for the counters of a whole group to fill them for 70 ms."""
 
 SENT_TWICE = frozenset({"report", "alive", "arm"})
-"""Subjects of questions that change nothing at the other agent, or the same however often they
+"""Subjects of questions that change nothing at the other process, or the same however often they
 come. They are sent again where no answer came soon: of 63 answers that a change needs at once, one
 in forty lost would end nearly each change."""
 
@@ -35,7 +36,7 @@
 MAX_DATAGRAM = 65_536
 
 MAX_RUNNING = 64
-"""Questions that an agent works on at once; more are dropped, and asked again."""
+"""Questions that a process works on at once; more are dropped, and asked again."""
 
 
 class Question(msgspec.Struct, array_like=True, kw_only=True):
@@ -44,7 +45,7 @@
     Attributes:
         number: Names the question; the answer carries it.
         asker: Names the run of the process that asks.
-        subject: What is asked, a name of ``experts.remote``.
+        subject: What is asked; a name of ``experts.remote`` or ``gateway.handing``.
         epoch: Formation in which an order holds.
         fence: Fencing token of an order.
         content: What else the subject needs, in MessagePack.
@@ -97,12 +98,12 @@
     answer: Answer | None = None
 
 
-class AgentLink:
-    """Asks other agents and answers them.
+class QuestionLink:
+    """Asks other processes and answers them.
 
     Args:
         ip: IP number of this VM.
-        port: Port of all agents.
+        port: Port of all processes of its kind.
         handler: Answers a question that came from an IP number.
         pace: Spreads questions, and so their answers, over time.
     """
@@ -150,7 +151,7 @@
     async def ask(
         self, ip: str, subject: str, content: bytes = b"", epoch: int = 0, fence: int = 0
     ) -> Answer | None:
-        """Ask the agent at ``ip``; return None where no answer comes.
+        """Ask the process at ``ip``; return None where no answer comes.
 
         The time for the answer begins when the question goes out: it may wait for its turn behind
         those to other agents.
@@ -196,7 +197,7 @@
         self.take(data, ip, tasks)
 
     def take(self, data: bytes, ip: str, tasks: anyio.abc.TaskGroup) -> None:
-        """Take in a datagram of another agent.
+        """Take in a datagram of another process.
 
         Args:
             data: The datagram.
@@ -206,7 +207,7 @@
         try:
             datagram = _decoded(data)
         except (msgspec.DecodeError, zlib.error) as exc:
-            logger.bind(peer=ip, error=str(exc)).warning("datagram of an agent cannot be read")
+            logger.bind(peer=ip, error=str(exc)).warning("datagram cannot be read")
             return
         if datagram.answer is not None:
             self._settle(datagram.answer, len(data))
@@ -224,8 +225,9 @@
     async def _answer(self, question: Question, ip: str) -> None:
         self._running += 1
         try:
-            answer = await self._handler(question, ip)
-            self._send(ip, _encoded(_Datagram(answer=answer)))
+            data = _encoded(_Datagram(answer=await self._handler(question, ip)))
+            await anyio.sleep(self._pace.delay(len(data)))
+            self._send(ip, data)
         finally:
             self._running -= 1
 
--- a/carawayhub/platform/entry.py
+++ b/carawayhub/platform/entry.py
@@ -56,6 +56,8 @@
         seeds=frozenset(seed.host for seed in settings.seeds),
         ip=settings.ip,
         peer_port=settings.peer_ports[0],
+        content_port=settings.peer_ports[0] + 1,
+        link_rate=settings.link_rate,
         failure_domain=settings.failure_domain,
         heartbeat=settings.heartbeat,
         revoke_after=bounds.revoke_after,
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -13,17 +13,12 @@
 from carawayhub.codes import Code
 from carawayhub.endpoints.sockets import LIVENESS_OPTIONS
 from carawayhub.errors import PlatformError
-from carawayhub.gateway.ports import (
-    Change,
-    EndpointPublished,
-    EndpointRemoved,
-    EndpointUnreadable,
-    Published,
-    TablePublished,
-)
+from carawayhub.gateway.ports import Published
 from carawayhub.platform.answers import decode_answer
-from carawayhub.platform.published import CONFIG_KEY, decode_route_table
-from carawayhub.platform.registrations import ENDPOINT_PREFIX, decode_endpoint
+from carawayhub.platform.changes import Event, published
+from carawayhub.platform.mirror import StoreMirror
+from carawayhub.platform.published import CONFIG_KEY
+from carawayhub.platform.registrations import ENDPOINT_PREFIX
 
 OK_STATUS = 200
 GONE_STATUS = 410
@@ -49,7 +44,7 @@
     has_more: bool = False
 
 
-class _Event(msgspec.Struct, rename="pascal"):
+class _WireEvent(msgspec.Struct, rename="pascal"):
     key: str
     value: str = ""
     rev: int = 0
@@ -59,7 +54,7 @@
 
 class _Watch(msgspec.Struct, rename={"current_rev": "CurrentRev"}):
     current_rev: int
-    events: list[_Event] = []
+    events: list[_WireEvent] = []
 
 
 Answer = TypeVar("Answer")
@@ -75,11 +70,15 @@
     Args:
         address: Address of the store.
         source: IP number to connect from, empty for any.
+
+    Attributes:
+        mirror: What was read so far.
     """
 
-    __slots__ = ("_pool", "_url")
+    __slots__ = ("_pool", "_url", "mirror")
 
     def __init__(self, address: Address, source: str = "") -> None:
+        self.mirror = StoreMirror()
         self._url = f"http://{address}"
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=4,
@@ -94,7 +93,7 @@
         Pages are no snapshot: the revision is that of the first page, and what changed while the
         others were read comes once more with the changes after it.
         """
-        events: list[_Event] = []
+        events: list[_WireEvent] = []
         first = 0
         for prefix in (CONFIG_KEY, ENDPOINT_PREFIX):
             after = ""
@@ -106,7 +105,9 @@
                 if not page.has_more or not page.items:
                     break
                 after = page.items[-1].key
-        return _published(first, events)
+        found, unreadable = _decoded(events)
+        self.mirror.replace(first, found)
+        return published(first, found, unreadable)
 
     async def changes(self, after: int, wait: float) -> Published | None:
         """Return what changed; see ``PublishedState``."""
@@ -115,7 +116,9 @@
             answer = await self._get("/v1/kv-watch", query, wait, _Watch)
         except _HistoryGoneError:
             return None
-        return _published(answer.current_rev, answer.events)
+        found, unreadable = _decoded(answer.events)
+        self.mirror.extend(answer.current_rev, found)
+        return published(answer.current_rev, found, unreadable)
 
     async def revision(self) -> int:
         """Return the newest revision; see ``PublishedState``."""
@@ -151,46 +154,23 @@
     """The store no longer has the history after the revision that was asked for."""
 
 
-def _published(revision: int, events: Sequence[_Event]) -> Published:
-    changes: list[Change] = []
-    unreadable: list[str] = []
-    for event in events:
-        try:
-            change = _change(event)
-        except PlatformError as exc:
-            unreadable.append(str(exc))
-            continue
-        if change is not None:
-            changes.append(change)
-    return Published(revision=revision, changes=tuple(changes), unreadable=tuple(unreadable))
-
-
-def _written(item: _Item) -> _Event:
+def _written(item: _Item) -> _WireEvent:
     """Return an item of a listing as the event of its writing."""
-    return _Event(key=item.key, value=item.value, rev=item.rev, created_rev=item.created_rev)
-
+    return _WireEvent(key=item.key, value=item.value, rev=item.rev, created_rev=item.created_rev)
 
-def _change(event: _Event) -> Change | None:
-    """Return what an event says, None where it concerns nothing that is known here."""
-    if event.key.startswith(ENDPOINT_PREFIX):
-        return _endpoint_change(event)
-    if event.key == CONFIG_KEY and not event.deleted:
-        return TablePublished(decode_route_table(_content(event)))
-    return None
 
-
-def _endpoint_change(event: _Event) -> Change:
-    replica = event.key.removeprefix(ENDPOINT_PREFIX)
-    if event.deleted:
-        return EndpointRemoved(replica)
-    try:
-        return EndpointPublished(decode_endpoint(event.key, _content(event), event.created_rev))
-    except PlatformError as exc:
-        return EndpointUnreadable(replica, str(exc), event.rev)
-
-
-def _content(event: _Event) -> bytes:
-    try:
-        return base64.b64decode(event.value, validate=True)
-    except ValueError as exc:
-        raise PlatformError(Code.PLATFORM_MALFORMED, f"{event.key}: {exc}") from exc
+def _decoded(events: Sequence[_WireEvent]) -> tuple[list[Event], list[str]]:
+    """Return events with their content, and what of them cannot be read."""
+    found: list[Event] = []
+    unreadable: list[str] = []
+    for each in events:
+        try:
+            content = base64.b64decode(each.value, validate=True)
+        except ValueError as exc:
+            if not each.key.startswith(ENDPOINT_PREFIX):
+                unreadable.append(f"{each.key}: {exc}")
+                continue
+            # Bytes that no entry has, so that the endpoint is named by none and used no more.
+            content = b""
+        found.append(Event(each.key, each.rev, each.created_rev, each.deleted, content))
+    return found, unreadable
--- a/tests/test_experts_large.py
+++ b/tests/test_experts_large.py
@@ -9,12 +9,12 @@
 from benchmarks.virtual_time import LoopClock, VirtualTimeLoop
 from carawayhub.addresses import Address
 from carawayhub.experts.demand import GrowthMeter
-from carawayhub.experts.link import Answer, Question
 from carawayhub.experts.members import Family, GroupMembers, Member
 from carawayhub.experts.model import Placement, Prepare, first_placement
-from carawayhub.experts.pace import LinkPace
 from carawayhub.experts.remote import RankDesk, relay
 from carawayhub.experts.switch import Ended, Switch
+from carawayhub.peers.pace import LinkPace
+from carawayhub.peers.questions import Answer, Question
 from tests.datagram_net import DatagramNet
 from tests.expert_group import FakeGroup, FakeRank
 
--- /dev/null
+++ b/tests/test_platform_mirror.py
@@ -0,0 +1,131 @@
+"""What entries hand on to each other of the store: always whole, never older than what is known."""
+
+import random
+import unittest
+
+import msgspec
+
+from carawayhub.codes import Code
+from carawayhub.errors import PlatformError
+from carawayhub.gateway.ports import EndpointRemoved
+from carawayhub.platform.changes import Event
+from carawayhub.platform.mirror import MOST_HANDED, REMOVALS_KEPT, StoreMirror
+
+
+class FakeStore:
+    """Keys that are written and removed, each change at a revision of its own."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.revision = 0
+        self.events: list[Event] = []
+        self.written: dict[str, Event] = {}
+
+    def change(self) -> None:
+        self.revision += 1
+        key = f"servers/i-{self.rng.randrange(12)}"
+        if key in self.written and self.rng.random() < 0.4:
+            del self.written[key]
+            self.events.append(Event(key, self.revision, deleted=True))
+            return
+        event = Event(key, self.revision, self.revision, content=b"%d" % self.revision)
+        self.written[key] = event
+        self.events.append(event)
+
+    def since(self, revision: int) -> list[Event]:
+        return [each for each in self.events if each.rev > revision]
+
+
+class Mirrors(unittest.TestCase):
+    """Several entries of which some read the store and some each other."""
+
+    def contents(self, mirror: StoreMirror) -> dict[str, Event]:
+        told = StoreMirror()
+        data = mirror.told_after(-1)
+        if data is not None:
+            told.take(data)
+        return told._written
+
+    def test_all_know_what_was_written_whoever_told_them(self) -> None:
+        """Entries read the store, ask each other, miss changes, and start anew, in any order.
+
+        An entry that took a part for the whole would send requests to an endpoint that left, or
+        let a key in that was taken away.
+        """
+        for seed in range(40):
+            rng = random.Random(seed)
+            store = FakeStore(rng)
+            mirrors = [StoreMirror() for _ in range(4)]
+            for _ in range(300):
+                self.step(rng, store, mirrors)
+            for mirror in mirrors:
+                mirror.extend(store.revision, store.since(mirror.revision))
+                self.assertEqual(mirror._written, store.written, seed)
+                self.assertEqual(self.contents(mirror), store.written, seed)
+
+    def step(self, rng: random.Random, store: FakeStore, mirrors: list[StoreMirror]) -> None:
+        at = rng.randrange(len(mirrors))
+        match rng.randrange(8):
+            case 0:
+                mirrors[at].replace(store.revision, list(store.written.values()))
+            case 1:
+                mirrors[at].extend(store.revision, store.since(mirrors[at].revision))
+            case 2:
+                mirrors[at] = StoreMirror()
+            case 3 | 4:
+                self.hand_on(rng, rng.choice(mirrors), mirrors[at], store)
+            case _:
+                store.change()
+
+    def hand_on(
+        self, rng: random.Random, teller: StoreMirror, asker: StoreMirror, store: FakeStore
+    ) -> None:
+        asked = asker.revision
+        data = teller.told_after(asked)
+        if data is None:
+            self.assertLessEqual(teller.revision, asked)
+            return
+        if rng.random() < 0.3:
+            asker.extend(store.revision, store.since(asked))
+        before = asker.revision
+        for _ in range(rng.randint(1, 2)):
+            asker.take(data)
+        self.assertGreaterEqual(asker.revision, before)
+
+    def test_removal_is_told_to_who_is_a_little_behind(self) -> None:
+        mirror = StoreMirror()
+        mirror.replace(5, [Event("servers/i-1", 3)])
+        mirror.extend(6, [Event("servers/i-1", 6, deleted=True)])
+        other = StoreMirror()
+        other.replace(5, [Event("servers/i-1", 3)])
+        handed = other.take(mirror.told_after(5))
+        self.assertFalse(handed.whole)
+        self.assertEqual(handed.published.changes, (EndpointRemoved("i-1"),))
+
+    def test_who_is_far_behind_is_told_everything(self) -> None:
+        mirror = StoreMirror()
+        mirror.replace(1, [])
+        for at in range(REMOVALS_KEPT + 10):
+            mirror.extend(at + 2, [Event(f"servers/i-{at}", at + 2, deleted=True)])
+        data = mirror.told_after(2)
+        self.assertTrue(StoreMirror().take(data).whole)
+
+    def test_more_than_a_datagram_holds_is_read_from_the_store(self) -> None:
+        mirror = StoreMirror()
+        mirror.replace(1, [Event("op/config", 1, content=bytes(MOST_HANDED))])
+        self.assertIsNone(mirror.told_after(0))
+
+    def test_content_that_cannot_be_read_changes_nothing(self) -> None:
+        mirror = StoreMirror()
+        mirror.replace(5, [Event("servers/i-1", 3)])
+        whole = mirror.told_after(0)
+        for data in (b"", b"\xff", whole[:-1], msgspec.msgpack.encode([9, True, [["k"]]])):
+            with self.subTest(data=data), self.assertRaises(PlatformError) as raised:
+                mirror.take(data)
+            self.assertIs(raised.exception.code, Code.PLATFORM_MALFORMED)
+        self.assertEqual(mirror.revision, 5)
+        self.assertEqual(len(mirror._written), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
