Let delegates of failure domains tell for them in a large fleet

Change: beyond twelve entries each tells the delegate of its failure domain, delegates tell each other for their domains, and each tells its domain for all others (telling.py; who is known and who acts is in peers.py). Endpoints stand as four bytes in these messages. A delegate that is lost is replaced by the next after six rounds of silence; who is named no more is dropped at once.

Ruled out: all to all at a lower rate (what is known of load grows older with the square), compact rows alone (a third of the bytes, none of the datagrams). A hub for each request of a place was not weighed further: it would be in the way of every request.

--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -1,157 +1,123 @@
 """What entries tell each other: that they live, whether they take callers, what work they have.
 
-One small datagram to each peer several times a second, about 0.03 ms of processor time for each
+One small datagram to each receiver several times a second, about 0.03 ms of processor time for each
 side. A unary call of ``grpclib`` costs 0.5 ms, and nothing here needs an answer: the next datagram
-replaces a lost one.
+replaces a lost one. Who tells whom is in ``telling.py``; an entry of which none tells any more is
+greeted directly again.
 """
 
 import random
-import secrets
 import socket
-from collections import Counter
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Sequence
 
 import anyio
 import msgspec
 from loguru import logger
 
 from carawayhub.clock import Clock
-from carawayhub.gateway.hello import Datagram, Heard, Hello, News, PeerEntry, Phase, WorkRow
+from carawayhub.gateway.hello import Datagram, Digest, Heard, Hello, News, PeerEntry, Phase, WorkRow
 from carawayhub.gateway.loads import Loads, Work
+from carawayhub.gateway.peers import Peers
+from carawayhub.gateway.telling import INTERVAL, OTHERS, OwnPlace, OwnState, Part, Teller
 
-INTERVAL = 0.1
-"""Seconds between two datagrams to a peer in a small fleet: a place that a peer frees is known
-within a tenth of the second or so that a request takes."""
-
-DATAGRAMS_A_SECOND = 150.0
-"""Most datagrams that one entry sends a second; in larger fleets each peer hears less often."""
-
-FAMILY_EVERY = 8
-"""Datagrams of which one names the peers, which change seldom."""
-
-ROUNDS_KEPT = 256
-"""Rounds of datagrams whose time is remembered, for peers to answer to: several seconds."""
+ENTRIES_ALL_TELL_ALL = 12
+"""Entries up to which each tells all others. With 15 in five failure domains, 16 MB in 50 s went
+across these, most of it gossip."""
 
 INTERVALS_OF_SILENCE = 6
 """Datagrams in a row that must be missing before a peer counts as gone; single ones get lost."""
 
+DIGEST_SECONDS = 1.0
+"""Seconds for which work holds that a delegate told of and was not told again: until the next
+delegate tells."""
+
 SEED_INTERVAL = 0.5
 """Seconds between two datagrams to seeds that are not known to live."""
 
-SETTLED_SECONDS = 1.0
-"""Seconds without a further entry after which all are held to be known: a few rounds of datagrams,
-each of which may name more."""
-
-READERS = 2
-"""Entries that read the published state for all, in different failure domains. With one, its loss
-would leave all without proofs until another takes over; a third added calls alone."""
-
 MEETING_INTERVAL = 0.15
 """The same while no peer is known: an entry that starts waits for what its peers know."""
 
 LEAST_INTERVAL = 0.1
 """Seconds between two rounds of datagrams at the least, whatever there is to tell."""
 
-MOST_REFUSING = 64
-"""Refusing endpoints that one datagram names: a kilobyte."""
-
-MAX_DATAGRAM = 60_000
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OwnPlace:
-    """Where this entry is found.
-
-    Attributes:
-        ip: IP number that peers send to.
-        port: Port of all entries for this exchange.
-        callers: ``ip:port`` at which it takes callers.
-        failure_domain: Where it stands.
-    """
+SETTLED_SECONDS = 1.0
+"""Seconds without a further entry after which all are held to be known: a few rounds of datagrams,
+each of which may name more."""
 
-    ip: str
-    port: int
-    callers: str
-    failure_domain: str
+Send = Callable[[str, bytes], Awaitable[None]]
 
 
 class Gossip:
     """Exchanges news with the other entries.
 
     Args:
-        own: Where this entry is found.
+        place: Where this entry is found.
         seeds: IP numbers of entries that may live.
         loads: Own work to tell, and where that of peers goes.
         clock: Source of time.
         rng: Source of jitter.
 
     Attributes:
-        phase: What this entry says of itself.
-        most_entries: Most entries known at one time, this one among them; 0 while none was heard.
+        own: What this entry tells of itself.
         on_loads: Called after each datagram that was taken in.
-        own_news: Gives what this entry knows of the published state.
         on_news: Called with what a peer knows, and with the time of its proof by this clock.
-        own_refusing: Gives the endpoints that have just refused requests of this entry.
         on_refusing: Called with those that refuse requests of a peer.
     """
 
     __slots__ = (
         "_clock",
         "_greet",
-        "_grown_at",
-        "_incarnation",
         "_loads",
-        "_number",
-        "_own",
         "_peers",
         "_rng",
         "_seeds",
+        "_teller",
+        "_told_at",
         "_urgent",
         "_wake",
-        "most_entries",
-        "_sent",
         "on_loads",
         "on_news",
         "on_refusing",
-        "own_news",
-        "own_refusing",
-        "phase",
+        "own",
     )
 
     def __init__(
         self,
-        own: OwnPlace,
+        place: OwnPlace,
         seeds: frozenset[str],
         loads: Loads,
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self._own = own
-        self._seeds = seeds - {own.ip}
+        self.own = OwnState(place)
+        self._seeds = seeds - {place.ip}
         self._loads = loads
         self._clock = clock
         self._rng = rng
-        self._incarnation = secrets.token_hex(4)
-        self._number = 0
-        self._peers: dict[str, PeerEntry] = {}
+        self._peers = Peers(place.ip, place.failure_domain)
+        self._teller = Teller(self.own, self._peers, loads, clock)
+        self._told_at: dict[str, float] = {}
         self._urgent = False
         self._wake = anyio.Event()
         self._greet: set[str] = set()
-        self.phase = Phase.STARTING
-        self.most_entries = 0
-        self._grown_at = float("-inf")
-        self._sent: dict[int, float] = {}
         self.on_loads = _nothing
-        self.own_news = _no_news
         self.on_news = _ignore
-        self.own_refusing: Callable[[], list[str]] = list
         self.on_refusing: Callable[[list[str]], None] = _ignore_refusing
 
     @property
-    def interval(self) -> float:
-        """Seconds between two datagrams to each peer."""
-        return max(INTERVAL, len(self._peers) / DATAGRAMS_A_SECOND)
+    def phase(self) -> Phase:
+        """What this entry says of itself."""
+        return self.own.phase
+
+    @property
+    def most_entries(self) -> int:
+        """Most entries known at one time, this one among them; 0 while none was heard."""
+        return self._peers.most
+
+    @property
+    def news_seconds(self) -> float:
+        """Seconds until all entries know of a choice of this one."""
+        return self._teller.news_seconds
 
     def settled_entries(self) -> int:
         """Return the most entries known at one time, 0 while it may still be growing.
@@ -159,67 +125,62 @@
         Guards against an entry that has just started and met five of forty: it would take a fifth
         of what all may spend together, and so would each of the others after a loss of power.
         """
-        settled = self._clock.monotonic() - self._grown_at >= SETTLED_SECONDS
+        settled = self._clock.monotonic() - self._peers.grown_at >= SETTLED_SECONDS
         return self.most_entries if settled else 0
 
     def add_seeds(self, seeds: frozenset[str]) -> None:
         """Say hello to further entries that may live."""
-        self._seeds |= seeds - {self._own.ip}
+        self._seeds |= seeds - {self.own.place.ip}
 
     def spread(self) -> float:
         """Return the seconds for which all entries choose by the same news, times the entries."""
-        return self.interval * (len(self._peers) + 1)
+        return self.news_seconds * (len(self._peers) + 1)
 
     def set_phase(self, phase: Phase) -> None:
         """Change what this entry says of itself, and tell it at once."""
-        self.phase = phase
+        self.own.phase = phase
+        self._look_at_part()
         self.tell_soon()
 
-    def is_reader(self) -> bool:
-        """Return whether this entry reads the published state for the others.
+    def tell_soon(self) -> None:
+        """Tell all receivers at once, as what this entry knows has changed."""
+        self._urgent = True
+        self._wake.set()
 
-        Entries that know the same choose the same ones, in as many failure domains as there are;
-        who knows less may read as well, which costs some calls and no more.
-        """
-        fit = (Phase.STARTING, Phase.READY)
-        if self.phase not in fit or not self.own_news().reads:
-            return False
-        candidates = [(self._own.failure_domain, self._own.ip)] + [
-            (each.failure_domain, each.ip)
-            for each in self._peers.values()
-            if each.phase in fit and each.reads
-        ]
-        return self._own.ip in first_of_domains(candidates, READERS)
+    def is_reader(self) -> bool:
+        """Return whether this entry reads the published state for the others."""
+        fits = self.phase in (Phase.STARTING, Phase.READY) and self.own.news().reads
+        return fits and self.own.place.ip in self._peers.readers(own_fits=True)
 
     def peers_beyond(self, revision: int) -> list[str]:
         """Return the peers that know more than ``revision``, those of the own domain first."""
-        found = [each for each in self._peers.values() if each.revision > revision]
+        found = self._peers.beyond(revision)
         self._rng.shuffle(found)
-        found.sort(key=lambda each: each.failure_domain != self._own.failure_domain)
+        found.sort(key=lambda each: each.failure_domain != self.own.place.failure_domain)
         return [each.ip for each in found]
 
-    def tell_soon(self) -> None:
-        """Tell all peers at once, as what this entry knows has changed."""
-        self._urgent = True
-        self._wake.set()
-
     def entries(self, phase: Phase) -> list[PeerEntry]:
         """Return the peers that live and say this of themselves."""
-        now = self._clock.monotonic()
-        return [
-            each for each in self._peers.values() if each.phase is phase and each.silent_at > now
-        ]
+        return self._peers.in_phase(phase, self._clock.monotonic())
 
     async def run(self) -> None:
         """Exchange news until cancelled."""
+        place = self.own.place
         async with (
             await anyio.create_udp_socket(
-                family=socket.AF_INET, local_host=self._own.ip, local_port=self._own.port
+                family=socket.AF_INET, local_host=place.ip, local_port=place.port
             ) as sock,
             anyio.create_task_group() as tasks,
         ):
+
+            async def send(ip: str, data: bytes) -> None:
+                try:
+                    await sock.sendto(data, ip, place.port)
+                except OSError as exc:
+                    logger.bind(peer=ip, error=str(exc)).warning("datagram could not be sent")
+
             tasks.start_soon(self._receive, sock)
-            tasks.start_soon(self._tell_peers, sock)
+            tasks.start_soon(self.tell, send)
 
     async def _receive(self, sock: anyio.abc.UDPSocket) -> None:
         async for data, _ in sock:
@@ -232,51 +193,63 @@
         try:
             datagram = msgspec.msgpack.decode(data, type=Datagram)
             hello = msgspec.msgpack.decode(datagram.hello, type=Hello)
-            return Heard(datagram.answers_run, datagram.answers, hello, Phase(hello.phase))
+            digest = _digest(datagram)
+            phase = Phase(hello.phase)
         except (msgspec.DecodeError, ValueError) as exc:
             logger.bind(error=str(exc)).warning("datagram of a peer cannot be read")
             return None
+        return Heard(datagram.answers_run, datagram.answers, hello, phase, digest)
 
     def take(self, heard: Heard) -> None:
         """Take in what a peer said; datagrams may overtake each other and come twice."""
-        if heard.hello.ip == self._own.ip:
+        if heard.hello.ip == self.own.place.ip:
             return
-        self._take_entry(heard.hello, heard.phase)
+        if self._peers.is_news(heard.hello):
+            self._take_entry(heard.hello, heard.phase)
+            self._take_works(heard.hello, heard.digest)
+            self.on_loads()
         self._take_news(heard)
 
     def _take_entry(self, hello: Hello, phase: Phase) -> None:
-        known = self._peers.get(hello.ip)
-        if not _is_newer(hello, known):
-            return
-        now = self._clock.monotonic()
         silence = INTERVALS_OF_SILENCE * max(INTERVAL, hello.interval)
-        self._peers[hello.ip] = PeerEntry(
-            hello.ip,
-            hello.incarnation,
-            hello.number,
-            phase,
-            hello.callers,
-            hello.failure_domain,
-            now + silence,
-            hello.news.revision,
-            hello.news.reads,
-        )
-        if known is None or known.phase is not phase or known.incarnation != hello.incarnation:
-            logger.bind(peer=hello.ip, phase=phase.name).info("peer heard")
-        if known is None or known.incarnation != hello.incarnation:
+        if self._peers.heard(hello, phase, self._clock.monotonic(), silence):
             self._greet.add(hello.ip)
             self._wake.set()
+        self._meet(hello.peers)
+        self._look_at_part()
+
+    def _take_works(self, hello: Hello, digest: Digest | None) -> None:
+        """Take in work of a peer, or what a delegate tells for others.
+
+        Each request is told of by one teller alone, whatever this entry's part is.
+        """
+        near = hello.failure_domain == self.own.place.failure_domain
+        match self._teller.part:
+            case Part.EQUAL:
+                self._take_from(hello.ip, hello.works, hello.refusing)
+            case Part.DELEGATE if near:
+                self._take_from(hello.ip, hello.works, hello.refusing)
+            case Part.DELEGATE if digest is not None:
+                self._take_digest(hello.failure_domain, digest)
+            case Part.MEMBER if digest is not None and hello.ip == self._teller.delegate():
+                self._take_digest(OTHERS, digest)
+
+    def _take_digest(self, teller: str, digest: Digest) -> None:
+        self._take_from(teller, digest.works, digest.refusing)
+        if digest.members is None:
+            return
+        domain = None if teller == OTHERS else teller
+        self._peers.heard_of(digest.members, domain, self._clock.monotonic())
+        self._look_at_part()
+
+    def _take_from(self, teller: str, rows: Sequence[WorkRow], refusing: list[str]) -> None:
         self._loads.heard(
-            hello.ip,
-            {row.endpoint_id: Work(row.requests, row.reading, row.tokens) for row in hello.works},
+            teller, {row.key: Work(row.requests, row.reading, row.tokens) for row in rows}
         )
-        if hello.refusing:
-            self.on_refusing(hello.refusing)
-        self._meet(hello.peers)
-        if len(self._peers) + 1 > self.most_entries:
-            self.most_entries = len(self._peers) + 1
-            self._grown_at = now
-        self.on_loads()
+        self._told_at[teller] = self._clock.monotonic()
+        self.own.told_refusing[teller] = refusing
+        if refusing:
+            self.on_refusing(refusing)
 
     def _take_news(self, heard: Heard) -> None:
         """Take in what a peer knows of the published state.
@@ -285,134 +258,109 @@
         was suspended. So its age is counted from when this entry sent the datagram that the peer
         answers to, which was before the peer wrote its answer.
         """
-        if heard.answers_run != self._incarnation:
+        if heard.answers_run != self.own.incarnation:
             return
-        sent_at = self._sent.get(heard.answers)
+        sent_at = self._teller.sent_at(heard.answers)
         if sent_at is not None:
             self.on_news(heard.hello.news, sent_at - heard.hello.news.age)
 
     def _meet(self, ips: list[str]) -> None:
         """Say hello to entries that a peer hears and this one does not."""
-        unknown = frozenset(ips) - self._peers.keys() - {self._own.ip}
+        unknown = frozenset(ips) - frozenset(self._peers.ips()) - {self.own.place.ip}
         self._seeds |= unknown
 
-    async def _tell_peers(self, sock: anyio.abc.UDPSocket) -> None:
-        """Tell peers and seeds in turn; a datagram socket takes one sender at a time."""
+    def _look_at_part(self) -> None:
+        """See whether this entry tells for others now; what it was told so far ends with a change.
+
+        Kept, a request would count twice: from its own entry and from a delegate.
+        """
+        part = Part.EQUAL
+        if self.most_entries > ENTRIES_ALL_TELL_ALL:
+            is_delegate = self._teller.delegate() == self.own.place.ip
+            part = Part.DELEGATE if is_delegate else Part.MEMBER
+        if part is self._teller.part:
+            return
+        logger.bind(part=part.value, entries=len(self._peers) + 1).info("part in the exchange")
+        self._teller.part = part
+        for teller in self._loads.tellers():
+            self._forget_teller(teller)
+
+    def _forget_teller(self, teller: str) -> None:
+        self._loads.forget(teller)
+        self._told_at.pop(teller, None)
+        self.own.told_refusing.pop(teller, None)
+
+    async def tell(self, send: Send) -> None:
+        """Tell receivers and seeds in turn until cancelled.
+
+        Args:
+            send: Sends a datagram to an IP number.
+        """
         seeds_due = float("-inf")
         while True:
-            self._urgent = False
+            urgent, self._urgent = self._urgent, False
             self._drop_silent()
-            hello = self._hello()
-            told = set(self._peers)
-            if self._clock.monotonic() >= seeds_due:
-                told |= self._seeds
+            datagrams = self._teller.round(urgent=urgent)
+            now = self._clock.monotonic()
+            if now >= seeds_due:
+                unknown = self._seeds - frozenset(self._peers.ips())
+                datagrams |= self._teller.greeting(unknown)
                 pause = SEED_INTERVAL if self._peers else MEETING_INTERVAL
-                seeds_due = self._clock.monotonic() + pause * self._rng.uniform(0.5, 1.0)
-            for ip in told:
-                await self._send(sock, ip, self._datagram(ip, hello))
-            await self._wait_for_round(sock)
+                seeds_due = now + pause * self._rng.uniform(0.5, 1.0)
+            for ip, data in datagrams.items():
+                await send(ip, data)
+            await self._wait_for_round(send)
 
-    async def _wait_for_round(self, sock: anyio.abc.UDPSocket) -> None:
+    async def _wait_for_round(self, send: Send) -> None:
         """Wait until peers are to be told again; greet those that are met meanwhile at once.
 
         An entry that starts learns so in a few milliseconds what its peers know, and need not read
         it from the store.
         """
         began_at = self._clock.monotonic()
-        due_at = began_at + self.interval * self._rng.uniform(0.9, 1.1)
+        due_at = began_at + self._teller.interval * self._rng.uniform(0.9, 1.1)
         while (now := self._clock.monotonic()) < due_at:
             until = began_at + LEAST_INTERVAL if self._urgent else due_at
             if now >= until:
                 return
-            await self._greet_met(sock)
+            met, self._greet = self._greet, set()
+            for ip, data in self._teller.greeting(met).items():
+                await send(ip, data)
             with anyio.move_on_after(until - now):
                 await self._wake.wait()
             self._wake = anyio.Event()
 
-    async def _greet_met(self, sock: anyio.abc.UDPSocket) -> None:
-        met, self._greet = self._greet, set()
-        if not met:
-            return
-        hello = self._hello(names_peers=True)
-        for ip in met:
-            await self._send(sock, ip, self._datagram(ip, hello))
-
-    def hello(self, ip: str = "") -> bytes:
-        """Return the next datagram for a peer."""
-        return self._datagram(ip, self._hello())
-
-    def _datagram(self, ip: str, hello: msgspec.Raw) -> bytes:
-        peer = self._peers.get(ip)
-        run, number = (peer.incarnation, peer.number) if peer is not None else ("", 0)
-        return msgspec.msgpack.encode(Datagram(run, number, hello))
-
-    async def _send(self, sock: anyio.abc.UDPSocket, ip: str, data: bytes) -> None:
-        try:
-            await sock.sendto(data, ip, self._own.port)
-        except OSError as exc:
-            logger.bind(peer=ip, error=str(exc)).warning("datagram could not be sent")
-
     def _drop_silent(self) -> None:
         now = self._clock.monotonic()
-        for peer in [each for each in self._peers.values() if each.silent_at <= now]:
-            del self._peers[peer.ip]
-            self._seeds |= {peer.ip}
-            self._loads.forget(peer.ip)
-            logger.bind(peer=peer.ip, phase=peer.phase.name).warning("peer went silent")
-
-    def _hello(self, *, names_peers: bool = False) -> msgspec.Raw:
-        self._number += 1
-        self._sent[self._number] = self._clock.monotonic()
-        self._sent.pop(self._number - ROUNDS_KEPT, None)
-        hello = Hello(
-            ip=self._own.ip,
-            incarnation=self._incarnation,
-            number=self._number,
-            phase=self.phase,
-            callers=self._own.callers,
-            failure_domain=self._own.failure_domain,
-            interval=self.interval,
-            peers=list(self._peers) if names_peers or self._number % FAMILY_EVERY == 1 else [],
-            news=self.own_news(),
-            refusing=self.own_refusing()[:MOST_REFUSING],
-            works=[
-                WorkRow(name, work.requests, work.reading, work.tokens)
-                for name, work in self._loads.own().items()
-            ],
-        )
-        return msgspec.Raw(msgspec.msgpack.encode(hello))
-
-
-def first_of_domains(entries: Sequence[tuple[str, str]], count: int) -> frozenset[str]:
-    """Return the entries that act for all: the first of each failure domain, then the second ones.
-
-    Args:
-        entries: Failure domain and IP number of each that may.
-        count: How many are wanted.
+        gone = self._peers.silent(now)
+        for ip in gone:
+            self._seeds |= {ip}
+            self._forget_teller(ip)
+        self._peers.drop(gone, "silent")
+        if self._teller.part is not Part.EQUAL:
+            late = [each for each, at in self._told_at.items() if now - at > DIGEST_SECONDS]
+            for teller in late:
+                self._forget_teller(teller)
+        if gone:
+            self._look_at_part()
+
+
+def _digest(datagram: Datagram) -> Digest | None:
+    """Return what a datagram tells for others.
+
+    Raises:
+        ValueError: A phase is not known.
     """
-    seen: Counter[str] = Counter()
-    order = []
-    for domain, ip in sorted(entries, key=lambda each: each[1]):
-        order.append((seen[domain], ip))
-        seen[domain] += 1
-    return frozenset(ip for _, ip in sorted(order)[:count])
-
-
-def _is_newer(hello: Hello, known: PeerEntry | None) -> bool:
-    """Return whether a datagram says something new; datagrams may overtake each other."""
-    if known is None or known.incarnation != hello.incarnation:
-        return True
-    return hello.number > known.number
+    digest: Digest | None = msgspec.msgpack.decode(datagram.digest, type=Digest | None)
+    for row in digest.members or () if digest is not None else ():
+        Phase(row.phase)
+    return digest
 
 
 def _nothing() -> None:
     return
 
 
-def _no_news() -> News:
-    return News(0, float("inf"), 0.0)
-
-
 def _ignore(news: News, proved_at: float) -> None:
     return
 
--- a/carawayhub/gateway/loads.py
+++ b/carawayhub/gateway/loads.py
@@ -5,8 +5,23 @@
 a second; together they show each endpoint's load before it reports it.
 """
 
-from collections.abc import Mapping
+import zlib
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
+
+KEYS_KEPT = 16_384
+"""Endpoints whose keys are kept at hand: three times those of the largest fleet planned for."""
+
+
+@lru_cache(maxsize=KEYS_KEPT)
+def work_key(endpoint_id: str) -> int:
+    """Return the number that stands for an endpoint among entries: four bytes for thirteen.
+
+    Of 5,400 endpoints two share a number with a chance of 0.3%; each is then held to have the
+    load of both.
+    """
+    return zlib.crc32(endpoint_id.encode())
 
 
 @dataclass(slots=True)
@@ -32,58 +47,86 @@
 
 IDLE = Work()
 
+Works = Mapping[int, Work]
+"""Work by the keys of endpoints."""
+
 
 class Loads:
-    """Work in flight at the endpoints, by endpoint id."""
+    """Work in flight at the endpoints."""
 
     __slots__ = ("_own", "_peers", "_total")
 
     def __init__(self) -> None:
-        self._own: dict[str, Work] = {}
-        self._peers: dict[str, dict[str, Work]] = {}
-        self._total: dict[str, Work] = {}
+        self._own: dict[int, Work] = {}
+        self._peers: dict[str, dict[int, Work]] = {}
+        self._total: dict[int, Work] = {}
 
     def begin(self, endpoint_id: str, work: Work) -> None:
         """Count work that goes to an endpoint."""
-        self._own.setdefault(endpoint_id, Work()).add(work, 1)
-        self._total.setdefault(endpoint_id, Work()).add(work, 1)
+        key = work_key(endpoint_id)
+        self._own.setdefault(key, Work()).add(work, 1)
+        self._total.setdefault(key, Work()).add(work, 1)
 
     def has_read(self, endpoint_id: str, tokens: int) -> None:
         """Note that an endpoint has read a prompt."""
         read = Work(reading=tokens)
-        self._own[endpoint_id].add(read, -1)
-        self._total[endpoint_id].add(read, -1)
+        key = work_key(endpoint_id)
+        self._own[key].add(read, -1)
+        self._total[key].add(read, -1)
 
     def end(self, endpoint_id: str, work: Work) -> None:
         """Take work that has ended off the count."""
-        self._take_off(self._own, endpoint_id, work)
-        self._take_off(self._total, endpoint_id, work)
-
-    def heard(self, peer: str, works: Mapping[str, Work]) -> None:
-        """Put what a peer says of its own work in place of what it said before."""
-        self.forget(peer)
-        self._peers[peer] = dict(works)
-        for endpoint_id, work in works.items():
-            self._total.setdefault(endpoint_id, Work()).add(work, 1)
-
-    def forget(self, peer: str) -> None:
-        """Drop what a peer said: it is gone, and so are its requests."""
-        for endpoint_id, work in self._peers.pop(peer, {}).items():
-            self._take_off(self._total, endpoint_id, work)
-
-    def own(self) -> Mapping[str, Work]:
-        """Return the work of this entry by endpoint."""
+        key = work_key(endpoint_id)
+        _take_off(self._own, key, work)
+        _take_off(self._total, key, work)
+
+    def heard(self, teller: str, works: Works) -> None:
+        """Put what is told of work in place of what the same teller said before."""
+        self.forget(teller)
+        self._peers[teller] = dict(works)
+        for key, work in works.items():
+            self._total.setdefault(key, Work()).add(work, 1)
+
+    def forget(self, teller: str) -> None:
+        """Drop what was told: a peer that is gone has no requests any more."""
+        for key, work in self._peers.pop(teller, {}).items():
+            _take_off(self._total, key, work)
+
+    def tellers(self) -> list[str]:
+        """Return who told of work."""
+        return list(self._peers)
+
+    def own(self) -> Works:
+        """Return the work of this entry."""
         return self._own
 
     def total(self, endpoint_id: str) -> Work:
         """Return all known work at an endpoint."""
-        return self._total.get(endpoint_id, IDLE)
-
-    @staticmethod
-    def _take_off(works: dict[str, Work], endpoint_id: str, work: Work) -> None:
-        found = works.get(endpoint_id)
-        if found is None:
-            return
-        found.add(work, -1)
-        if found.requests <= 0:
-            del works[endpoint_id]
+        return self._total.get(work_key(endpoint_id), IDLE)
+
+    def of(self, tellers: Iterable[str]) -> Works:
+        """Return the work of this entry and of some tellers together."""
+        found: dict[int, Work] = {}
+        for works in (self._own, *(self._peers.get(each, {}) for each in tellers)):
+            for key, work in works.items():
+                found.setdefault(key, Work()).add(work, 1)
+        return found
+
+    def without(self, teller: str) -> Works:
+        """Return all known work but what one teller told."""
+        left = dict(self._total)
+        for key, work in self._peers.get(teller, {}).items():
+            total = left.get(key, IDLE)
+            rest = Work(total.requests, total.reading, total.tokens)
+            rest.add(work, -1)
+            left[key] = rest
+        return {key: work for key, work in left.items() if work.requests > 0}
+
+
+def _take_off(works: dict[int, Work], key: int, work: Work) -> None:
+    found = works.get(key)
+    if found is None:
+        return
+    found.add(work, -1)
+    if found.requests <= 0:
+        del works[key]
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -17,7 +17,7 @@
 from carawayhub.gateway.desk import Desk
 from carawayhub.gateway.directory import ANSWER_SECONDS, EntryDirectory
 from carawayhub.gateway.follower import Follower
-from carawayhub.gateway.gossip import Gossip, OwnPlace
+from carawayhub.gateway.gossip import Gossip
 from carawayhub.gateway.handing import Handing
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.hello import News, Phase
@@ -28,6 +28,7 @@
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.tally import Tally
+from carawayhub.gateway.telling import OwnPlace
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
 from carawayhub.peers.pace import LinkPace
@@ -164,9 +165,9 @@
         )
         self._follower.on_grown = self._gossip.tell_soon
         self._gossip.on_loads = self._serve_lines
-        self._gossip.own_news = self._news
+        self._gossip.own.news = self._news
         self._gossip.on_news = self._take_news
-        self._gossip.own_refusing = self._health.refused_here
+        self._gossip.own.refusing = self._health.refused_here
         self._gossip.on_refusing = self._health.heard_refusing
         self._directory = EntryDirectory(self._gossip, str(options.callers), rng)
         self._stopping = anyio.Event()
@@ -214,7 +215,7 @@
                 self._rng,
                 retries,
                 self._gossip.spread,
-                lambda: self._gossip.interval,
+                lambda: self._gossip.news_seconds,
             )
         return found
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -11,7 +11,7 @@
 from carawayhub.gateway.events import WholeEvents
 from carawayhub.gateway.health import FIRST_BREAK, Health
 from carawayhub.gateway.line import Line, Wish
-from carawayhub.gateway.loads import Loads, Work
+from carawayhub.gateway.loads import Loads, Work, work_key
 from carawayhub.gateway.model import Repeat, RouteTable
 from carawayhub.gateway.placement import Placement
 from carawayhub.gateway.ports import Published, TablePublished
@@ -131,7 +131,7 @@
         self.assertEqual(counts, [3] * 12)
 
     def test_work_of_peers_counts(self) -> None:
-        busy = {each.id: Work(2, 0, 2000) for each in self.endpoints[1:]}
+        busy = {work_key(each.id): Work(2, 0, 2000) for each in self.endpoints[1:]}
         self.loads.heard("10.0.0.2", busy)
         self.assertEqual(self.choose().endpoint.id, "i-0")
         self.loads.forget("10.0.0.2")
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from carawayhub.clock import ManualClock, SystemClock
-from carawayhub.gateway.gossip import Gossip, OwnPlace, first_of_domains
+from carawayhub.gateway.gossip import Gossip
 from carawayhub.gateway.hello import News, Phase
 from carawayhub.gateway.loads import Loads, Work
+from carawayhub.gateway.peers import first_of_domains
+from carawayhub.gateway.telling import OwnPlace
 
 
 def free_port() -> int:
@@ -62,7 +64,7 @@
             await self.until(lambda: [e.ip for e in first.entries(Phase.READY)] == ["127.0.0.2"])
             await self.until(lambda: first.is_reader() and second.is_reader())
             self.assertFalse(third.is_reader())
-            second.own_news = lambda: News(0, 0.0, 0.0, reads=False)
+            second.own.news = lambda: News(0, 0.0, 0.0, reads=False)
             await self.until(lambda: third.is_reader())
             self.assertFalse(second.is_reader())
 
@@ -88,7 +90,7 @@
             first, second, third = self.entries
             heard: list[str] = []
             third.on_refusing = heard.extend
-            first.own_refusing = lambda: ["i-7"]
+            first.own.refusing = lambda: ["i-7"]
             await self.until(lambda: "i-7" in heard)
 
         self.run_entries(story)
@@ -116,7 +118,7 @@
         async def story() -> None:
             clock = SystemClock()
             first, second, _ = self.entries
-            first.own_news = lambda: News(7, 0.5, 0.0)
+            first.own.news = lambda: News(7, 0.5, 0.0)
             second.on_news = lambda news, at: heard.append((news, at, clock.monotonic()))
             await self.until(lambda: any(news.revision == 7 for news, _, _ in heard))
             for news, proved_at, now in heard:
@@ -130,7 +132,7 @@
             first = self.entries[0]
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
                 for data in (b"", b"\xff", msgspec.msgpack.encode([1, 2]), b"x" * 5000):
-                    sock.sendto(data, (first._own.ip, first._own.port))
+                    sock.sendto(data, (first.own.place.ip, first.own.place.port))
             await anyio.sleep(0.3)
             self.assertEqual(first.most_entries, 3)
 
@@ -157,8 +159,8 @@
         peer = Gossip(other, frozenset(), Loads(), ManualClock(1.0), random.Random(1))
         hellos = []
         for phase in (Phase.READY, Phase.LEAVING):
-            peer.phase = phase
-            hellos.append(gossip.read(peer.hello()))
+            peer.set_phase(phase)
+            hellos.append(gossip.read(peer._teller.greeting(["10.0.0.1"])["10.0.0.1"]))
         gossip.take(hellos[1])
         gossip.take(hellos[0])
         self.assertEqual(gossip.entries(Phase.READY), [])
