Prefer near endpoints and kept connections among equally busy ones, and start without trio

Cause: 98 entries before 192 endpoints opened a connection for 3,019 of 3,277 requests; four requests in five crossed failure domains; and httpcore loads trio, a third of each start, where the machine has it.

Change: of endpoints that are equally busy those of the own failure domain go first, then those with a kept connection, which join the random sample (the sets differ by entry, so that entries that know the same still choose apart); a process starts with 0.5 s of processor time for 0.7 s, 35 MB for 39.

--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -216,6 +216,8 @@
                 retries,
                 self._gossip.spread,
                 lambda: self._gossip.news_seconds,
+                self._upstream.has_idle,
+                options.failure_domain,
             )
         return found
 
--- a/carawayhub/platform/__main__.py
+++ b/carawayhub/platform/__main__.py
@@ -21,6 +21,7 @@
 def main(words: list[str]) -> int:
     """Run the role that is named and return the exit status."""
     signal.signal(signal.SIGTERM, _leave_early)
+    _leave_trio_out()
     try:
         settings = _read_settings()
         configure_logs(BoundedLines(sys.stdout.fileno()), "INFO", settings.name)
@@ -31,6 +32,15 @@
     return 0
 
 
+def _leave_trio_out() -> None:
+    """Keep httpcore from loading trio where that is installed: anyio runs on asyncio here.
+
+    A process starts so with 0.5 s of processor time for 0.7 s and takes 35 MB for 39 (measured with
+    /usr/bin/time); after a loss of power all of them start at one moment.
+    """
+    sys.modules.setdefault("trio", None)  # type: ignore[arg-type]
+
+
 def _leave_early(number: int, frame: object) -> None:
     """End in order where the stop comes before the process serves anything."""
     sys.exit(0)
