--- a/carawayhub/gateway/placement.py
+++ b/carawayhub/gateway/placement.py
@@ -43,11 +43,9 @@
             equally busy those go first: a new connection takes a request a millisecond and holds a
             place at the endpoint meanwhile. Of 98 entries before 192 endpoints, nearly each request
             opened one (3,019 of 3,277).
-        domain: Failure domain of this entry. Of equally busy endpoints those in it go first: bytes
-            between failure domains have a price, and the way there is a millisecond longer.
     """
 
-    __slots__ = ("_domain", "_has_idle", "_health", "_loads", "_rng")
+    __slots__ = ("_has_idle", "_health", "_loads", "_rng")
 
     def __init__(
         self,
@@ -55,9 +53,7 @@
         health: Health,
         rng: random.Random,
         has_idle: Callable[[str], bool] = lambda address: False,
-        domain: str = "",
     ) -> None:
-        self._domain = domain
         self._has_idle = has_idle
         self._loads = loads
         self._health = health
@@ -117,7 +113,7 @@
 
     def _cost(
         self, endpoint: Endpoint, work: Work, kv_tokens: int, usual: float
-    ) -> tuple[float, float, bool, bool, float]:
+    ) -> tuple[float, float, bool, float]:
         total = self._loads.total(endpoint.id)
         full = (total.requests + 1) / endpoint.places
         if kv_tokens:
@@ -126,8 +122,7 @@
         seconds = self._health.seconds(endpoint.id)
         if usual and seconds:
             full *= min(MOST_FACTOR, max(LEAST_FACTOR, seconds / usual))
-        far = endpoint.failure_domain != self._domain
-        return full, total.reading, far, not self._keeps(endpoint), self._rng.random()
+        return full, total.reading, not self._keeps(endpoint), self._rng.random()
 
     def _usual_seconds(self, endpoints: Sequence[Endpoint]) -> float:
         """Return the median time of answers, against which slow endpoints of a service stand out.
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -87,7 +87,6 @@
         spread: Gives the seconds for which entries choose by the same news, times the entries.
         news: Gives those seconds alone.
         has_idle: Whether a connection to an address is kept.
-        domain: Failure domain of this entry.
     """
 
     __slots__ = (
@@ -119,7 +118,6 @@
         spread: Callable[[], float] = lambda: 0.0,
         news: Callable[[], float] = lambda: 0.0,
         has_idle: Callable[[str], bool] = lambda address: False,
-        domain: str = "",
     ) -> None:
         self._name = name
         self._view = view
@@ -129,7 +127,7 @@
         self._refusals = Refusals(clock)
         self._claims = Claims(clock, rng)
         self._news = news
-        self._placement = Placement(loads, health, rng, has_idle, domain)
+        self._placement = Placement(loads, health, rng, has_idle)
         self._spread = spread
         self._start_seconds = 0.0
         self._turns: dict[int, tuple[_Turn, Work]] = {}
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -217,7 +217,6 @@
                 self._gossip.spread,
                 lambda: self._gossip.news_seconds,
                 self._upstream.has_idle,
-                options.failure_domain,
             )
         return found
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -2,7 +2,6 @@
 
 import random
 import unittest
-from dataclasses import replace
 
 from carawayhub.clock import ManualClock
 from carawayhub.codes import Code
@@ -159,19 +158,6 @@
             chosen = placement.choose(endpoints, work(), 0, frozenset(), 2)
             self.assertNotEqual(chosen.endpoint.id, kept.id)
 
-    def test_endpoints_of_the_own_failure_domain_go_first_among_equally_busy_ones(self) -> None:
-        """Four requests in five crossed failure domains, where bytes have a price."""
-        near = replace(self.endpoints[5], failure_domain="quimper")
-        endpoints = [*self.endpoints[:5], near, *self.endpoints[6:]]
-        placement = Placement(self.loads, self.health, random.Random(1), domain="quimper")
-        for _ in range(20):
-            chosen = placement.choose(endpoints, work(), 0, frozenset())
-            self.assertEqual(chosen.endpoint.id, near.id)
-        self.loads.begin(near.id, work())
-        for _ in range(20):
-            chosen = placement.choose(endpoints, work(), 0, frozenset())
-            self.assertNotEqual(chosen.endpoint.id, near.id)
-
     def test_prompts_still_to_be_read_break_ties(self) -> None:
         for each in self.endpoints:
             self.loads.begin(each.id, work())
