--- a/tests/test_experts_balance.py
+++ b/tests/test_experts_balance.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from benchmarks.expert_shift import RANKS, ShiftingDemand, follow
-from carawayhub.experts import link
 from carawayhub.experts.balancer import Balancer, copies_within
 from carawayhub.experts.demand import Demand
 from carawayhub.experts.model import Growth, first_placement, is_whole
 from carawayhub.experts.planner import CopyLimits, plan
 from carawayhub.gateway.model import ExpertShape
+from carawayhub.peers import questions
 from tests.gateway_world import engine
 
 SHAPE = ExpertShape(
@@ -150,17 +150,17 @@
 
     def test_large_content_shrinks_and_comes_back(self) -> None:
         levels = bytes([0, 0, 0, 7]) * 500
-        question = link.Question(number=3, asker="a", subject="growth", content=levels)
-        data = link._encoded(link._Datagram(question=question))
+        question = questions.Question(number=3, asker="a", subject="growth", content=levels)
+        data = questions._encoded(questions._Datagram(question=question))
         self.assertLess(len(data), len(levels) / 3)
-        self.assertEqual(link._decoded(data).question, question)
+        self.assertEqual(questions._decoded(data).question, question)
 
     def test_garbage_is_refused_and_cannot_fill_memory(self) -> None:
         """A datagram of a few bytes must not unpack to gigabytes in an agent of 168 MB."""
         bomb = b"z" + zlib.compress(bytes(100_000_000))
         for data in (bomb, b"", b"z", b"zgarbage", b"p\xff"):
             with self.subTest(size=len(data)):
-                self.assertRaises((msgspec.DecodeError, zlib.error), link._decoded, data)
+                self.assertRaises((msgspec.DecodeError, zlib.error), questions._decoded, data)
 
 
 if __name__ == "__main__":
