Hand on only what its receiver can unpack

Found in the reading of the change. Cause: content of up to 200 KB was handed on compressed, while a receiver unpacks 64 KB of a datagram at the most, a bound against small datagrams that unpack to gigabytes. What lay between could never be read; each entry asked two peers in vain and then read the store. Nothing wrong was believed, since half a message does not decode.

Change: the limit follows from that bound, so such an entry reads the store without asking twice. What could be read before still is, but for the last 256 bytes. The new test fails before (content over 64 KB is handed on and cannot be decoded) and passes now; lint, types and the modules of mirror, view and wire pass.

--- a/carawayhub/platform/mirror.py
+++ b/carawayhub/platform/mirror.py
@@ -7,12 +7,17 @@
 from carawayhub.codes import Code
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.ports import Handed
+from carawayhub.peers.questions import MAX_DATAGRAM
 from carawayhub.platform.answers import UNREADABLE
 from carawayhub.platform.changes import Event, published
 
-MOST_HANDED = 200_000
-"""Bytes of content that are handed on at once, before compression to a third or less: what fits a
-datagram. An entry that needs more reads the store."""
+ANSWER_HEAD = 256
+"""Bytes that an answer takes beside its content, with room to spare."""
+
+MOST_HANDED = MAX_DATAGRAM - ANSWER_HEAD
+"""Bytes of content that are handed on at once: what a datagram holds when it is unpacked. More
+would be sent, cut off by the receiver's bound and asked for in vain; such an entry reads the store.
+"""
 
 REMOVALS_KEPT = 512
 """Removed keys that are remembered: those of some minutes in which every endpoint is replaced. Who
--- a/tests/test_platform_mirror.py
+++ b/tests/test_platform_mirror.py
@@ -8,6 +8,7 @@
 from carawayhub.codes import Code
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.ports import EndpointRemoved
+from carawayhub.peers import questions
 from carawayhub.platform.changes import Event
 from carawayhub.platform.mirror import MOST_HANDED, REMOVALS_KEPT, StoreMirror
 
@@ -115,6 +116,21 @@
         mirror.replace(1, [Event("op/config", 1, content=bytes(MOST_HANDED))])
         self.assertIsNone(mirror.told_after(0))
 
+    def test_all_that_is_handed_on_can_be_unpacked(self) -> None:
+        """A configuration of 100 KB was sent compressed, and the receiver unpacked 64 KB of it.
+
+        No peer could read the answer, and each asked two of them before it read the store.
+        """
+        mirror = StoreMirror()
+        mirror.replace(1, [Event("op/config", 1, content=bytes(MOST_HANDED - 64))])
+        content = mirror.told_after(0)
+        self.assertIsNotNone(content)
+        answer = questions.Answer(number=2**40, asker="f" * 8, ok=True, content=content)
+        data = questions._encoded(questions._Datagram(answer=answer))
+        self.assertEqual(questions._decoded(data).answer, answer)
+        mirror.replace(2, [Event("op/config", 2, content=bytes(100_000))])
+        self.assertIsNone(mirror.told_after(0))
+
     def test_content_that_cannot_be_read_changes_nothing(self) -> None:
         mirror = StoreMirror()
         mirror.replace(5, [Event("servers/i-1", 3)])
