Say in the logs which content a request has and whether its endpoint ended

Cause: logs name a request by the id of its attempt, and say alike of a replica that ended and of the ranks that its group cut off 1.5 s later that the answer broke off. So neither could it be seen that one request comes again, nor which of the broken requests was at the replica that ended.

Change, no decision touched: each request has a fingerprint of caller, method, host, target and body, which the lines of its attempts carry; an answer that breaks off makes the entry look whether the endpoint still takes connections, which a line and a counter tell.

Ruled out: the removal of the endpoint's entry as the sign, which comes 3 to 4 s later and also for planned leaves.

--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -11,11 +11,13 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 import anyio
 import httpcore
 
+from carawayhub.addresses import Address
 from carawayhub.codes import Code
 from carawayhub.endpoints.body import StreamBody
 from carawayhub.endpoints.sockets import ABORTING_OPTIONS
@@ -32,10 +34,28 @@
 of a plain service need not, so its connections carry one request each.
 """
 
+LOOK_TIMEOUT = 0.25
+"""Seconds in which an endpoint must take or refuse a connection when its state is looked at: some
+round trips between failure domains."""
+
 NotSent = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 Broken = (httpcore.NetworkError, httpcore.RemoteProtocolError, httpcore.LocalProtocolError)
 
 
+class Listening(Enum):
+    """What a look at an endpoint's address showed.
+
+    Attributes:
+        YES: A process takes connections there.
+        NO: The VM answers, and no process takes connections.
+        UNKNOWN: Nothing answered in time.
+    """
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
 @dataclass(slots=True)
 class UpstreamTimeouts:
     """Seconds of silence allowed on one request, changed as it proceeds.
@@ -159,6 +179,26 @@
                 raise RequestError(Code.CONNECT_FAILED, req.endpoint, retry_after=1.0) from exc
             raise RequestError(Code.ANSWER_CUT, f"{req.endpoint}: {exc}") from exc
 
+    async def look(self, address: Address) -> Listening:
+        """Return whether a process takes connections at an address.
+
+        Tells an endpoint that has ended from one that only broke a connection: the VM of the first
+        refuses further ones at once.
+        """
+        backend = self._backend or httpcore.AnyIOBackend()
+        try:
+            stream = await backend.connect_tcp(
+                address.host,
+                address.port,
+                timeout=LOOK_TIMEOUT,
+                local_address=self._source or None,
+                socket_options=ABORTING_OPTIONS,
+            )
+        except NotSent as exc:
+            return Listening.NO if _is_refusal(exc) else Listening.UNKNOWN
+        await stream.aclose()
+        return Listening.YES
+
     async def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
@@ -205,6 +245,15 @@
                 del self._idle[address]
 
 
+def _is_refusal(exc: BaseException | None) -> bool:
+    """Return whether a connect failed because nobody listens."""
+    while exc is not None:
+        if isinstance(exc, ConnectionRefusedError):
+            return True
+        exc = exc.__cause__
+    return False
+
+
 def _holds_surplus(conn: httpcore.AsyncHTTPConnection) -> bool:
     """Return whether bytes came after the answer.
 
--- a/carawayhub/gateway/app.py
+++ b/carawayhub/gateway/app.py
@@ -154,6 +154,7 @@
         self._tally.ended(route, organisation, code, answer.status, seconds)
         logger.bind(
             request=req.id.decode("latin-1") if req else "",
+            content=call.fingerprint.hex() if call else "",
             route=route,
             organisation=organisation,
             code=int(code),
--- a/carawayhub/gateway/calls.py
+++ b/carawayhub/gateway/calls.py
@@ -57,6 +57,7 @@
         ends_at: When the caller or the route gives up, whichever is first.
         returned: Whether the caller was refused before and has come back.
         work: What it needs of an endpoint.
+        fingerprint: Names what it asks; see ``fingerprint``.
     """
 
     req: CallerRequest
@@ -67,6 +68,7 @@
     ends_at: float
     returned: bool
     work: Work
+    fingerprint: bytes = b""
 
     @property
     def priority(self) -> int:
--- a/carawayhub/gateway/desk.py
+++ b/carawayhub/gateway/desk.py
@@ -6,6 +6,7 @@
 from carawayhub.codes import Code
 from carawayhub.errors import RequestError
 from carawayhub.gateway.calls import Admitted, CallerRequest
+from carawayhub.gateway.fingerprint import fingerprint
 from carawayhub.gateway.loads import Work
 from carawayhub.gateway.model import Organisation, Route, RouteTable
 from carawayhub.gateway.view import FleetView
@@ -68,6 +69,7 @@
             ends_at=arrived_at + min(waits, route.timeout),
             returned=self._is_back(route, waits),
             work=Work(1, req.prompt_tokens, req.prompt_tokens + req.answer_tokens),
+            fingerprint=fingerprint(req, organisation),
         )
 
     def _organisation(
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -181,6 +181,7 @@
                 pool=self.pool,
                 entries=self._gossip.settled_entries,
                 load=self._loads.total,
+                tally=self._tally,
             )
         )
         desk = Desk(self._view, clock, rng, options.revoke_after)
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -14,6 +14,7 @@
 from carawayhub.codes import Code, Outcome
 from carawayhub.endpoints.upstream import (
     ONE_REQUEST,
+    Listening,
     Upstream,
     UpstreamRequest,
     UpstreamResponse,
@@ -27,6 +28,7 @@
 from carawayhub.gateway.loads import Work
 from carawayhub.gateway.model import Repeat
 from carawayhub.gateway.pool import Place, ServicePool
+from carawayhub.gateway.tally import Tally
 from carawayhub.gateway.view import FleetView
 
 OK_STATUS = 200
@@ -82,6 +84,7 @@
         pool: Gives the pool of a service.
         entries: Gives the most entries known at one time, 0 while none was heard.
         load: Gives the known work at an endpoint.
+        tally: Takes measurements.
     """
 
     clock: Clock
@@ -92,6 +95,7 @@
     pool: Callable[[str], ServicePool]
     entries: Callable[[], int]
     load: Callable[[str], Work]
+    tally: Tally
 
 
 class GatewayRelay:
@@ -172,11 +176,33 @@
             await self._exchange(course, pool, place, sent_at)
         except RequestError as exc:
             self._note_failure(course, pool, place, exc, sent_at)
+            if exc.code is Code.ANSWER_CUT:
+                await self._look_after(course, place, sent_at)
             raise
         except anyio.get_cancelled_exc_class():
             self._note_silence(course, place, sent_at)
             raise
 
+    async def _look_after(self, course: _Course, place: Place, sent_at: float) -> None:
+        """See whether an endpoint has ended that broke an answer off, and say so.
+
+        Ranks of a group that lost another one break off answers as well, and so does a replica that
+        fails a single request; both go on listening.
+        """
+        endpoint = place.endpoint
+        listening = await self._parts.upstream.look(endpoint.address)
+        ended = listening is Listening.NO
+        if ended:
+            self._parts.tally.endpoint_ended(endpoint.service)
+        logger.bind(
+            request=course.call.req.id.decode("latin-1"),
+            content=course.call.fingerprint.hex(),
+            endpoint=endpoint.id,
+            listening=listening.value,
+            seconds=round(self._now() - sent_at, 3),
+            after_event=course.events.last_id.decode("latin-1"),
+        ).info("endpoint ended under a request" if ended else "answer broke off")
+
     def _note_silence(self, course: _Course, place: Place, sent_at: float) -> None:
         """Count an endpoint from which nothing came until the caller left.
 
@@ -337,6 +363,7 @@
         load = self._parts.load(endpoint_id)
         logger.bind(
             request=call.req.id.decode("latin-1"),
+            content=call.fingerprint.hex(),
             endpoint=endpoint_id,
             attempt=course.sends,
             waited=round(self._now() - call.arrived_at, 4),
--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -50,13 +50,21 @@
         self.taken: list[Taken] = []
         self.connections = 0
         self.address = ""
+        self._scope: anyio.CancelScope | None = None
 
     async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
         self.address = f"{host}:{port}"
         task_status.started()
-        await listener.serve(self._connection)
+        async with listener:
+            with anyio.CancelScope() as self._scope:
+                await listener.serve(self._connection)
+
+    def end(self) -> None:
+        """End as a crashed process does: all connections close and further ones are refused."""
+        assert self._scope is not None
+        self._scope.cancel()
 
     async def _connection(self, stream: SocketStream) -> None:
         self.connections += 1
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -5,6 +5,7 @@
 import unittest
 
 import anyio
+from loguru import logger
 
 from carawayhub.addresses import Address
 from carawayhub.clock import SystemClock
@@ -103,6 +104,7 @@
             rng,
             RetryShare(self.clock, 0.2, 88.0, 10.0),
         )
+        self.tally = Tally()
         parts = RelayParts(
             clock=self.clock,
             view=self.view,
@@ -112,10 +114,11 @@
             pool=lambda name: pool,
             entries=lambda: 1,
             load=loads.total,
+            tally=self.tally,
         )
         desk = Desk(self.view, self.clock, rng, 5.0)
         app = GatewayApp(
-            self.clock, PlatformWire(), desk, GatewayRelay(parts), CallerLimits, Tally()
+            self.clock, PlatformWire(), desk, GatewayRelay(parts), CallerLimits, self.tally
         )
         self.sock = bind(Address("127.0.0.1", 0))
         self.port = self.sock.getsockname()[1]
@@ -255,6 +258,48 @@
         World([refuses], repeat=Repeat.ONCE).run(story)
 
 
+class BrokenOff(unittest.TestCase):
+    """Answers that break off, of endpoints that ended and of others."""
+
+    def broken(self, world: "World", path: bytes = b"/songs/1") -> dict:
+        """Ask once, and return what the entry saw of the endpoint's state."""
+        found = []
+        sink = logger.add(lambda each: found.append(each.record), level="INFO")
+
+        async def story(world: World) -> None:
+            await world.ask(world.request(path=path))
+
+        world.run(story)
+        logger.remove(sink)
+        (looked,) = [each["extra"] for each in found if "listening" in each["extra"]]
+        return looked
+
+    def test_endpoint_that_ended_is_told_from_one_that_broke_a_connection(self) -> None:
+        """Operators saw "answer broke off" for a replica that had ended and for all its group.
+
+        A rank ends; 1.5 s later the other ranks break off what they had, and live. Which of the
+        requests was at the rank that ended could not be told.
+        """
+        world = World([closes], repeat=Repeat.ONCE)
+        self.assertEqual(self.broken(world)["listening"], "yes")
+        self.assertNotIn("_ends_total{", world.tally.page())
+
+        async def ends(stream, taken) -> None:
+            world.endpoints[0].end()
+
+        world = World([ends], repeat=Repeat.ONCE)
+        self.assertEqual(self.broken(world)["listening"], "no")
+        self.assertIn('cut_by_endpoint_ends_total{service="plain"} 1', world.tally.page())
+
+    def test_request_that_comes_again_is_named_alike(self) -> None:
+        """Callers give each attempt a new id, so logs showed two attempts as two requests."""
+        first = self.broken(World([closes], repeat=Repeat.ONCE))
+        again = self.broken(World([closes], repeat=Repeat.ONCE))
+        other = self.broken(World([closes], repeat=Repeat.ONCE), path=b"/songs/2")
+        self.assertEqual(first["content"], again["content"])
+        self.assertNotEqual(first["content"], other["content"])
+
+
 class Plain(unittest.TestCase):
     """Services whose answers have a length."""
 
