Refuse a request for good once three endpoints have ended under it

Cause: an entry knew a request by the id of its attempt, forgot it with its end and told nobody. A request that ends each replica which begins it was so a new one with each repetition, at each entry. Class: what is learned of a failure was kept with the attempt and the endpoint, never with the content that both have in common.

Ruled out, by the test before: replicas that end of themselves; our own repeats as the cause, which only add to it (one attempt went on to the group that its rank had broken).

Change: limits/poison.py keeps under which fingerprint each endpoint ended, joined among entries by union over the datagrams they exchange, each told until the peer says that it heard. Three ends refuse a request at every entry with 400 and code 2034, before it waits; who waits already is told as soon as a peer knows. A whole answer clears it everywhere. An end does not count against a request where another that was there has as many; where endpoints end often of themselves up to six ends are needed. 256 records at the most; 10 minutes or, while it keeps coming, an hour. A request under which two ended is sent once an attempt, and none goes on to the group that its rank broke. An end is shown by refused connections after an answer broke off, not by the broken answer alone.

Open: refused sends after a loss of all entries.

--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -66,6 +66,7 @@
     PAUSED = 2031
     VIEW_TOO_OLD = 2032
     ENDPOINT_REFUSED = 2033
+    POISON_REQUEST = 2034
 
     ANSWER_CUT = 3001
     ANSWER_TIMEOUT = 3002
@@ -277,6 +278,12 @@
         "the endpoint refused the request and did not run it",
         "come back after 'retry-after'",
     ),
+    Code.POISON_REQUEST: Meaning(
+        _NOT_RUN,
+        400,
+        "endpoints ended each time they ran this request, it is not run again",
+        "change the request; the same one is refused until nobody has sent it for an hour",
+    ),
     Code.ANSWER_CUT: Meaning(
         _UNKNOWN, 502, "the answer broke off before its end", "repeat it if it may be repeated"
     ),
--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -26,6 +26,7 @@
 CONNECT_TIMEOUT = 1.0
 KEEPALIVE_SECONDS = 15.0
 MAX_IDLE = 64
+NO_BODY_STATUS = (204, 304)
 ONE_REQUEST = (b"connection", b"close")
 """Header that keeps a connection to one request.
 
@@ -119,6 +120,18 @@
         self.status = response.status
         self.headers = response.headers
 
+    @property
+    def framed(self) -> bool:
+        """Whether the head says where the body ends.
+
+        Without a length or chunks the end of the connection is the end of the answer, and a cut one
+        looks whole.
+        """
+        names = {name.lower() for name, _ in self.headers}
+        if b"content-length" in names or b"transfer-encoding" in names:
+            return True
+        return self.status in NO_BODY_STATUS
+
     def aiter_stream(self) -> AsyncIterator[bytes]:
         """Return the body part by part."""
         return self._response.aiter_stream()
--- a/carawayhub/entry/relay.py
+++ b/carawayhub/entry/relay.py
@@ -354,20 +354,11 @@
         size += len(part)
         if size > MAX_BODY_BYTES:
             raise RequestError(Code.ENDPOINT_ERROR, f"the answer is over {MAX_BODY_BYTES} bytes")
-    if not _is_framed(response):
-        # Without a length or chunks the end of the connection is the end of the answer, and a cut
-        # one looks whole.
+    if not response.framed:
         raise RequestError(Code.ANSWER_CUT, "the endpoint does not say where its answer ends")
     return b"".join(parts)
 
 
-def _is_framed(response: UpstreamResponse) -> bool:
-    names = {name.lower() for name, _ in response.headers}
-    if b"content-length" in names or b"transfer-encoding" in names:
-        return True
-    return response.status in (204, 304)
-
-
 def _check_id(call: Call, response: UpstreamResponse, body: bytes) -> None:
     """Refuse the answer of another request.
 
--- a/carawayhub/gateway/desk.py
+++ b/carawayhub/gateway/desk.py
@@ -6,10 +6,10 @@
 from carawayhub.codes import Code
 from carawayhub.errors import RequestError
 from carawayhub.gateway.calls import Admitted, CallerRequest
-from carawayhub.gateway.fingerprint import fingerprint
 from carawayhub.gateway.loads import Work
 from carawayhub.gateway.model import Organisation, Route, RouteTable
 from carawayhub.gateway.view import FleetView
+from carawayhub.limits.fingerprint import fingerprint
 
 AGE_MARGIN = 0.4
 """Seconds by which a view is held to be too old before keys that were taken away must be: it covers
@@ -69,7 +69,13 @@
             ends_at=arrived_at + min(waits, route.timeout),
             returned=self._is_back(route, waits),
             work=Work(1, req.prompt_tokens, req.prompt_tokens + req.answer_tokens),
-            fingerprint=fingerprint(req, organisation),
+            fingerprint=fingerprint(
+                organisation.name if organisation is not None else "",
+                req.method,
+                req.host,
+                req.target,
+                req.body,
+            ),
         )
 
     def _organisation(
--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -18,7 +18,9 @@
 from carawayhub.gateway.hello import Datagram, Digest, Heard, Hello, News, PeerEntry, Phase, WorkRow
 from carawayhub.gateway.loads import Loads, Work
 from carawayhub.gateway.peers import Peers
+from carawayhub.gateway.poisonnews import PoisonNews
 from carawayhub.gateway.telling import INTERVAL, OTHERS, OwnPlace, OwnState, Part, Teller
+from carawayhub.limits.poison import PoisonRecords
 
 ENTRIES_ALL_TELL_ALL = 12
 """Entries up to which each tells all others. With 15 in five failure domains, 16 MB in 50 s went
@@ -54,6 +56,7 @@
         place: Where this entry is found.
         seeds: IP numbers of entries that may live.
         loads: Own work to tell, and where that of peers goes.
+        records: Under which requests endpoints ended, here and at peers.
         clock: Source of time.
         rng: Source of jitter.
 
@@ -69,6 +72,7 @@
         "_greet",
         "_loads",
         "_peers",
+        "_poison_news",
         "_rng",
         "_seeds",
         "_teller",
@@ -86,6 +90,7 @@
         place: OwnPlace,
         seeds: frozenset[str],
         loads: Loads,
+        records: PoisonRecords,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -95,7 +100,8 @@
         self._clock = clock
         self._rng = rng
         self._peers = Peers(place.ip, place.failure_domain)
-        self._teller = Teller(self.own, self._peers, loads, clock)
+        self._poison_news = PoisonNews(records)
+        self._teller = Teller(self.own, self._peers, loads, self._poison_news, clock)
         self._told_at: dict[str, float] = {}
         self._urgent = False
         self._wake = anyio.Event()
@@ -198,7 +204,7 @@
         except (msgspec.DecodeError, ValueError) as exc:
             logger.bind(error=str(exc)).warning("datagram of a peer cannot be read")
             return None
-        return Heard(datagram.answers_run, datagram.answers, hello, phase, digest)
+        return Heard(datagram.answers_run, datagram.answers, hello, phase, digest, datagram.ends)
 
     def take(self, heard: Heard) -> None:
         """Take in what a peer said; datagrams may overtake each other and come twice."""
@@ -209,6 +215,7 @@
             self._take_works(heard.hello, heard.digest)
             self.on_loads()
         self._take_news(heard)
+        self._poison_news.records.take(heard.ends)
 
     def _take_entry(self, hello: Hello, phase: Phase) -> None:
         silence = INTERVALS_OF_SILENCE * max(INTERVAL, hello.interval)
@@ -260,6 +267,7 @@
         """
         if heard.answers_run != self.own.incarnation:
             return
+        self._poison_news.heard(heard.hello.ip, heard.hello.incarnation, heard.answers)
         sent_at = self._teller.sent_at(heard.answers)
         if sent_at is not None:
             self.on_news(heard.hello.news, sent_at - heard.hello.news.age)
@@ -337,6 +345,7 @@
             self._seeds |= {ip}
             self._forget_teller(ip)
         self._peers.drop(gone, "silent")
+        self._poison_news.keep(frozenset(self._peers.ips()))
         if self._teller.part is not Part.EQUAL:
             late = [each for each, at in self._told_at.items() if now - at > DIGEST_SECONDS]
             for teller in late:
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -1,10 +1,13 @@
 """Messages between entries, and what is remembered of a peer that sent one."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 
 import msgspec
 
+from carawayhub.limits.poison import EndsRow
+
 
 class Phase(IntEnum):
     """What an entry says of itself."""
@@ -113,12 +116,14 @@
         answers: Number of the datagram that the sender heard last of it, 0 for none.
         hello: What the sender says of itself.
         digest: What it tells for others, ``NO_DIGEST`` where it is no delegate.
+        ends: Requests under which endpoints ended, as far as its receiver lacks them.
     """
 
     answers_run: str
     answers: int
     hello: msgspec.Raw
     digest: msgspec.Raw = NO_DIGEST
+    ends: list[EndsRow] = []
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +136,7 @@
         hello: The hello.
         phase: What the sender says of itself.
         digest: What it tells for others.
+        ends: Requests under which endpoints ended.
     """
 
     answers_run: str
@@ -138,6 +144,7 @@
     hello: Hello
     phase: Phase
     digest: Digest | None = None
+    ends: Sequence[EndsRow] = ()
 
 
 @dataclass(slots=True)
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -16,6 +16,7 @@
 from carawayhub.gateway.calls import CallerWire
 from carawayhub.gateway.desk import Desk
 from carawayhub.gateway.directory import ANSWER_SECONDS, EntryDirectory
+from carawayhub.gateway.endings import Endings
 from carawayhub.gateway.follower import Follower
 from carawayhub.gateway.gossip import Gossip
 from carawayhub.gateway.handing import Handing
@@ -31,6 +32,7 @@
 from carawayhub.gateway.telling import OwnPlace
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
+from carawayhub.limits.poison import PoisonRecords
 from carawayhub.peers.pace import LinkPace
 
 KEPT_TIMES = 3.0
@@ -113,6 +115,7 @@
         "_options",
         "_pools",
         "_read_seeds",
+        "_records",
         "_rng",
         "_stopping",
         "_tally",
@@ -145,7 +148,8 @@
             callers=str(options.callers),
             failure_domain=options.failure_domain,
         )
-        self._gossip = Gossip(own, options.seeds, self._loads, clock, rng)
+        self._records = PoisonRecords(clock)
+        self._gossip = Gossip(own, options.seeds, self._loads, self._records, clock, rng)
         self._handing = Handing(
             options.ip,
             options.content_port,
@@ -181,7 +185,7 @@
                 pool=self.pool,
                 entries=self._gossip.settled_entries,
                 load=self._loads.total,
-                tally=self._tally,
+                endings=Endings(self._upstream, self._view, self._records, self._tally, clock),
             )
         )
         desk = Desk(self._view, clock, rng, options.revoke_after)
@@ -287,8 +291,12 @@
             await anyio.sleep(TICK)
 
     def _forget_the_gone(self) -> None:
-        """Drop the records of endpoints that are no longer published, which would only pile up."""
+        """Drop what is no longer of use and would only pile up.
+
+        Records of endpoints that are no longer published, and of requests long past.
+        """
         self._health.forget(self._view.ids())
+        self._records.forget_old()
 
     def _look_at_readiness(self) -> None:
         """Take callers once the configuration is known, and only while it can be proved new."""
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -14,7 +14,6 @@
 from carawayhub.codes import Code, Outcome
 from carawayhub.endpoints.upstream import (
     ONE_REQUEST,
-    Listening,
     Upstream,
     UpstreamRequest,
     UpstreamResponse,
@@ -23,12 +22,12 @@
 from carawayhub.errors import RequestError
 from carawayhub.gateway.answer import CallerAnswer
 from carawayhub.gateway.calls import Admitted, AnswerHead, CallerWire, Dispatch
+from carawayhub.gateway.endings import Endings
 from carawayhub.gateway.events import WholeEvents
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Work
 from carawayhub.gateway.model import Repeat
 from carawayhub.gateway.pool import Place, ServicePool
-from carawayhub.gateway.tally import Tally
 from carawayhub.gateway.view import FleetView
 
 OK_STATUS = 200
@@ -54,7 +53,7 @@
         call: The request.
         answer: Its answer.
         events: Whole events of a stream that went out.
-        tried: Endpoints that it was sent to or that could not be reached.
+        tried: Endpoints that it was sent to, that could not be reached or that stand still.
         sends: Times that it was sent.
         sent_to: Endpoints that it was sent to.
         may_have_run: Whether some endpoint may have run it.
@@ -84,7 +83,7 @@
         pool: Gives the pool of a service.
         entries: Gives the most entries known at one time, 0 while none was heard.
         load: Gives the known work at an endpoint.
-        tally: Takes measurements.
+        endings: Knows under which requests endpoints ended.
     """
 
     clock: Clock
@@ -95,7 +94,7 @@
     pool: Callable[[str], ServicePool]
     entries: Callable[[], int]
     load: Callable[[str], Work]
-    tally: Tally
+    endings: Endings
 
 
 class GatewayRelay:
@@ -116,6 +115,7 @@
         Raises:
             RequestError: It has no answer; where ``answer.started`` the connection must be broken.
         """
+        self._parts.endings.check(call)
         course = _Course(call, answer)
         pool = self._parts.pool(call.service)
         pool.retries.arrived()
@@ -126,7 +126,8 @@
         raise self._out_of_time(course, pool)
 
     async def _attempts(self, course: _Course, pool: ServicePool) -> None:
-        place: Place | None = await pool.take(course.call, self._now())
+        with self._parts.endings.waiting(course.call):
+            place: Place | None = await pool.take(course.call, self._now())
         while place is not None:
             refused = False
             try:
@@ -143,6 +144,8 @@
     def _next_place(self, course: _Course, pool: ServicePool) -> Place | None:
         """Return where the request goes next, None where it must not or cannot go on."""
         call = course.call
+        if not self._may_go_on(course):
+            return None
         if len(course.sent_to) >= call.route.attempts:
             return None
         if course.may_have_run and not call.route.repeatable:
@@ -151,6 +154,13 @@
             return None
         return pool.retake(call, course.tried)
 
+    def _may_go_on(self, course: _Course) -> bool:
+        """Return whether a request may be sent again, for all that endpoints ended under it."""
+        endings = self._parts.endings
+        if endings.is_poison(course.call):
+            return False
+        return not (course.sends and endings.is_sent_once(course.call))
+
     async def _later_place(self, course: _Course, pool: ServicePool) -> Place | None:
         """Return a place for a request that endpoints refused, after a wait for them.
 
@@ -159,8 +169,11 @@
         last = course.last
         if last is None or last.code is not Code.ENDPOINT_REFUSED or course.may_have_run:
             return None
+        if not self._may_go_on(course):
+            return None
         full = len(course.sent_to) >= course.call.route.attempts
-        place = await pool.retake_later(course.call, course.sent_to if full else None)
+        with self._parts.endings.waiting(course.call):
+            place = await pool.retake_later(course.call, course.sent_to if full else None)
         if place is None:
             return None
         if not pool.retries.spend(self._parts.entries()):
@@ -177,32 +190,13 @@
         except RequestError as exc:
             self._note_failure(course, pool, place, exc, sent_at)
             if exc.code is Code.ANSWER_CUT:
-                await self._look_after(course, place, sent_at)
+                broken = await self._parts.endings.broke_off(course.call, place.endpoint, sent_at)
+                course.tried |= broken
             raise
         except anyio.get_cancelled_exc_class():
             self._note_silence(course, place, sent_at)
             raise
 
-    async def _look_after(self, course: _Course, place: Place, sent_at: float) -> None:
-        """See whether an endpoint has ended that broke an answer off, and say so.
-
-        Ranks of a group that lost another one break off answers as well, and so does a replica that
-        fails a single request; both go on listening.
-        """
-        endpoint = place.endpoint
-        listening = await self._parts.upstream.look(endpoint.address)
-        ended = listening is Listening.NO
-        if ended:
-            self._parts.tally.endpoint_ended(endpoint.service)
-        logger.bind(
-            request=course.call.req.id.decode("latin-1"),
-            content=course.call.fingerprint.hex(),
-            endpoint=endpoint.id,
-            listening=listening.value,
-            seconds=round(self._now() - sent_at, 3),
-            after_event=course.events.last_id.decode("latin-1"),
-        ).info("endpoint ended under a request" if ended else "answer broke off")
-
     def _note_silence(self, course: _Course, place: Place, sent_at: float) -> None:
         """Count an endpoint from which nothing came until the caller left.
 
@@ -252,6 +246,8 @@
                 await self._stream(course, pool, place, sent_at, head, response)
             else:
                 await self._whole(course, place, sent_at, head, response)
+            if response.framed:
+                self._parts.endings.answered(course.call)
 
     def _check(self, course: _Course, head: AnswerHead) -> None:
         """Raise where an answer must not reach the caller.
@@ -353,6 +349,8 @@
     def _still_allowed(self, course: _Course, endpoint_id: str) -> bool:
         if self._parts.view.endpoint(endpoint_id) is None:
             return False
+        if self._parts.endings.is_poison(course.call):
+            return False
         course.sends += 1
         course.sent_to.add(endpoint_id)
         self._log_send(course, endpoint_id)
@@ -393,6 +391,7 @@
             if last.outcome is Outcome.NOT_RUN:
                 return RequestError(Code.ANSWER_CUT, last.detail)
             return last
+        self._parts.endings.check(course.call)
         code = last.code if last is not None else Code.NO_ENDPOINT
         return pool.refusal(course.call, self._now(), code)
 
--- a/carawayhub/gateway/telling.py
+++ b/carawayhub/gateway/telling.py
@@ -28,6 +28,7 @@
 )
 from carawayhub.gateway.loads import Loads, Works
 from carawayhub.gateway.peers import Peers
+from carawayhub.gateway.poisonnews import PoisonNews
 
 INTERVAL = 0.1
 """Seconds between two datagrams to a receiver: a place that a peer frees is known within a tenth of
@@ -127,6 +128,14 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _Numbered:
+    """A hello as it is sent, and its number."""
+
+    number: int
+    hello: msgspec.Raw
+
+
 class Teller:
     """Makes the datagrams that an entry sends.
 
@@ -134,6 +143,7 @@
         own: What it has to tell of itself.
         peers: The other entries.
         loads: Work in flight.
+        poison_news: Requests under which endpoints ended.
         clock: Source of time.
 
     Attributes:
@@ -147,15 +157,24 @@
         "_number",
         "_own",
         "_peers",
+        "_poison_news",
         "_rounds",
         "_sent",
         "part",
     )
 
-    def __init__(self, own: OwnState, peers: Peers, loads: Loads, clock: Clock) -> None:
+    def __init__(
+        self,
+        own: OwnState,
+        peers: Peers,
+        loads: Loads,
+        poison_news: PoisonNews,
+        clock: Clock,
+    ) -> None:
         self._own = own
         self._peers = peers
         self._loads = loads
+        self._poison_news = poison_news
         self._clock = clock
         self._number = 0
         self._rounds = 0
@@ -210,14 +229,19 @@
     def greeting(self, ips: Iterable[str]) -> dict[str, bytes]:
         """Return the datagrams for entries that have just been met, or may live."""
         hello = self._hello([], names_peers=True, interval=GREETING_INTERVAL)
-        return {ip: self._datagram(ip, hello) for ip in ips}
+        return {ip: self._datagram(ip, hello) for ip in sorted(ips)}
 
     def _for_successors(self, urgent: bool) -> dict[str, bytes]:
-        """Return what the others of the failure domain are told, who tell for it one day."""
+        """Return what the others of the failure domain are told, who tell for it one day.
+
+        Requests under which endpoints ended are told to the delegate alone, who tells them on.
+        """
         if self._rounds % NEAR_EVERY and not urgent:
             return {}
         hello = self._hello([], interval=NEAR_EVERY * INTERVAL)
-        return {each.ip: self._datagram(each.ip, hello) for each in self._peers.near()}
+        return {
+            each.ip: self._datagram(each.ip, hello, tells_ends=False) for each in self._peers.near()
+        }
 
     def _for_delegates(self) -> dict[str, bytes]:
         """Return what the other delegates are told for this entry's failure domain."""
@@ -233,7 +257,7 @@
         hello = self._hello([])
         return {ip: self._datagram(ip, hello, digest) for ip in self._peers.far_delegates()}
 
-    def _for_domain(self, hello: msgspec.Raw) -> dict[str, bytes]:
+    def _for_domain(self, hello: _Numbered) -> dict[str, bytes]:
         """Return what the entries of this one's failure domain are told for all others.
 
         Each is told the work of all but itself, which it knows better.
@@ -263,10 +287,20 @@
             found.update(self._own.told_refusing.get(teller, ()))
         return sorted(found)[:MOST_REFUSING]
 
-    def _datagram(self, ip: str, hello: msgspec.Raw, digest: msgspec.Raw = NO_DIGEST) -> bytes:
+    def _datagram(
+        self,
+        ip: str,
+        hello: _Numbered,
+        digest: msgspec.Raw = NO_DIGEST,
+        *,
+        tells_ends: bool = True,
+    ) -> bytes:
         peer = self._peers.get(ip)
-        run, number = (peer.incarnation, peer.number) if peer is not None else ("", 0)
-        return msgspec.msgpack.encode(Datagram(run, number, hello, digest))
+        if peer is None:
+            return msgspec.msgpack.encode(Datagram("", 0, hello.hello, digest))
+        run = peer.incarnation
+        ends = self._poison_news.rows_for(ip, run, hello.number) if tells_ends else []
+        return msgspec.msgpack.encode(Datagram(run, peer.number, hello.hello, digest, ends))
 
     def _rows(self, works: Works) -> list[WorkRow]:
         rows = [
@@ -278,26 +312,25 @@
 
     def _hello(
         self, works: list[WorkRow], *, names_peers: bool = False, interval: float = 0.0
-    ) -> msgspec.Raw:
+    ) -> _Numbered:
         self._number += 1
         self._sent[self._number] = self._clock.monotonic()
         self._sent.pop(self._number - ROUNDS_KEPT, None)
         own = self._own
-        return _raw(
-            Hello(
-                ip=own.place.ip,
-                incarnation=own.incarnation,
-                number=self._number,
-                phase=own.phase,
-                callers=own.place.callers,
-                failure_domain=own.place.failure_domain,
-                interval=interval or self.interval,
-                peers=self._peers.ips() if names_peers else [],
-                news=own.news(),
-                refusing=own.refusing()[:MOST_REFUSING],
-                works=works,
-            )
+        hello = Hello(
+            ip=own.place.ip,
+            incarnation=own.incarnation,
+            number=self._number,
+            phase=own.phase,
+            callers=own.place.callers,
+            failure_domain=own.place.failure_domain,
+            interval=interval or self.interval,
+            peers=self._peers.ips() if names_peers else [],
+            news=own.news(),
+            refusing=own.refusing()[:MOST_REFUSING],
+            works=works,
         )
+        return _Numbered(self._number, _raw(hello))
 
 
 def _raw(message: msgspec.Struct) -> msgspec.Raw:
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -174,6 +174,16 @@
             self._drop_lapsed()
         return self._by_service.get(service, ())
 
+    def group_of(self, endpoint: Endpoint) -> frozenset[str]:
+        """Return the endpoints of the same lock-step group, none where it belongs to none."""
+        if endpoint.seat is None:
+            return frozenset()
+        return frozenset(
+            each.id
+            for each in self._endpoints.values()
+            if each.seat is not None and each.seat.group == endpoint.seat.group
+        )
+
     def misdirected(self, endpoint_id: str) -> None:
         """Note that another incarnation has the address of an endpoint.
 
--- a/carawayhub/gateway/fingerprint.py
+++ b/carawayhub/limits/fingerprint.py
@@ -6,23 +6,26 @@
 
 import hashlib
 
-from carawayhub.gateway.calls import CallerRequest
-from carawayhub.gateway.model import Organisation
-
 FINGERPRINT_BYTES = 12
 """Length of a fingerprint: of a billion requests two share one with a chance of 1 in 10^11."""
 
 
-def fingerprint(req: CallerRequest, organisation: Organisation | None) -> bytes:
-    """Return the name of what a request asks: its caller, method, host, target and body.
+def fingerprint(caller: str, method: str, host: str, target: bytes, body: bytes) -> bytes:
+    """Return the name of what a request asks.
 
     Headers do not count: ids, deadlines and the event after which a stream goes on differ between
     attempts.
+
+    Args:
+        caller: Organisation that sends it, empty where none is known.
+        method: HTTP method.
+        host: Host that it asks for, in any case.
+        target: Path and query as they were sent.
+        body: Whole body.
     """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    caller = organisation.name if organisation is not None else ""
-    for part in (caller, req.method, req.host.lower()):
+    for part in (caller, method, host.lower()):
         digest.update(part.encode() + b"\0")
-    digest.update(req.target + b"\0")
-    digest.update(req.body)
+    digest.update(target + b"\0")
+    digest.update(body)
     return digest.digest()
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -6,6 +6,7 @@
 break off what they began 1.5 s later and refuse requests until it is back, under a new id.
 """
 
+import math
 import random
 import re
 from collections import Counter, deque
@@ -20,9 +21,10 @@
 from carawayhub.addresses import Address
 from carawayhub.constants import CODE_HEADER
 from carawayhub.gateway.hello import Phase
-from carawayhub.gateway.model import Endpoint
+from carawayhub.gateway.model import Endpoint, GroupSeat
 from carawayhub.gateway.ports import EndpointPublished, EndpointRemoved, Published, TablePublished
 from carawayhub.gateway.process import GatewayOptions, GatewayProcess
+from carawayhub.limits.fingerprint import fingerprint
 from carawayhub.platform.headers import PlatformWire
 from tests.gateway_world import KEY, endpoint, route, table
 from tests.scripted_endpoint import chunk, event
@@ -176,6 +178,7 @@
             address=str(self.address),
             places=self.fleet.places,
             registered=self.lifetime + 1,
+            seat=GroupSeat(f"g{self.group}", self.lifetime, self.at // self.fleet.groups, True),
         )
 
     def take(self, line: Line, head: bytes, body: bytes) -> None:
@@ -373,6 +376,8 @@
         entry = self.live[ip] = _Entry(process, anyio.current_time() + IN_TOUCH)
 
         async def live() -> None:
+            if self.live.get(ip) is not entry:
+                return
             async with anyio.create_task_group() as entry.tasks:
                 entry.tasks.start_soon(
                     process._gossip.tell, lambda to, data: self._carry(ip, to, data)
@@ -390,8 +395,8 @@
     def kill_entry(self, ip: str) -> None:
         """End an entry without a word."""
         entry = self.live.pop(ip)
-        assert entry.tasks is not None
-        entry.tasks.cancel_scope.cancel()
+        if entry.tasks is not None:
+            entry.tasks.cancel_scope.cancel()
 
     def restart_entry(self, ip: str) -> None:
         """End an entry and start it anew."""
@@ -401,7 +406,7 @@
     async def cut_entry(self, ip: str, seconds: float) -> None:
         """Let all datagrams of an entry be lost for some seconds."""
         self.cut.add(ip)
-        self.live[ip].disturbed_until = float("inf")
+        self.live[ip].disturbed_until = math.inf
         await anyio.sleep(seconds)
         self.cut.discard(ip)
         self.live[ip].disturbed_until = anyio.current_time() + IN_TOUCH
@@ -436,7 +441,7 @@
     def note_ended(self, replica: Replica) -> None:
         """Note that a replica ended, and break its group."""
         now = anyio.current_time()
-        for content in set(replica.running.values()):
+        for content in sorted(set(replica.running.values())):
             self.ends.setdefault(content, []).append(now)
         self.closed_until[replica.group] = now + BACK_SECONDS + FORM_SECONDS
         self.start(self._stall, replica.group)
@@ -450,7 +455,11 @@
     async def ask(self, content: bytes, ip: str = "", path: bytes = b"/songs/1") -> Told:
         """Send a request to an entry, any one that lives if none is named."""
         told = Told(content, anyio.current_time())
-        entry = self.live[ip or self.rng.choice(sorted(self.live))]
+        self.told.append(told)
+        up = sorted(name for name, each in self.live.items() if each.tasks is not None)
+        if not up:
+            return told
+        entry = self.live[ip or self.rng.choice(up)]
         asked = [{"type": "http.request", "body": content, "more_body": False}]
 
         async def receive() -> dict[str, Any]:
@@ -480,7 +489,6 @@
         entry.tasks.start_soon(serve)
         await done.wait()
         told.seconds = anyio.current_time() - told.asked_at
-        self.told.append(told)
         return told
 
     def _scope(self, content: bytes, path: bytes) -> dict[str, Any]:
@@ -500,6 +508,10 @@
             ],
         }
 
+    def fingerprint(self, content: bytes) -> bytes:
+        """Return how entries name a request with this body."""
+        return fingerprint("armor", "POST", "caraway.example", b"/songs/1", content)
+
     def late_sends(self, content: bytes, after: int = 3, slack: float = IN_TOUCH) -> list[Sent]:
         """Return the sends by entries in touch, ``slack`` after a content's third end."""
         ends = self.ends.get(content, [])
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -13,6 +13,7 @@
 from carawayhub.gateway.loads import Loads, Work
 from carawayhub.gateway.peers import first_of_domains
 from carawayhub.gateway.telling import OwnPlace
+from carawayhub.limits.poison import PoisonRecords
 
 
 def free_port() -> int:
@@ -45,7 +46,14 @@
 
     def entry(self, ip: str, seed: str, port: int) -> Gossip:
         own = OwnPlace(ip=ip, port=port, callers=f"{ip}:80", failure_domain="brest")
-        return Gossip(own, frozenset({seed}), Loads(), SystemClock(), random.Random(ip))
+        return Gossip(
+            own,
+            frozenset({seed}),
+            Loads(),
+            PoisonRecords(SystemClock()),
+            SystemClock(),
+            random.Random(ip),
+        )
 
     async def serve(self, entry: Gossip, scope: anyio.CancelScope) -> None:
         with scope:
@@ -154,9 +162,23 @@
 
     def test_older_news_do_not_replace_newer(self) -> None:
         own = OwnPlace(ip="10.0.0.1", port=1, callers="10.0.0.1:80", failure_domain="brest")
-        gossip = Gossip(own, frozenset(), Loads(), ManualClock(1.0), random.Random(1))
+        gossip = Gossip(
+            own,
+            frozenset(),
+            Loads(),
+            PoisonRecords(ManualClock(1.0)),
+            ManualClock(1.0),
+            random.Random(1),
+        )
         other = OwnPlace(ip="10.0.0.2", port=1, callers="10.0.0.2:80", failure_domain="brest")
-        peer = Gossip(other, frozenset(), Loads(), ManualClock(1.0), random.Random(1))
+        peer = Gossip(
+            other,
+            frozenset(),
+            Loads(),
+            PoisonRecords(ManualClock(1.0)),
+            ManualClock(1.0),
+            random.Random(1),
+        )
         hellos = []
         for phase in (Phase.READY, Phase.LEAVING):
             peer.set_phase(phase)
--- a/tests/test_gateway_large.py
+++ b/tests/test_gateway_large.py
@@ -13,6 +13,7 @@
 from carawayhub.gateway.hello import News, Phase
 from carawayhub.gateway.loads import Loads, Work
 from carawayhub.gateway.telling import OwnPlace, Part
+from carawayhub.limits.poison import PoisonRecords
 
 DOMAINS = 5
 ENTRIES = 98
@@ -48,7 +49,9 @@
         domain = ip.split(".")[1]
         place = OwnPlace(ip=ip, port=1, callers=f"{ip}:80", failure_domain=domain)
         rng = random.Random(self.rng.random())
-        entry = self.entries[ip] = Gossip(place, self.seeds, Loads(), LoopClock(), rng)
+        entry = self.entries[ip] = Gossip(
+            place, self.seeds, Loads(), PoisonRecords(LoopClock()), LoopClock(), rng
+        )
         scope = self.scopes[ip] = anyio.CancelScope()
 
         async def run() -> None:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -12,6 +12,7 @@
 from carawayhub.endpoints.upstream import Upstream
 from carawayhub.gateway.app import GatewayApp
 from carawayhub.gateway.desk import Desk
+from carawayhub.gateway.endings import Endings
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Loads
 from carawayhub.gateway.model import CallerLimits, Repeat
@@ -22,6 +23,7 @@
 from carawayhub.gateway.tally import Tally
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import HttpServer, bind
+from carawayhub.limits.poison import PoisonRecords
 from carawayhub.platform.headers import PlatformWire
 from tests.gateway_world import KEY, endpoint, route, table
 from tests.scripted_endpoint import (
@@ -105,16 +107,17 @@
             RetryShare(self.clock, 0.2, 88.0, 10.0),
         )
         self.tally = Tally()
+        upstream = Upstream()
         parts = RelayParts(
             clock=self.clock,
             view=self.view,
             health=health,
-            upstream=Upstream(),
+            upstream=upstream,
             wire=PlatformWire(),
             pool=lambda name: pool,
             entries=lambda: 1,
             load=loads.total,
-            tally=self.tally,
+            endings=Endings(upstream, self.view, PoisonRecords(self.clock), self.tally, self.clock),
         )
         desk = Desk(self.view, self.clock, rng, 5.0)
         app = GatewayApp(
--- /dev/null
+++ b/tests/test_poison_records.py
@@ -0,0 +1,241 @@
+"""Which requests are refused for what ended under them, and how records of entries are joined."""
+
+import itertools
+import random
+import unittest
+
+from loguru import logger
+
+from carawayhub.clock import ManualClock
+from carawayhub.gateway.poisonnews import MOST_ROWS, PoisonNews
+from carawayhub.limits.fingerprint import FINGERPRINT_BYTES, fingerprint
+from carawayhub.limits.poison import (
+    MOST_ENDS,
+    MOST_RECORDS,
+    POISON_SECONDS,
+    RENEW_PART,
+    SUSPECT_SECONDS,
+    EndsRow,
+    PoisonRecords,
+)
+
+
+def setUpModule() -> None:
+    logger.disable("carawayhub")
+
+
+def tearDownModule() -> None:
+    logger.enable("carawayhub")
+
+
+def name(number: int) -> bytes:
+    return number.to_bytes(FINGERPRINT_BYTES, "big")
+
+
+SPOILT, BESIDE = name(1), name(2)
+
+
+class Fingerprints(unittest.TestCase):
+    """What makes two requests the same."""
+
+    def test_each_part_counts_and_none_runs_into_the_next(self) -> None:
+        parts = ("armor", "POST", "caraway.example", b"/songs/1", b"tempo")
+        first = fingerprint(*parts)
+        self.assertEqual(first, fingerprint("armor", "POST", "Caraway.Example", *parts[3:]))
+        others = [
+            ("duet", "POST", "caraway.example", b"/songs/1", b"tempo"),
+            ("armor", "PUT", "caraway.example", b"/songs/1", b"tempo"),
+            ("armor", "POST", "caraway.exampl", b"e/songs/1", b"tempo"),
+            ("armor", "POST", "caraway.example", b"/songs/1?q", b"tempo"),
+            ("armor", "POST", "caraway.example", b"/songs/1", b"tempo "),
+            ("armor", "POST", "caraway.example", b"/songs/1t", b"empo"),
+        ]
+        self.assertEqual(len({first, *(fingerprint(*each) for each in others)}), 7)
+
+
+class Judged(unittest.TestCase):
+    """One entry's records."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(1000.0)
+        self.records = PoisonRecords(self.clock)
+
+    def test_three_ends_make_a_request_refused_and_two_do_not(self) -> None:
+        told = []
+        self.records.on_poison = told.append
+        for endpoint in (7, 8, 8, 7):
+            self.records.ended(SPOILT, endpoint)
+        self.assertFalse(self.records.is_poison(SPOILT))
+        self.records.ended(SPOILT, 9)
+        self.assertTrue(self.records.is_poison(SPOILT))
+        self.assertEqual(told, [SPOILT])
+
+    def test_request_beside_it_twice_and_at_a_third_end_by_chance_is_not_refused(self) -> None:
+        for endpoint in (1, 2, 3, 4):
+            self.records.ended(SPOILT, endpoint)
+        for endpoint in (1, 2, 9):
+            self.records.ended(BESIDE, endpoint)
+        self.assertEqual(self.records.poison, {SPOILT})
+
+    def test_two_that_were_always_together_are_let_go_until_an_end_parts_them(self) -> None:
+        for endpoint in (1, 2, 3):
+            self.records.ended(SPOILT, endpoint)
+            self.records.ended(BESIDE, endpoint)
+        self.assertEqual(self.records.poison, frozenset())
+        self.records.ended(SPOILT, 4)
+        self.assertEqual(self.records.poison, {SPOILT})
+
+    def test_whole_answer_clears_and_ends_after_it_count_anew(self) -> None:
+        for endpoint in (1, 2, 3):
+            self.records.ended(SPOILT, endpoint)
+        self.records.answered(SPOILT)
+        self.assertEqual(self.records.ends(SPOILT), 0)
+        self.assertFalse(self.records.is_poison(SPOILT))
+        for endpoint in (4, 5, 6):
+            self.records.ended(SPOILT, endpoint)
+        self.assertTrue(self.records.is_poison(SPOILT))
+
+    def test_answer_to_a_request_that_nothing_is_held_against_leaves_no_record(self) -> None:
+        self.records.answered(SPOILT)
+        self.assertEqual((len(self.records), self.records.number), (0, 0))
+
+    def test_memory_is_bounded_and_what_is_refused_is_kept(self) -> None:
+        """A loss of power ends thousands of requests at once, none of which is to blame."""
+        for endpoint in (1, 2, 3):
+            self.records.ended(SPOILT, endpoint)
+        for number in range(10, 20_010):
+            self.records.ended(name(number), number % 192)
+        self.assertEqual(len(self.records), MOST_RECORDS)
+        self.assertTrue(self.records.is_poison(SPOILT))
+        for endpoint in range(100):
+            self.records.ended(SPOILT, endpoint)
+        self.assertLessEqual(self.records.ends(SPOILT), MOST_ENDS)
+
+    def test_record_is_forgotten_after_a_time_and_one_that_is_asked_for_is_kept(self) -> None:
+        self.records.ended(BESIDE, 1)
+        for endpoint in (1, 2, 3):
+            self.records.ended(SPOILT, endpoint)
+        self.clock.advance(SUSPECT_SECONDS + 1.0)
+        self.records.forget_old()
+        self.assertEqual(len(self.records), 1)
+        for _ in range(8):
+            self.clock.advance(POISON_SECONDS * (RENEW_PART + 0.1))
+            self.records.forget_old()
+            self.assertTrue(self.records.is_poison(SPOILT))
+            self.records.came_again(SPOILT)
+        self.clock.advance(POISON_SECONDS + 1.0)
+        self.records.forget_old()
+        self.assertFalse(self.records.is_poison(SPOILT))
+        self.assertEqual(len(self.records), 0)
+
+
+class Joined(unittest.TestCase):
+    """Records of several entries."""
+
+    def test_result_is_the_same_in_any_order_with_losses_made_up_for_and_doubles(self) -> None:
+        """Eight entries note ends and answers, and hand each other rows at random."""
+        for seed in range(60):
+            rng = random.Random(seed)
+            clock = ManualClock(5.0)
+            entries = [PoisonRecords(clock) for _ in range(8)]
+            for _ in range(40):
+                entry = rng.choice(entries)
+                if rng.random() < 0.1:
+                    entry.answered(name(rng.randrange(6)))
+                else:
+                    entry.ended(name(rng.randrange(6)), rng.randrange(12))
+                teller, hearer = rng.sample(entries, 2)
+                rows = teller.after(0, 99).rows
+                hearer.take(rng.sample(rows, rng.randint(0, len(rows))))
+            for _ in range(3):
+                for teller, hearer in itertools.permutations(entries, 2):
+                    hearer.take(teller.after(0, 99).rows)
+            found = {
+                tuple(sorted((r.fingerprint, r.series, tuple(r.ends)) for r in e.after(0, 99).rows))
+                for e in entries
+            }
+            self.assertEqual(len(found), 1, seed)
+
+    def test_old_row_of_a_peer_does_not_bring_back_what_was_cleared_or_forgotten(self) -> None:
+        clock = ManualClock(5.0)
+        first, second = PoisonRecords(clock), PoisonRecords(clock)
+        for endpoint in (1, 2, 3):
+            first.ended(SPOILT, endpoint)
+        old = first.after(0, 9).rows
+        second.take(old)
+        first.answered(SPOILT)
+        second.take(first.after(0, 9).rows)
+        second.take(old)
+        self.assertFalse(second.is_poison(SPOILT))
+        third = PoisonRecords(clock)
+        third.take([EndsRow(SPOILT, 0, [1, 2, 3], POISON_SECONDS + 1.0)])
+        self.assertEqual(len(third), 0)
+
+    def test_rows_that_make_no_sense_are_passed_over(self) -> None:
+        records = PoisonRecords(ManualClock(5.0))
+        records.take(
+            [
+                EndsRow(b"short", 0, [1, 2, 3], 0.0),
+                EndsRow(SPOILT, -1, [1, 2, 3], 0.0),
+                EndsRow(SPOILT, 0, list(range(99)), 0.0),
+                EndsRow(SPOILT, 0, [1, 2, 3], -5.0),
+                EndsRow(SPOILT, 0, [1, 2, 3], float("nan")),
+                EndsRow(SPOILT, 0, [1, 2, 3], float("inf")),
+            ]
+        )
+        self.assertEqual(len(records), 0)
+
+    def test_request_that_keeps_coming_is_kept_at_entries_that_do_not_see_it(self) -> None:
+        clock = ManualClock(5.0)
+        first, second = PoisonRecords(clock), PoisonRecords(clock)
+        for endpoint in (1, 2, 3):
+            first.ended(SPOILT, endpoint)
+        known = 0
+        for _ in range(8):
+            changes = first.after(known, 9)
+            known = changes.number
+            second.take(changes.rows)
+            clock.advance(POISON_SECONDS * 0.3)
+            first.came_again(SPOILT)
+            second.forget_old()
+            self.assertTrue(second.is_poison(SPOILT))
+
+
+class Told(unittest.TestCase):
+    """Who is told which records."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(5.0)
+        self.records = PoisonRecords(self.clock)
+        self.news = PoisonNews(self.records)
+
+    def test_what_was_lost_is_told_again_and_what_was_heard_is_not(self) -> None:
+        self.records.ended(SPOILT, 1)
+        self.assertEqual(len(self.news.rows_for("b", "run", 1)), 1)
+        self.assertEqual(len(self.news.rows_for("b", "run", 2)), 1)
+        self.news.heard("b", "run", 2)
+        self.assertEqual(self.news.rows_for("b", "run", 3), [])
+        self.records.ended(SPOILT, 2)
+        self.assertEqual(len(self.news.rows_for("b", "run", 4)), 1)
+
+    def test_peer_that_heard_only_a_later_datagram_is_told_what_that_one_lacked(self) -> None:
+        for number in range(MOST_ROWS + 5):
+            self.records.ended(name(number), 1)
+        told = self.news.rows_for("b", "run", 1)
+        self.news.heard("b", "run", 1)
+        rest = self.news.rows_for("b", "run", 2)
+        self.assertEqual((len(told), len(rest)), (MOST_ROWS, 5))
+        self.news.heard("b", "run", 3)
+        self.assertEqual(len(self.news.rows_for("b", "run", 4)), 5)
+
+    def test_peer_that_starts_anew_is_told_all(self) -> None:
+        self.records.ended(SPOILT, 1)
+        self.news.rows_for("b", "run", 1)
+        self.news.heard("b", "run", 1)
+        self.assertEqual(len(self.news.rows_for("b", "next run", 2)), 1)
+        self.news.keep(frozenset())
+        self.assertEqual(len(self.news.rows_for("b", "next run", 3)), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
