Refuse such requests on the product's own interface as well, also under new keys

Cause, the same one: the entry with the product's own interface retried a broken call at other engines and remembered nothing of it, and the ledgers of agents know idempotency keys, not what they ask, so a caller that draws a new key for each try ended one endpoint after the other.

Ruled out: that a ledger already covers it (it does so for one key only); the agents' changes of expert maps, which begin anew after each formation of a group, were read and are listed as suspected.

Change: finding out and refusing (endpoints/endings.py) and telling peers (limits/poisonnews.py) serve both entries; heartbeats between entries carry the records. Endpoints of the configuration do not say when they started, so each end that an entry sees names a lifetime of its own. No stream is resumed at an engine that has ended.

The fake network of the relay's tests answers a look as the next connect would be.

--- a/benchmarks/link_parts.py
+++ b/benchmarks/link_parts.py
@@ -18,6 +18,7 @@
 from carawayhub.fleet.membership import Member
 from carawayhub.fleet.sync import ConfigSync
 from carawayhub.limits.admission import Admission
+from carawayhub.limits.poison import EndsRow
 from carawayhub.output.audit import AuditTrail
 from carawayhub.peers.calls import CallClient
 from carawayhub.peers.links import Intervals, Peer
@@ -150,6 +151,10 @@
         """Return the rows of an entry at full size, where they are switched on."""
         return self._rows if self.announces else ()
 
+    def ends(self, peer: Peer, sequence: int) -> tuple[EndsRow, ...]:
+        """Return nothing."""
+        return ()
+
     @property
     def rows(self) -> int:
         """Rows that a heartbeat carries where they are switched on."""
--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -21,6 +21,7 @@
 from carawayhub.endpoints.upstream import Upstream
 from carawayhub.endpoints.watch import EngineWatch, ServiceWatch
 from carawayhub.http import HttpServer
+from carawayhub.limits.poison import EndsRow
 from carawayhub.output.audit import Subject
 from carawayhub.peers.links import Peer
 from carawayhub.peers.messages import (
@@ -207,6 +208,10 @@
         """Return nothing: an agent has no callers."""
         return ()
 
+    def ends(self, peer: Peer, sequence: int) -> tuple[EndsRow, ...]:
+        """Return nothing: entries see what their requests end under."""
+        return ()
+
     # What operators see.
 
     def _operators(self) -> Operators:
--- a/carawayhub/entry/calls.py
+++ b/carawayhub/entry/calls.py
@@ -23,6 +23,7 @@
     TICKET_HEADER,
 )
 from carawayhub.errors import RequestError
+from carawayhub.limits.fingerprint import fingerprint
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -102,6 +103,11 @@
     key: str
     ticket: str
 
+    @property
+    def fingerprint(self) -> bytes:
+        """Names what it asks; see ``fingerprint``. Hashes the body."""
+        return fingerprint(self.organisation.name, self.method, "", self.path.encode(), self.body)
+
     @property
     def repeatable(self) -> bool:
         """Whether it may run more than once.
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -10,8 +10,10 @@
 from carawayhub.addresses import Address
 from carawayhub.agent.tickets import TicketOffice
 from carawayhub.config.model import Configuration, Endpoint, EndpointState, EntryNode
+from carawayhub.endpoints.endings import Endings
 from carawayhub.endpoints.upstream import Upstream
 from carawayhub.entry.app import EntryApp, EntryParts
+from carawayhub.entry.ends import EndWatch
 from carawayhub.entry.relay import Relay
 from carawayhub.entry.reports import Reports
 from carawayhub.entry.runonce import RunOnce
@@ -20,6 +22,8 @@
 from carawayhub.fleet.neighbours import entry_nodes, gossip_neighbours
 from carawayhub.http import HttpServer, bind
 from carawayhub.limits.admission import Admission
+from carawayhub.limits.poison import EndsRow, PoisonRecords
+from carawayhub.limits.poisonnews import PoisonNews
 from carawayhub.limits.retries import RetryBudget
 from carawayhub.output.audit import Subject
 from carawayhub.peers.links import Peer, peer_key
@@ -69,10 +73,15 @@
         self._reports = Reports()
         self._upstream = Upstream(Address.parse(settings.peer_listen).host)
         metrics = runtime.metrics
-        self._relay = Relay(clock, rng, self._router, self._retries, self._upstream, metrics)
+        records = PoisonRecords(clock)
+        self._poison_news = PoisonNews(records)
+        self._runs: dict[str, str] = {}
+        endings = Endings(self._upstream, records, clock, metrics.endpoint_ended)
+        ends = EndWatch(endings, self._router.is_leaving, clock, rng)
+        self._relay = Relay(clock, rng, self._router, self._retries, self._upstream, metrics, ends)
         office = TicketOffice(settings.system_key)
         calls = runtime.member.calls
-        self._run_once = RunOnce(clock, rng, self._reports, office, calls)
+        self._run_once = RunOnce(clock, rng, self._reports, office, calls, ends)
         self._app = EntryApp(
             EntryParts(
                 clock,
@@ -140,6 +149,7 @@
         while True:
             await anyio.sleep(self.runtime.member.heartbeat_interval())
             self._demand = self._admission.tick()
+            self._poison_news.records.forget_old()
             self._audit_endpoints()
 
     def _audit_endpoints(self) -> None:
@@ -205,8 +215,13 @@
             self._router.observe(reply.report, asked_at)
             self._reports.observe(reply.report, asked_at, self.runtime.clock.monotonic())
 
+        if peer.role is ProcessRole.ENTRY and reply.sequence:
+            run = self._runs[peer.name] = str(reply.incarnation)
+            self._poison_news.heard(peer.name, run, reply.sequence)
+
     def lost(self, peer: Peer) -> None:
         """Note that a peer cannot be reached."""
+        self._runs.pop(peer.name, None)
         if peer.role is ProcessRole.AGENT:
             self._router.lost(peer.name)
             self._reports.lost(peer.name)
@@ -220,6 +235,7 @@
         """Take a heartbeat of another entry."""
         if peer.role is ProcessRole.ENTRY:
             self._admission.hear(peer.name, peer.incarnation, heartbeat.demand)
+            self._poison_news.records.take(heartbeat.ends)
 
     def report(self, peer: Hello) -> EndpointReport | None:
         """Return None: an entry has no endpoint."""
@@ -231,6 +247,13 @@
             return ()
         return self._admission.shares.for_peer(peer.name, self._demand)
 
+    def ends(self, peer: Peer, sequence: int) -> tuple[EndsRow, ...]:
+        """Return under which requests endpoints ended, as far as another entry lacks it."""
+        run = self._runs.get(peer.name)
+        if peer.role is not ProcessRole.ENTRY or run is None:
+            return ()
+        return tuple(self._poison_news.rows_for(peer.name, run, sequence))
+
     def _waits_for(self) -> str:
         """Return that limits are not divided yet: until then each organisation gets little."""
         started = self._admission.shares.started
--- a/carawayhub/entry/relay.py
+++ b/carawayhub/entry/relay.py
@@ -28,6 +28,7 @@
 )
 from carawayhub.entry.answer import Answer
 from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget
+from carawayhub.entry.ends import EndWatch
 from carawayhub.entry.passage import Passage
 from carawayhub.entry.prompts import prompt_blocks
 from carawayhub.entry.stream import StreamCheck
@@ -76,6 +77,8 @@
     endpoint: str
     timeouts: UpstreamTimeouts
     token: InFlight
+    fingerprint: bytes
+    sent_at: float
 
 
 class Relay:
@@ -88,9 +91,19 @@
         retries: Budget for further attempts.
         upstream: Connections to endpoints.
         metrics: Takes latencies.
+        ends: Knows under which requests endpoints ended.
     """
 
-    __slots__ = ("_cfg", "_clock", "_metrics", "_retries", "_rng", "_router", "_upstream")
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_ends",
+        "_metrics",
+        "_retries",
+        "_rng",
+        "_router",
+        "_upstream",
+    )
 
     def __init__(
         self,
@@ -100,7 +113,9 @@
         retries: RetryBudget,
         upstream: Upstream,
         metrics: Metrics,
+        ends: EndWatch,
     ) -> None:
+        self._ends = ends
         self._clock = clock
         self._rng = rng
         self._router = router
@@ -120,22 +135,27 @@
             RequestError: It has no answer; where ``answer.started`` the caller has seen a part of
                 one and the connection must be broken off.
         """
+        fingerprint = call.fingerprint
+        self._ends.endings.check(fingerprint)
         tried: frozenset[str] = frozenset()
         failure: RequestError | None = None
         attempts = 0
         while True:
             endpoint = self._choose(call, tried, failure)
             try:
-                await self._attempt(call, answer, endpoint)
+                await self._attempt(call, answer, endpoint, fingerprint)
             except RequestError as exc:
                 failure = _worse(failure, exc)
                 tried |= {endpoint}
                 attempts += 1
+                if not self._ends.endings.may_go_on(fingerprint, attempts):
+                    raise failure from exc
                 await self._before_retry(call, answer, exc, failure, attempts)
                 logger.bind(request=call.request_id, endpoint=endpoint, code=int(exc.code)).info(
                     "attempt failed, trying another endpoint"
                 )
                 continue
+            self._ends.endings.answered(fingerprint)
             return
 
     def _choose(self, call: Call, tried: frozenset[str], failure: RequestError | None) -> str:
@@ -180,14 +200,20 @@
             raise worst
         await anyio.sleep(max(0.0, decision.at - self._clock.monotonic()))
 
-    async def _attempt(self, call: Call, answer: Answer, endpoint: str) -> None:
+    async def _attempt(self, call: Call, answer: Answer, endpoint: str, fingerprint: bytes) -> None:
         left = call.deadline - self._clock.monotonic()
         if left <= 0:
             raise RequestError(Code.DEADLINE_PASSED)
         # A silent connection shows only by its silence. Half of the time left keeps the other half
         # for another endpoint.
         wait = max(left / 2, LEAST_WAIT)
-        attempt = _Attempt(endpoint, UpstreamTimeouts.waiting(wait), self._router.begin(endpoint))
+        attempt = _Attempt(
+            endpoint,
+            UpstreamTimeouts.waiting(wait),
+            self._router.begin(endpoint),
+            fingerprint,
+            self._clock.monotonic(),
+        )
         ok = False
         try:
             with anyio.fail_after(left):
@@ -209,7 +235,8 @@
                 await self._connection(call, answer, attempt, check)
                 return
             except RequestError as exc:
-                if not self._may_resume(answer, attempt, exc, resumes):
+                ended = exc.code is Code.ANSWER_CUT and await self._has_ended(call, attempt)
+                if ended or not self._may_resume(answer, attempt, exc, resumes):
                     raise
                 resumes += 1
                 check.reconnected()
@@ -218,6 +245,13 @@
                 ).info("stream broke off, resuming on a new connection")
                 await anyio.sleep(self._rng.uniform(0, LEAST_WAIT))
 
+    async def _has_ended(self, call: Call, attempt: _Attempt) -> bool:
+        """Return whether the endpoint of an attempt ended, so that nothing can be resumed there."""
+        found = self._cfg.endpoints.get(attempt.endpoint) if self._cfg is not None else None
+        if found is None:
+            return False
+        return await self._ends.has_ended(call, attempt.fingerprint, found, attempt.sent_at)
+
     def _may_resume(
         self, answer: Answer, attempt: _Attempt, exc: RequestError, resumes: int
     ) -> bool:
--- a/carawayhub/entry/runonce.py
+++ b/carawayhub/entry/runonce.py
@@ -22,6 +22,7 @@
 from carawayhub.constants import HOP_BY_HOP_HEADERS, TICKET_HEADER
 from carawayhub.entry.answer import Answer
 from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget
+from carawayhub.entry.ends import EndWatch
 from carawayhub.entry.replies import Reply, json_reply
 from carawayhub.entry.reports import Reports
 from carawayhub.entry.services import check_allowed
@@ -86,12 +87,14 @@
         reports: What agents last reported.
         office: Issues and reads tickets.
         client: Calls agents.
+        ends: Knows under which requests endpoints ended.
     """
 
     __slots__ = (
         "_cfg",
         "_client",
         "_clock",
+        "_ends",
         "_key_sets",
         "_office",
         "_reports",
@@ -106,7 +109,9 @@
         reports: Reports,
         office: TicketOffice,
         client: CallClient,
+        ends: EndWatch,
     ) -> None:
+        self._ends = ends
         self._clock = clock
         self._rng = rng
         self._reports = reports
@@ -153,9 +158,18 @@
         Raises:
             RequestError: It has no answer; the code says whether it may have run.
         """
+        fingerprint = call.fingerprint
+        self._ends.endings.check(fingerprint)
         place = self._by_ticket(call) if call.ticket else self._by_key(call)
         answer.dispatched()
+        sent_at = self._clock.monotonic()
         reply = await self._send(call, place)
+        if reply.code == Code.ANSWER_CUT and not reply.replayed:
+            # A caller that repeats such a call under new keys would end one endpoint after the
+            # other: the ledger knows keys, and not what they ask.
+            await self._has_ended(call, fingerprint, place, sent_at)
+        if reply.code == Code.OK and not reply.replayed:
+            self._ends.endings.answered(fingerprint)
         if reply.code != Code.OK:
             raise LedgerError(Code(reply.code), reply.detail, reply.retry_after or None)
         headers = as_bytes(reply.headers)
@@ -163,6 +177,13 @@
             headers.append((REPLAYED_HEADER, b"1"))
         await answer.whole(reply.status, headers, reply.body, Code.OK)
 
+    async def _has_ended(
+        self, call: Call, fingerprint: bytes, place: _Place, sent_at: float
+    ) -> None:
+        found = None if self._cfg is None else self._cfg.endpoints.get(place.endpoint)
+        if found is not None:
+            await self._ends.has_ended(call, fingerprint, found, sent_at)
+
     def _may_run(self, scope: str, name: str, organisation: Organisation) -> list[EndpointReport]:
         keyset = self._sets.get(scope)
         if keyset is None:
--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -18,9 +18,9 @@
 from carawayhub.gateway.hello import Datagram, Digest, Heard, Hello, News, PeerEntry, Phase, WorkRow
 from carawayhub.gateway.loads import Loads, Work
 from carawayhub.gateway.peers import Peers
-from carawayhub.gateway.poisonnews import PoisonNews
 from carawayhub.gateway.telling import INTERVAL, OTHERS, OwnPlace, OwnState, Part, Teller
 from carawayhub.limits.poison import PoisonRecords
+from carawayhub.limits.poisonnews import PoisonNews
 
 ENTRIES_ALL_TELL_ALL = 12
 """Entries up to which each tells all others. With 15 in five failure domains, 16 MB in 50 s went
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -10,13 +10,13 @@
 
 from carawayhub.addresses import Address
 from carawayhub.clock import Clock
+from carawayhub.endpoints.endings import Endings
 from carawayhub.endpoints.upstream import Upstream
 from carawayhub.errors import CommandError
 from carawayhub.gateway.app import GatewayApp
 from carawayhub.gateway.calls import CallerWire
 from carawayhub.gateway.desk import Desk
 from carawayhub.gateway.directory import ANSWER_SECONDS, EntryDirectory
-from carawayhub.gateway.endings import Endings
 from carawayhub.gateway.follower import Follower
 from carawayhub.gateway.gossip import Gossip
 from carawayhub.gateway.handing import Handing
@@ -185,7 +185,7 @@
                 pool=self.pool,
                 entries=self._gossip.settled_entries,
                 load=self._loads.total,
-                endings=Endings(self._upstream, self._view, self._records, self._tally, clock),
+                endings=Endings(self._upstream, self._records, clock, self._tally.endpoint_ended),
             )
         )
         desk = Desk(self._view, clock, rng, options.revoke_after)
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -12,6 +12,7 @@
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code, Outcome
+from carawayhub.endpoints.endings import BrokenAnswer, Endings
 from carawayhub.endpoints.upstream import (
     ONE_REQUEST,
     Upstream,
@@ -22,11 +23,10 @@
 from carawayhub.errors import RequestError
 from carawayhub.gateway.answer import CallerAnswer
 from carawayhub.gateway.calls import Admitted, AnswerHead, CallerWire, Dispatch
-from carawayhub.gateway.endings import Endings
 from carawayhub.gateway.events import WholeEvents
 from carawayhub.gateway.health import Health
-from carawayhub.gateway.loads import Work
-from carawayhub.gateway.model import Repeat
+from carawayhub.gateway.loads import Work, work_key
+from carawayhub.gateway.model import Endpoint, Repeat
 from carawayhub.gateway.pool import Place, ServicePool
 from carawayhub.gateway.view import FleetView
 
@@ -115,7 +115,7 @@
         Raises:
             RequestError: It has no answer; where ``answer.started`` the connection must be broken.
         """
-        self._parts.endings.check(call)
+        self._parts.endings.check(call.fingerprint)
         course = _Course(call, answer)
         pool = self._parts.pool(call.service)
         pool.retries.arrived()
@@ -126,7 +126,7 @@
         raise self._out_of_time(course, pool)
 
     async def _attempts(self, course: _Course, pool: ServicePool) -> None:
-        with self._parts.endings.waiting(course.call):
+        with self._parts.endings.waiting(course.call.fingerprint):
             place: Place | None = await pool.take(course.call, self._now())
         while place is not None:
             refused = False
@@ -156,10 +156,7 @@
 
     def _may_go_on(self, course: _Course) -> bool:
         """Return whether a request may be sent again, for all that endpoints ended under it."""
-        endings = self._parts.endings
-        if endings.is_poison(course.call):
-            return False
-        return not (course.sends and endings.is_sent_once(course.call))
+        return self._parts.endings.may_go_on(course.call.fingerprint, course.sends)
 
     async def _later_place(self, course: _Course, pool: ServicePool) -> Place | None:
         """Return a place for a request that endpoints refused, after a wait for them.
@@ -172,7 +169,7 @@
         if not self._may_go_on(course):
             return None
         full = len(course.sent_to) >= course.call.route.attempts
-        with self._parts.endings.waiting(course.call):
+        with self._parts.endings.waiting(course.call.fingerprint):
             place = await pool.retake_later(course.call, course.sent_to if full else None)
         if place is None:
             return None
@@ -190,13 +187,30 @@
         except RequestError as exc:
             self._note_failure(course, pool, place, exc, sent_at)
             if exc.code is Code.ANSWER_CUT:
-                broken = await self._parts.endings.broke_off(course.call, place.endpoint, sent_at)
-                course.tried |= broken
+                await self._broke_off(course, place.endpoint, sent_at)
             raise
         except anyio.get_cancelled_exc_class():
             self._note_silence(course, place, sent_at)
             raise
 
+    async def _broke_off(self, course: _Course, endpoint: Endpoint, sent_at: float) -> None:
+        """See whether an endpoint ended, and leave its group alone: the other ranks stand still."""
+        view, call = self._parts.view, course.call
+        ended = await self._parts.endings.broke_off(
+            BrokenAnswer(
+                request=call.req.id.decode("latin-1"),
+                fingerprint=call.fingerprint,
+                endpoint=endpoint.id,
+                service=call.service,
+                address=endpoint.address,
+                lifetime=work_key(endpoint.id),
+                planned=view.endpoint(endpoint.id) is None,
+                sent_at=sent_at,
+            )
+        )
+        if ended:
+            course.tried |= view.group_of(endpoint)
+
     def _note_silence(self, course: _Course, place: Place, sent_at: float) -> None:
         """Count an endpoint from which nothing came until the caller left.
 
@@ -247,7 +261,7 @@
             else:
                 await self._whole(course, place, sent_at, head, response)
             if response.framed:
-                self._parts.endings.answered(course.call)
+                self._parts.endings.answered(course.call.fingerprint)
 
     def _check(self, course: _Course, head: AnswerHead) -> None:
         """Raise where an answer must not reach the caller.
@@ -349,7 +363,7 @@
     def _still_allowed(self, course: _Course, endpoint_id: str) -> bool:
         if self._parts.view.endpoint(endpoint_id) is None:
             return False
-        if self._parts.endings.is_poison(course.call):
+        if not self._may_go_on(course):
             return False
         course.sends += 1
         course.sent_to.add(endpoint_id)
@@ -391,7 +405,7 @@
             if last.outcome is Outcome.NOT_RUN:
                 return RequestError(Code.ANSWER_CUT, last.detail)
             return last
-        self._parts.endings.check(course.call)
+        self._parts.endings.check(course.call.fingerprint)
         code = last.code if last is not None else Code.NO_ENDPOINT
         return pool.refusal(course.call, self._now(), code)
 
--- a/carawayhub/gateway/telling.py
+++ b/carawayhub/gateway/telling.py
@@ -28,7 +28,7 @@
 )
 from carawayhub.gateway.loads import Loads, Works
 from carawayhub.gateway.peers import Peers
-from carawayhub.gateway.poisonnews import PoisonNews
+from carawayhub.limits.poisonnews import PoisonNews
 
 INTERVAL = 0.1
 """Seconds between two datagrams to a receiver: a place that a peer frees is known within a tenth of
--- a/carawayhub/output/metrics.py
+++ b/carawayhub/output/metrics.py
@@ -75,6 +75,7 @@
     latencies: list[LatencyRow]
     requests: list[CountRow]
     tokens: int
+    cut_by_ends: dict[str, int] = {}
 
 
 class Recorder:
@@ -112,11 +113,12 @@
 class Metrics:
     """Collects what the process measures."""
 
-    __slots__ = ("_codes", "_recorders", "tokens")
+    __slots__ = ("_codes", "_ended", "_recorders", "tokens")
 
     def __init__(self) -> None:
         self._recorders: dict[Series, Recorder] = {}
         self._codes: Counter[tuple[str, int]] = Counter()
+        self._ended: Counter[str] = Counter()
         self.tokens = 0
 
     def latency(self, latency: Latency, seconds: float, organisation: str, target: str) -> None:
@@ -132,6 +134,10 @@
         """Count a request that ended with ``code``."""
         self._codes[(organisation, code)] += 1
 
+    def endpoint_ended(self, target: str) -> None:
+        """Count a request whose endpoint ended while it worked on it."""
+        self._ended[target] += 1
+
     def page(self) -> MetricsPage:
         """Return all measurements in numbers."""
         rows = [_row(series, each.histogram()) for series, each in self._recorders.items()]
@@ -139,7 +145,9 @@
             CountRow(organisation=organisation, code=code, count=count)
             for (organisation, code), count in sorted(self._codes.items())
         ]
-        return MetricsPage(latencies=rows, requests=counts, tokens=self.tokens)
+        return MetricsPage(
+            latencies=rows, requests=counts, tokens=self.tokens, cut_by_ends=dict(self._ended)
+        )
 
     def _recorder(self, series: Series) -> Recorder:
         recorder = self._recorders.get(series)
@@ -176,6 +184,10 @@
     for count in page.requests:
         labels = f'organisation="{_escaped(count.organisation)}",code="{count.code}"'
         lines.append(f"carawayhub_requests_total{{{labels}}} {count.count}")
+    lines.append("# TYPE carawayhub_cut_by_endpoint_ends_total counter")
+    for target, cut in sorted(page.cut_by_ends.items()):
+        labels = f'target="{_escaped(target)}"'
+        lines.append(f"carawayhub_cut_by_endpoint_ends_total{{{labels}}} {cut}")
     lines.append("# TYPE carawayhub_tokens_total counter")
     lines.append(f"carawayhub_tokens_total {page.tokens}")
     return "\n".join(lines) + "\n"
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from carawayhub.limits.poison import EndsRow
+
 
 class ServingState(Enum):
     """What an agent says of its endpoint."""
@@ -114,6 +116,8 @@
         vms: Number of the newest VM list that the sender has, 0 for none.
         leaving: Whether the sender is stopping.
         demand: What the sender's callers ask for, by organisation; only between entries.
+        ends: Requests under which endpoints ended, as far as the receiver lacks them; only between
+            entries.
     """
 
     sequence: int
@@ -124,6 +128,7 @@
     vms: int = 0
     leaving: bool = False
     demand: tuple["OrganisationDemand", ...] = ()
+    ends: tuple[EndsRow, ...] = ()
 
 
 class HeartbeatReply(msgspec.Struct, tag=True, frozen=True, kw_only=True, array_like=True):
--- a/carawayhub/process/exchange.py
+++ b/carawayhub/process/exchange.py
@@ -98,6 +98,7 @@
             service_age=sync.service_age(),
             vms=self._knowledge.vms.number,
             demand=self._role.demand(peer),
+            ends=self._role.ends(peer, sequence),
         )
 
     def link_up(self, peer: Peer, hello: Hello) -> None:
--- a/carawayhub/process/role.py
+++ b/carawayhub/process/role.py
@@ -6,6 +6,7 @@
 
 from carawayhub.config.model import Configuration
 from carawayhub.fleet.membership import Member
+from carawayhub.limits.poison import EndsRow
 from carawayhub.peers.links import Peer
 from carawayhub.peers.messages import (
     EndpointReport,
@@ -54,3 +55,11 @@
 
     def demand(self, peer: Peer) -> tuple[OrganisationDemand, ...]:
         """Return what this entry's callers ask for, for another entry."""
+
+    def ends(self, peer: Peer, sequence: int) -> tuple[EndsRow, ...]:
+        """Return under which requests endpoints ended, for another entry.
+
+        Args:
+            peer: That entry.
+            sequence: Number of the heartbeat that tells it.
+        """
--- a/carawayhub/routing/candidate.py
+++ b/carawayhub/routing/candidate.py
@@ -289,6 +289,11 @@
         """Return its condition with the reason: what others say comes before what is seen here."""
         return self._told_condition() or self._seen_condition(now, wall)
 
+    def leaves(self) -> bool:
+        """Return whether it leaves as planned, by what others say of it."""
+        told = self._told_condition()
+        return told is not None and told[0] is Condition.LEAVING
+
     def _told_condition(self) -> tuple[Condition, str] | None:
         report = self._report
         if self.endpoint.state is EndpointState.LEAVING:
--- a/carawayhub/routing/router.py
+++ b/carawayhub/routing/router.py
@@ -124,6 +124,13 @@
         candidate = self._candidates.get(endpoint)
         return candidate is not None and candidate.permitted(self._clock.monotonic())
 
+    def is_leaving(self, endpoint: str) -> bool:
+        """Return whether the endpoint is known to leave as planned, or is no longer declared."""
+        candidate = self._candidates.get(endpoint)
+        if candidate is None:
+            return True
+        return candidate.leaves()
+
     def choose(self, query: RouteQuery, exclude: frozenset[str] = frozenset()) -> Choice:
         """Return the endpoint for the next attempt of a request.
 
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -9,16 +9,21 @@
 import anyio
 import msgspec
 
+from carawayhub.addresses import Address
 from carawayhub.agent.tickets import TicketOffice
 from carawayhub.clock import ManualClock
 from carawayhub.config.check import load
 from carawayhub.config.files import ConfigFile
+from carawayhub.endpoints.endings import Endings
+from carawayhub.endpoints.upstream import Listening
 from carawayhub.entry.answer import Answer
 from carawayhub.entry.app import EntryApp, EntryParts
 from carawayhub.entry.calls import Call
+from carawayhub.entry.ends import EndWatch
 from carawayhub.entry.reports import Reports
 from carawayhub.entry.runonce import RunOnce
 from carawayhub.limits.admission import Admission
+from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.retries import RetryBudget
 from carawayhub.output.metrics import Metrics
 from carawayhub.peers.messages import EndpointReport, RunReply, RunRequest, ServingState
@@ -154,6 +159,16 @@
             self.left.set()
 
 
+class FakeUpstream:
+    """Says whether endpoints listen; see ``Upstream.look``."""
+
+    def __init__(self) -> None:
+        self.listening = Listening.YES
+
+    async def look(self, address: Address) -> Listening:
+        return self.listening
+
+
 class Desk:
     """An entry's application with its parts."""
 
@@ -164,7 +179,13 @@
         rng = random.Random(5)
         self.reports = Reports()
         office = TicketOffice("0123456789abcdef")
-        run_once = RunOnce(self.clock, rng, self.reports, office, self.agents)  # type: ignore
+        self.records = PoisonRecords(self.clock)
+        self.upstream = FakeUpstream()
+        endings = Endings(
+            self.upstream, self.records, self.clock, self.metrics.endpoint_ended  # type: ignore
+        )
+        ends = EndWatch(endings, lambda endpoint: False, self.clock, rng)
+        run_once = RunOnce(self.clock, rng, self.reports, office, self.agents, ends)  # type: ignore
         self.admission = Admission(self.clock, rng, "e1")
         self.parts = EntryParts(
             self.clock,
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -19,11 +19,14 @@
     Service,
     ServiceRoute,
 )
-from carawayhub.endpoints.upstream import Upstream
+from carawayhub.endpoints.endings import Endings
+from carawayhub.endpoints.upstream import LOOK_TIMEOUT, Upstream
 from carawayhub.entry.answer import Answer
 from carawayhub.entry.calls import Call, ModelTarget, ServiceTarget
+from carawayhub.entry.ends import EndWatch
 from carawayhub.entry.relay import Relay
 from carawayhub.errors import RequestError
+from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.retries import RetryBudget
 from carawayhub.output.metrics import Metrics
 from carawayhub.peers.messages import EndpointReport, ServingState
@@ -128,15 +131,24 @@
         socket_options: Any = None,
     ) -> FakeStream:
         await anyio.lowlevel.checkpoint()
+        if timeout == LOOK_TIMEOUT:
+            return self._look(port)
         self.connects.append(port)
         script = self._scripts[port].popleft()
         if script is None:
-            raise httpcore.ConnectError("refused")
+            raise httpcore.ConnectError("refused") from ConnectionRefusedError()
         self.on_connect()
         stream = FakeStream(script)
         self.streams.append(stream)
         return stream
 
+    def _look(self, port: int) -> FakeStream:
+        """Answer a look at whether the endpoint still listens: as the next connect would find."""
+        scripts = self._scripts[port]
+        if scripts and scripts[0] is None:
+            raise httpcore.ConnectError("refused") from ConnectionRefusedError()
+        return FakeStream([])
+
     async def sleep(self, seconds: float) -> None:
         await anyio.sleep(seconds)
 
@@ -193,7 +205,10 @@
         self.network = FakeNetwork(self.scripts)
         self.metrics = Metrics()
         upstream = Upstream(backend=self.network)
-        self.relay = Relay(self.clock, rng, self.router, retries, upstream, self.metrics)
+        self.records = PoisonRecords(self.clock)
+        endings = Endings(upstream, self.records, self.clock, self.metrics.endpoint_ended)
+        self.ends = EndWatch(endings, self.router.is_leaving, self.clock, rng)
+        self.relay = Relay(self.clock, rng, self.router, retries, upstream, self.metrics, self.ends)
         self.relay.configure(cfg)
 
     def report(self, name: str, state: ServingState = ServingState.SERVING) -> None:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -9,10 +9,10 @@
 
 from carawayhub.addresses import Address
 from carawayhub.clock import SystemClock
+from carawayhub.endpoints.endings import Endings
 from carawayhub.endpoints.upstream import Upstream
 from carawayhub.gateway.app import GatewayApp
 from carawayhub.gateway.desk import Desk
-from carawayhub.gateway.endings import Endings
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Loads
 from carawayhub.gateway.model import CallerLimits, Repeat
@@ -117,7 +117,9 @@
             pool=lambda name: pool,
             entries=lambda: 1,
             load=loads.total,
-            endings=Endings(upstream, self.view, PoisonRecords(self.clock), self.tally, self.clock),
+            endings=Endings(
+                upstream, PoisonRecords(self.clock), self.clock, self.tally.endpoint_ended
+            ),
         )
         desk = Desk(self.view, self.clock, rng, 5.0)
         app = GatewayApp(
--- a/tests/test_poison_records.py
+++ b/tests/test_poison_records.py
@@ -7,7 +7,6 @@
 from loguru import logger
 
 from carawayhub.clock import ManualClock
-from carawayhub.gateway.poisonnews import MOST_ROWS, PoisonNews
 from carawayhub.limits.fingerprint import FINGERPRINT_BYTES, fingerprint
 from carawayhub.limits.poison import (
     MOST_ENDS,
@@ -18,6 +17,7 @@
     EndsRow,
     PoisonRecords,
 )
+from carawayhub.limits.poisonnews import MOST_ROWS, PoisonNews
 
 
 def setUpModule() -> None:
