Weigh only requests with three ends or more when records change

Others have fewer ends than any request in question, so they take nothing off. Change: they are passed over.

Tests unchanged, pass.

--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -16,7 +16,7 @@
 """
 
 import math
-from collections import defaultdict
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -282,15 +282,12 @@
 
     def _judge(self) -> None:
         """Find anew which requests are refused."""
-        most: defaultdict[int, list[int]] = defaultdict(list)
-        for record in self._by_fingerprint.values():
-            for end in record.ends:
-                most[end].append(len(record.ends))
         needed = self._rate.ends_needed()
+        counting = self._counting_ends()
         found = frozenset(
             name
-            for name, each in self._by_fingerprint.items()
-            if _counting(each, most) >= (ENDS_OF_POISON if name in self._poison else needed)
+            for name, count in counting.items()
+            if count >= (ENDS_OF_POISON if name in self._poison else needed)
         )
         new, self._poison = found - self._poison, found
         for name in new:
@@ -302,19 +299,31 @@
             ).warning("endpoints end under a request, it is refused from now on")
             self.on_poison(name)
 
+    def _counting_ends(self) -> dict[bytes, int]:
+        """Return how many ends count against each request that has enough of them.
+
+        Guards against refusing one that stood beside: an end is not held against it where another
+        that was there has as many ends.
+        """
+        suspects = {
+            name: each.ends
+            for name, each in self._by_fingerprint.items()
+            if len(each.ends) >= ENDS_OF_POISON
+        }
+        # Others have fewer ends than any of these, so they take nothing off.
+        beside = Counter((end, len(ends)) for ends in suspects.values() for end in ends)
+        return {name: _alone(ends, beside) for name, ends in suspects.items()}
 
-def _counting(record: _Record, beside: dict[int, list[int]]) -> int:
-    """Return how many ends count against a request.
 
-    Guards against refusing one that stood beside: an end is not held against it where another that
-    was there has as many ends.
+def _alone(ends: frozenset[int], beside: Counter[tuple[int, int]]) -> int:
+    """Return at how many ends no other request was that has as many of them.
 
     Args:
-        record: The record of the request.
-        beside: For each end, how many ends each request has that was there.
+        ends: The ends of a request.
+        beside: Requests by an end at which they were and the number of their ends.
     """
-    count = len(record.ends)
-    return sum(1 for end in record.ends if sum(each >= count for each in beside[end]) == 1)
+    counts = range(len(ends), MOST_ENDS + 1)
+    return sum(1 for end in ends if sum(beside[end, count] for count in counts) == 1)
 
 
 def _kept_seconds(ends: int) -> float:
