--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -45,8 +45,8 @@
 for some dozens at an entry of a large fleet, short against troubles that last a minute."""
 
 MOST_RECORDS = 256
-"""Requests that are remembered at the most, 150 KB: those of twenty ends in the memory of others.
-Of what is too much, the requests with the fewest ends go first, and of these the oldest."""
+"""Requests that are remembered at the most, 0.3 MB: what twenty ends leave with a dozen requests
+each. Of what is too much, the requests with the fewest ends go first, and of these the oldest."""
 
 MOST_ENDS = 8
 """Ends that are remembered of one request; more change nothing."""
