Count each end of an endpoint that starts again under its id

Cause: an endpoint is known by its id and, where it says so, its start. One that starts again under its id without saying when had one key for all of its lifetimes, so a request that ended it every few seconds counted as one end; with two such endpoints it was never refused.

Change: an end that is noted more than a second after the record last changed is a further lifetime. Ruled out: lifetimes counted by each entry alone, whose numbers would meet as one among entries.

Test fails before (1 end, let on), passes now.

--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -48,6 +48,13 @@
 """Requests that are remembered at the most, 0.3 MB: what twenty ends leave with a dozen requests
 each. Of what is too much, the requests with the fewest ends go first, and of these the oldest."""
 
+SAME_END_SECONDS = 1.0
+"""Seconds within which one endpoint ends once: entries see and tell it within tenths of a second,
+and a process takes longer than this to start again and take requests."""
+
+LIFETIMES = 2**32
+"""Bound of the keys of endpoints' lifetimes."""
+
 MOST_ENDS = 8
 """Ends that are remembered of one request; more change nothing."""
 
@@ -197,9 +204,14 @@
         if not ends:
             # Further ends of one request would make it look as if all met them.
             self._rate.ended()
+        now = self._clock.monotonic()
+        if known is not None and now - known.changed_at > SAME_END_SECONDS:
+            # An endpoint that has started again under one id, and does not say when it did.
+            while endpoint in ends:
+                endpoint = (endpoint + 1) % LIFETIMES
         if endpoint in ends or len(ends) >= MOST_ENDS:
             return
-        self._put(fingerprint, series, ends | {endpoint}, self._clock.monotonic())
+        self._put(fingerprint, series, ends | {endpoint}, now)
         self._judge()
 
     def answered(self, fingerprint: bytes) -> None:
--- a/tests/test_poison_records.py
+++ b/tests/test_poison_records.py
@@ -70,6 +70,16 @@
         self.assertTrue(self.records.is_poison(SPOILT))
         self.assertEqual(told, [SPOILT])
 
+    def test_endpoint_that_starts_again_under_its_id_counts_each_time(self) -> None:
+        """The last replica of a service ended every few seconds, and it counted as one end."""
+        for _ in range(3):
+            self.records.ended(SPOILT, 7)
+            self.clock.advance(0.4)
+            self.records.ended(SPOILT, 7)
+            self.clock.advance(4.0)
+        self.assertEqual(self.records.ends(SPOILT), 3)
+        self.assertTrue(self.records.is_poison(SPOILT))
+
     def test_request_beside_it_twice_and_at_a_third_end_by_chance_is_not_refused(self) -> None:
         for endpoint in (1, 2, 3, 4):
             self.records.ended(SPOILT, endpoint)
