Let the fault proxy outlive connections that were reset before it took them

Cause: a look at whether an endpoint listens opens a connection and resets it at once; the proxy of the tests asked such a connection for its other end, which raised, and all of its links ended.

Ruled out: the change of the entry itself; the same tests pass with the proxy mended.

Change: the address is taken when the connection is; one that is gone by then is passed over. A look closes in order, which endpoints expect more than a reset. The test of Ctrl-C gives its child the usual handling of it; what it asserts is unchanged.

--- /dev/null
+++ b/benchmarks/request_fleet.py
@@ -0,0 +1,662 @@
+"""Entries before replicas that some requests end, in virtual time: whole requests, no sockets.
+
+Each entry is the product's own process but for its sockets: datagrams of entries pass a network
+that may lose them, requests reach replicas over connections in memory. Replicas are ranks of
+groups. A rank that ends closes its connections and refuses further ones; the others of its group
+break off what they began 1.5 s later and refuse requests until it is back, under a new id.
+"""
+
+import math
+import random
+import re
+from collections import Counter, defaultdict, deque
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpcore
+
+from benchmarks.virtual_time import LoopClock, run
+from carawayhub.addresses import Address
+from carawayhub.constants import CODE_HEADER
+from carawayhub.gateway.hello import Phase
+from carawayhub.gateway.model import Endpoint, GroupSeat
+from carawayhub.gateway.ports import (
+    EndpointPublished,
+    EndpointRemoved,
+    Handed,
+    Published,
+    TablePublished,
+)
+from carawayhub.gateway.process import GatewayOptions, GatewayProcess
+from carawayhub.limits.fingerprint import fingerprint
+from carawayhub.platform.headers import PlatformWire
+from tests.gateway_world import KEY, endpoint, route, table
+from tests.scripted_endpoint import chunk, event
+
+IN_TOUCH = 3.0
+"""Seconds after a start or a cut from which on an entry counts as in touch."""
+
+RUN_SECONDS = 0.08
+"""Seconds from the beginning of a request to the end of the replica that it ends."""
+
+BACK_SECONDS = 3.0
+STALL_SECONDS = 1.5
+FORM_SECONDS = 0.6
+PUBLISH_SECONDS = 0.3
+DATAGRAM_SECONDS = 0.002
+CONNECT_SECONDS = 0.001
+DOMAINS = 5
+NOT_RUN = (
+    b"HTTP/1.1 503 Service Unavailable\r\ncarawayhub-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request that reached a replica.
+
+    Attributes:
+        at: When.
+        entry: IP number of the entry that sent it.
+        in_touch: Whether that entry was in touch.
+        content: Its body.
+        replica: Id of the replica.
+    """
+
+    at: float
+    entry: str
+    in_touch: bool
+    content: bytes
+    replica: str
+
+
+@dataclass(slots=True)
+class Told:
+    """What a caller got.
+
+    Attributes:
+        content: Body of its request.
+        status: HTTP status, 0 where the entry was gone.
+        code: Number of the entry's own answer, 0 for that of a replica.
+        whole: Whether the answer has its end.
+        seconds: Time to its end.
+        asked_at: When it asked.
+        retry_after: Seconds after which it is told to come back, negative where it is not.
+        first_at: When the first part of its body came, 0 for never.
+    """
+
+    content: bytes
+    asked_at: float
+    status: int = 0
+    code: int = 0
+    whole: bool = False
+    seconds: float = 0.0
+    retry_after: float = -1.0
+    first_at: float = 0.0
+
+    @property
+    def served(self) -> bool:
+        """Whether it is a whole answer of a replica."""
+        return self.whole and self.status == 200
+
+
+class Line(httpcore.AsyncNetworkStream):
+    """A connection of an entry to a replica."""
+
+    def __init__(self, replica: "Replica", entry: str) -> None:
+        self.replica = replica
+        self.entry = entry
+        self.is_cut = False
+        self._written = b""
+        self._unread: deque[bytes] = deque()
+        self._changed = anyio.Event()
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return what the replica sent, nothing once it closed its end."""
+        try:
+            with anyio.fail_after(timeout):
+                while not self._unread and not self.is_cut:
+                    await self._changed.wait()
+        except TimeoutError as exc:
+            raise httpcore.ReadTimeout("silent") from exc
+        return self._unread.popleft() if self._unread else b""
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Hand a request to the replica once it is whole."""
+        if self.is_cut:
+            raise httpcore.WriteError("closed")
+        self._written += buffer
+        head, mark, body = self._written.partition(b"\r\n\r\n")
+        length = re.search(rb"content-length: (\d+)", head, re.IGNORECASE)
+        if mark and length is not None and len(body) >= int(length.group(1)):
+            self._written = b""
+            self.replica.take(self, head, body)
+
+    def send(self, data: bytes) -> None:
+        """Send bytes to the entry."""
+        self._unread.append(data)
+        self._wake()
+
+    def cut(self) -> None:
+        """Close the replica's end."""
+        self.is_cut = True
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def aclose(self) -> None:
+        """Close the entry's end; the replica drops what it runs for it."""
+        self.cut()
+        self.replica.lines.discard(self)
+        self.replica.running.pop(self, None)
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return whether an idle connection was closed, the one thing that is asked for."""
+        return self.is_cut if info == "is_readable" else None
+
+
+class Replica:
+    """A rank of a group, through all of its lifetimes.
+
+    Args:
+        fleet: The fleet that it belongs to.
+        at: Its number.
+        group: Number of its group.
+    """
+
+    def __init__(self, fleet: "RequestFleet", at: int, group: int) -> None:
+        self.fleet = fleet
+        self.at = at
+        self.group = group
+        self.address = Address(f"10.9.{at // 200}.{at % 200 + 1}", 8441)
+        self.lifetime = 0
+        self.listens = True
+        self.lines: set[Line] = set()
+        self.running: dict[Line, bytes] = {}
+
+    @property
+    def id(self) -> str:
+        """The id of its present lifetime."""
+        return f"i-{self.at}-{self.lifetime}"
+
+    def endpoint(self) -> Endpoint:
+        """Return it as it registers itself."""
+        return endpoint(
+            self.id,
+            address=str(self.address),
+            places=self.fleet.places,
+            registered=self.lifetime + 1,
+            seat=GroupSeat(
+                f"g{self.group}",
+                self.fleet.epochs[self.group],
+                self.at // self.fleet.groups,
+                self.fleet.formed[self.group],
+                self.fleet.ranks,
+            ),
+        )
+
+    def take(self, line: Line, head: bytes, body: bytes) -> None:
+        """Take a whole request."""
+        self.fleet.note_sent(self, line.entry, body)
+        if self._stands_still():
+            self.fleet.wasted += 1
+            if self.fleet.stalls:
+                self.fleet.start(self._refuse_late, line)
+            else:
+                line.send(NOT_RUN)
+            return
+        found = re.search(rb"carawayhub-request-id: (\S+)", head, re.IGNORECASE)
+        self.fleet.start(self._serve, line, found.group(1) if found else b"", body)
+
+    async def _refuse_late(self, line: Line) -> None:
+        """Refuse a request once the group has noticed its loss."""
+        await anyio.sleep(max(0.0, self.fleet.stalled_until[self.group] - _now()))
+        line.send(NOT_RUN)
+
+    async def _serve(self, line: Line, request: bytes, body: bytes) -> None:
+        self.running[line] = body
+        if body in self.fleet.ending:
+            await anyio.sleep(RUN_SECONDS)
+            if line in self.running and not self._stands_still():
+                self.end()
+            return
+        line.send(
+            b"HTTP/1.1 200 OK\r\ncarawayhub-request-id: %s\r\ncarawayhub-response-seal: s\r\n"
+            b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n" % request
+        )
+        await anyio.sleep(self.fleet.first_seconds)
+        for number in range(1, self.fleet.events + 1):
+            await anyio.sleep(self.fleet.event_seconds)
+            if line not in self.running or self._stands_still():
+                return
+            line.send(chunk(event(number)))
+        del self.running[line]
+        line.send(chunk(b""))
+
+    def _stands_still(self) -> bool:
+        return _now() < self.fleet.closed_until[self.group]
+
+    def break_off(self) -> None:
+        """Close the connections of all that runs."""
+        for line in list(self.running):
+            del self.running[line]
+            line.cut()
+
+    def end(self) -> None:
+        """End as a crashed process does."""
+        if not self.listens:
+            return
+        self.listens = False
+        self.fleet.note_ended(self)
+        self.break_off()
+        for line in self.lines:
+            line.cut()
+        self.lines.clear()
+        self.fleet.start(self._come_back)
+
+    async def _come_back(self) -> None:
+        await anyio.sleep(self.fleet.back_seconds)
+        before = self.id
+        self.lifetime += 1
+        self.listens = True
+        await anyio.sleep(PUBLISH_SECONDS)
+        self.fleet.publish(EndpointPublished(self.endpoint()), EndpointRemoved(before))
+
+    def ranks_listening(self) -> list["Replica"]:
+        """Return the ranks of its group that live."""
+        ranks = self.fleet.by_host.values()
+        return [each for each in ranks if each.group == self.group and each.listens]
+
+
+class _Net(httpcore.AsyncNetworkBackend):
+    """The way from one entry to the replicas."""
+
+    def __init__(self, fleet: "RequestFleet", entry: str) -> None:
+        self._fleet = fleet
+        self._entry = entry
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Any = None,
+    ) -> Line:
+        await anyio.sleep(CONNECT_SECONDS)
+        replica = self._fleet.by_host[host]
+        if not replica.listens:
+            raise httpcore.ConnectError("refused") from ConnectionRefusedError()
+        line = Line(replica, self._entry)
+        replica.lines.add(line)
+        return line
+
+    async def sleep(self, seconds: float) -> None:
+        await anyio.sleep(seconds)
+
+
+class _Mirror:
+    """Published content that nobody hands on."""
+
+    revision = 0
+
+    def told_after(self, revision: int) -> bytes | None:
+        """Return nothing."""
+        return None
+
+    def take(self, data: bytes) -> Handed | None:
+        """Take nothing."""
+        return None
+
+
+class _State:
+    """A store that nobody asks: what is published reaches the entries' views directly."""
+
+    mirror = _Mirror()
+
+    async def snapshot(self) -> Published:
+        """Return nothing."""
+        return Published(revision=0, changes=())
+
+    async def changes(self, after: int, wait: float) -> Published | None:
+        """Return nothing."""
+        return None
+
+    async def revision(self) -> int:
+        """Return the first revision."""
+        return 0
+
+    async def touch(self) -> None:
+        """Do nothing."""
+
+
+@dataclass(slots=True)
+class _Entry:
+    process: GatewayProcess
+    disturbed_until: float
+    tasks: anyio.abc.TaskGroup | None = None
+
+
+class _Call:
+    """One request as the ASGI server would hand it over, and what comes back.
+
+    Args:
+        told: Takes what the caller gets.
+        content: Body of the request.
+
+    Attributes:
+        left: Set when the caller leaves.
+        heard_at: When the caller heard something last.
+    """
+
+    def __init__(self, told: Told, content: bytes) -> None:
+        self.left = anyio.Event()
+        self.heard_at = _now()
+        self._told = told
+        self._asked = [{"type": "http.request", "body": content, "more_body": False}]
+
+    async def receive(self) -> dict[str, Any]:
+        if self._asked:
+            return self._asked.pop()
+        await self.left.wait()
+        return {"type": "http.disconnect"}
+
+    async def send(self, message: dict[str, Any]) -> None:
+        told = self._told
+        self.heard_at = _now()
+        if message["type"] == "http.response.start":
+            headers = dict(message["headers"])
+            told.status = message["status"]
+            told.code = int(headers.get(CODE_HEADER, b"0"))
+            told.retry_after = float(headers.get(b"retry-after", b"-1"))
+            return
+        if message["body"] and not told.first_at:
+            told.first_at = _now()
+        told.whole = not message.get("more_body", False)
+
+
+@dataclass(slots=True)
+class RequestFleet:
+    """Entries and replicas.
+
+    Attributes:
+        entries: Number of entries.
+        groups: Number of groups.
+        ranks: Ranks of each.
+        seed: Seed of all chance.
+        lost: Part of the entries' datagrams that is lost.
+        places: Requests that a rank runs at once.
+        events: Events of an answer.
+        event_seconds: Seconds between two of them.
+        first_seconds: Seconds more before the first one.
+        back_seconds: Seconds for which a rank that ended is away.
+        wasted: Requests that reached a group which stood still.
+        stalls: Whether ranks hold what comes until their group has noticed its loss.
+        tells_groups: Whether ranks register whether their group stands.
+        ending: Contents that end each replica that begins them.
+        cut: Entries whose datagrams are all lost.
+        sent: Requests that reached replicas.
+        ends: When replicas ended, by each content that they were running.
+        told: What callers got.
+    """
+
+    entries: int = 7
+    groups: int = 1
+    ranks: int = 12
+    seed: int = 1
+    lost: float = 0.0
+    places: int = 6
+    events: int = 10
+    event_seconds: float = 0.05
+    first_seconds: float = 0.0
+    back_seconds: float = BACK_SECONDS
+    wasted: int = 0
+    stalls: bool = False
+    tells_groups: bool = False
+    ending: set[bytes] = field(default_factory=set)
+    cut: set[str] = field(default_factory=set)
+    sent: list[Sent] = field(default_factory=list)
+    ends: dict[bytes, list[float]] = field(default_factory=dict)
+    told: list[Told] = field(default_factory=list)
+    rng: random.Random = field(default_factory=random.Random)
+    closed_until: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
+    stalled_until: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
+    epochs: Counter[int] = field(default_factory=Counter)
+    formed: defaultdict[int, bool] = field(default_factory=lambda: defaultdict(lambda: True))
+    by_host: dict[str, Replica] = field(default_factory=dict)
+    live: dict[str, _Entry] = field(default_factory=dict)
+    revision: int = 1
+    tasks: anyio.abc.TaskGroup | None = None
+
+    @property
+    def ips(self) -> list[str]:
+        """IP numbers of all entry VMs, whether their entries live or not."""
+        return [f"10.{at % DOMAINS + 1}.0.{at // DOMAINS + 10}" for at in range(self.entries)]
+
+    def play(self, story: Callable[[], Awaitable[None]]) -> None:
+        """Start everything and run a story once the entries know each other."""
+        self.rng.seed(self.seed)
+        for at in range(self.groups * self.ranks):
+            replica = Replica(self, at, at % self.groups)
+            self.by_host[replica.address.host] = replica
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                for ip in self.ips:
+                    self.start_entry(ip)
+                await anyio.sleep(IN_TOUCH + 1.0)
+                await story()
+                tasks.cancel_scope.cancel()
+
+        run(main)
+
+    def start(self, function: Callable[..., Coroutine[Any, Any, Any]], *args: Any) -> None:
+        """Run something beside the story."""
+        assert self.tasks is not None
+        self.tasks.start_soon(function, *args)
+
+    def start_entry(self, ip: str) -> None:
+        """Start an entry that knows nobody."""
+        options = GatewayOptions(
+            callers=Address(ip, 80),
+            seeds=frozenset(self.ips[:3]),
+            ip=ip,
+            peer_port=7340,
+            content_port=7341,
+            link_rate=0.0,
+            failure_domain=ip.split(".")[1],
+            heartbeat=1.2,
+            revoke_after=5.0,
+            grace=8.0,
+            retry_ratio=0.2,
+            retry_extra=90.0,
+            retry_window=10.0,
+        )
+        rng = random.Random(self.rng.random())
+        process = GatewayProcess(
+            options, _State(), PlatformWire(), LoopClock(), rng, lambda: options.seeds
+        )
+        process._upstream._backend = _Net(self, ip)
+        listed = [EndpointPublished(each.endpoint()) for each in self.by_host.values()]
+        table_published = TablePublished(table(1, route(attempts=2)))
+        process._view.replace(Published(revision=1, changes=(table_published, *listed)))
+        process._gossip.set_phase(Phase.READY)
+        entry = self.live[ip] = _Entry(process, _now() + IN_TOUCH)
+
+        async def live() -> None:
+            if self.live.get(ip) is not entry:
+                return
+            async with anyio.create_task_group() as entry.tasks:
+                entry.tasks.start_soon(
+                    process._gossip.tell, lambda to, data: self._carry(ip, to, data)
+                )
+                entry.tasks.start_soon(process._tick)
+                entry.tasks.start_soon(self._confirm, process)
+
+        self.start(live)
+
+    async def _confirm(self, process: GatewayProcess) -> None:
+        while True:
+            process._view.confirm(_now())
+            await anyio.sleep(0.5)
+
+    def kill_entry(self, ip: str) -> None:
+        """End an entry without a word."""
+        entry = self.live.pop(ip)
+        if entry.tasks is not None:
+            entry.tasks.cancel_scope.cancel()
+
+    def restart_entry(self, ip: str) -> None:
+        """End an entry and start it anew."""
+        self.kill_entry(ip)
+        self.start_entry(ip)
+
+    async def cut_entry(self, ip: str, seconds: float) -> None:
+        """Let all datagrams of an entry be lost for some seconds."""
+        self.cut.add(ip)
+        self.live[ip].disturbed_until = math.inf
+        await anyio.sleep(seconds)
+        self.cut.discard(ip)
+        self.live[ip].disturbed_until = _now() + IN_TOUCH
+
+    async def _carry(self, ip: str, to: str, data: bytes) -> None:
+        if self.rng.random() >= self.lost and not {ip, to} & self.cut:
+            self.start(self._arrive, to, data)
+
+    async def _arrive(self, to: str, data: bytes) -> None:
+        await anyio.sleep(DATAGRAM_SECONDS)
+        entry = self.live.get(to)
+        if entry is None:
+            return
+        gossip = entry.process._gossip
+        heard = gossip.read(data)
+        if heard is not None:
+            gossip.take(heard)
+
+    def publish(self, *changes: EndpointPublished | EndpointRemoved) -> None:
+        """Let all entries know of changes."""
+        self.revision += 1
+        for each in self.live.values():
+            each.process._view.extend(Published(revision=self.revision, changes=changes))
+
+    def note_sent(self, replica: Replica, entry: str, content: bytes) -> None:
+        """Note that a request reached a replica."""
+        now = _now()
+        live = self.live.get(entry)
+        in_touch = live is not None and now >= live.disturbed_until
+        self.sent.append(Sent(now, entry, in_touch, content, replica.id))
+
+    def note_ended(self, replica: Replica) -> None:
+        """Note that a replica ended, and break its group."""
+        now = _now()
+        for content in sorted(set(replica.running.values())):
+            self.ends.setdefault(content, []).append(now)
+        group = replica.group
+        self.closed_until[group] = now + self.back_seconds + FORM_SECONDS
+        self.stalled_until[group] = now + STALL_SECONDS
+        self.start(self._stall, replica)
+
+    async def _stall(self, replica: Replica) -> None:
+        await anyio.sleep(STALL_SECONDS)
+        for each in self.by_host.values():
+            if each.group == replica.group:
+                each.break_off()
+        if not self.tells_groups:
+            return
+        self.formed[replica.group] = False
+        self._publish_group(replica)
+        await anyio.sleep(self.closed_until[replica.group] - _now())
+        if _now() >= self.closed_until[replica.group]:
+            self.epochs[replica.group] += 1
+            self.formed[replica.group] = True
+            self._publish_group(replica)
+
+    def _publish_group(self, replica: Replica) -> None:
+        self.publish(*(EndpointPublished(each.endpoint()) for each in replica.ranks_listening()))
+
+    async def ask(
+        self,
+        content: bytes,
+        ip: str = "",
+        path: bytes = b"/songs/1",
+        deadline: float = 8.0,
+        patience: float = math.inf,
+    ) -> Told:
+        """Send a request to an entry, any one that lives if none is named.
+
+        Args:
+            content: Its body.
+            ip: The entry.
+            path: Its path.
+            deadline: Seconds for which the caller says that it waits.
+            patience: Seconds without an event after which it leaves.
+        """
+        told = Told(content, _now())
+        self.told.append(told)
+        up = sorted(name for name, each in self.live.items() if each.tasks is not None)
+        if not up:
+            return told
+        entry = self.live[ip or self.rng.choice(up)]
+        call = _Call(told, content)
+        done = anyio.Event()
+
+        async def serve() -> None:
+            try:
+                await entry.process._app(
+                    self._scope(content, path, deadline), call.receive, call.send
+                )
+            finally:
+                done.set()
+
+        assert entry.tasks is not None
+        entry.tasks.start_soon(serve)
+        while not done.is_set():
+            with anyio.move_on_after(max(0.0, call.heard_at + patience - _now())):
+                await done.wait()
+            if not done.is_set() and _now() >= call.heard_at + patience:
+                call.left.set()
+                await done.wait()
+        told.seconds = _now() - told.asked_at
+        return told
+
+    def _scope(self, content: bytes, path: bytes, deadline: float) -> dict[str, Any]:
+        request = f"{self.rng.getrandbits(64):016x}".encode()
+        return {
+            "type": "http",
+            "method": "POST",
+            "raw_path": path,
+            "query_string": b"",
+            "headers": [
+                (b"host", b"caraway.example"),
+                (b"carawayhub-request-id", request),
+                (b"carawayhub-request-deadline", b"%d" % (deadline * 1000)),
+                (b"carawayhub-token-counts", b"600,140"),
+                (b"authorization", b"Bearer " + KEY.encode()),
+                (b"content-length", str(len(content)).encode()),
+            ],
+        }
+
+    def fingerprint(self, content: bytes) -> bytes:
+        """Return how entries name a request with this body."""
+        return fingerprint("armor", "POST", "caraway.example", b"/songs/1", content)
+
+    def late_sends(self, content: bytes, after: int = 3, slack: float = IN_TOUCH) -> list[Sent]:
+        """Return the sends by entries in touch, ``slack`` after a content's third end."""
+        ends = self.ends.get(content, [])
+        if len(ends) < after:
+            return []
+        since = ends[after - 1] + slack
+        return [
+            each
+            for each in self.sent
+            if each.content == content and each.at > since and each.in_touch
+        ]
+
+
+def _now() -> float:
+    return anyio.current_time()
--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -205,7 +205,6 @@
                 address.port,
                 timeout=LOOK_TIMEOUT,
                 local_address=self._source or None,
-                socket_options=ABORTING_OPTIONS,
             )
         except NotSent as exc:
             return Listening.NO if _is_refusal(exc) else Listening.UNKNOWN
--- a/carawayhub/standins/link.py
+++ b/carawayhub/standins/link.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 
 import anyio
-from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 
 from carawayhub.standins.forward import Connection, Crossing, set_reset_on_close
 from carawayhub.standins.linkstate import LinkState
@@ -112,12 +112,15 @@
         while True:
             await anyio.wait_readable(sock)
             with suppress(BlockingIOError):
-                accepted, _ = sock.accept()
-                connections.start_soon(self._handle, await SocketStream.from_socket(accepted))
-
-    async def _handle(self, client: SocketStream) -> None:
+                accepted, address = sock.accept()
+                with suppress(OSError, ValueError):
+                    # One that was reset before it was taken: whoever opened it only looked whether
+                    # something listens here.
+                    client = await SocketStream.from_socket(accepted)
+                    connections.start_soon(self._handle, client, str(address[0]))
+
+    async def _handle(self, client: SocketStream, source: str) -> None:
         self.accepted += 1
-        source = str(client.extra(SocketAttribute.remote_address)[0])
         async with client:
             if self.state.fault_of(source).refuse:
                 set_reset_on_close(client)
--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -54,8 +54,8 @@
 
     async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
-        self.address = f"{host}:{port}"
+        bound = listener.extra(anyio.abc.SocketAttribute.local_address)
+        self.address = f"{bound[0]}:{bound[1]}"
         task_status.started()
         async with listener:
             with anyio.CancelScope() as self._scope:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -105,6 +105,9 @@
             stderr=subprocess.PIPE,
             text=True,
             cwd=ROOT,
+            # Who starts the tests in the background of a shell has Ctrl-C ignored, and children
+            # inherit that.
+            preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
         )
         assert process.stdout is not None
         while "ready" not in process.stdout.readline():
