Say in the log when a pause was noticed and when what it put in doubt was checked

Cause: whether an agent gave orders of its own accord after it was suspended could not be told from its log: neither the pause nor the check that ends the doubt left a line, only the configuration that came.

Change: one warning as a pause is noticed (its seconds, its number) and one line as each view is checked again (seconds in doubt).

--- a/carawayhub/fleet/pauses.py
+++ b/carawayhub/fleet/pauses.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 import anyio
+from loguru import logger
 
 from carawayhub.clock import Clock
 
@@ -43,7 +44,16 @@
         False
     """
 
-    __slots__ = ("_clock", "_longest_gap", "_seen_at", "_unconfirmed", "_views", "count", "gap")
+    __slots__ = (
+        "_clock",
+        "_longest_gap",
+        "_noticed_at",
+        "_seen_at",
+        "_unconfirmed",
+        "_views",
+        "count",
+        "gap",
+    )
 
     def __init__(
         self,
@@ -54,7 +64,7 @@
         self._clock = clock
         self._views = views
         self._longest_gap = longest_gap
-        self._seen_at = clock.monotonic()
+        self._seen_at = self._noticed_at = clock.monotonic()
         self._unconfirmed: set[View] = set()
         self.count = 0
         self.gap = 0.0
@@ -78,8 +88,13 @@
                 half way says nothing of the time after, and is not taken.
         """
         self._look()
-        if count == self.count:
-            self._unconfirmed.discard(view)
+        if count != self.count or view not in self._unconfirmed:
+            return
+        self._unconfirmed.discard(view)
+        seconds = self._clock.monotonic() - self._noticed_at
+        logger.bind(view=view.value, pauses=count, seconds=round(seconds, 3)).info(
+            "checked again after a pause"
+        )
 
     async def run(self) -> None:
         """Tick until cancelled; without ticks each quiet spell would look like a pause."""
@@ -95,3 +110,7 @@
         self.count += 1
         self.gap = gap
         self._unconfirmed = set(self._views)
+        self._noticed_at = now
+        logger.bind(seconds=round(gap, 3), pauses=self.count).warning(
+            "this process was paused: what it knows is in doubt"
+        )
