Settle a change of another decider as soon as rank 0 shows it

What callers saw: late orders to agree, of a decider that had been stopped and replaced, armed ranks that ignore fencing numbers. The decider in charge looked at rank 0, passed over what it was armed for, and found it once all ranks stood still at the step.

Change: a look at rank 0 between two decisions returns to a full reading where rank 0 waits for a verdict; nothing of its own can be open then.

Ruled out: a quicker second look at a group that stands still, which would double the full readings of idle groups.

The new test waits in vain for 30 s without the change.

--- a/carawayhub/groups/decider.py
+++ b/carawayhub/groups/decider.py
@@ -264,6 +264,10 @@
         here, while the group steps on, shows only when all are read. So that time is one for the
         decider: were it counted anew when a change begins to stage, one that begins just before it
         would put it off again, and ranks that are cut off were told of after 20 s, not 10.
+
+        A change that rank 0 is armed for between two decisions is another decider's, whose orders
+        came late where ranks ignore fencing numbers. Nobody else settles it, and found only once
+        the ranks wait at its step, it holds callers up for as long as two looks take.
         """
         entered = -1
         still = 0
@@ -272,6 +276,8 @@
             replies = await give(self._ports, {0: Read(term=self._term)})
             if 0 not in replies:
                 return
+            if deciding and _waits_for_a_verdict(replies[0].state):
+                return
             still = still + 1 if replies[0].state.entered == entered else 0
             if still >= STILL_LOOKS:
                 return
@@ -403,3 +409,7 @@
 
     def _record(self, event: GroupEvent) -> None:
         record(self._trail, self._group.name, event)
+
+
+def _waits_for_a_verdict(state: RankState) -> bool:
+    return state.armed is not None and not state.committed
--- a/tests/test_groups_change.py
+++ b/tests/test_groups_change.py
@@ -5,7 +5,8 @@
 
 import anyio
 
-from carawayhub.groups.orders import Abort, Arm, Commit, Form, Prepare, Withdraw
+from carawayhub.codes import Code
+from carawayhub.groups.orders import Abort, Arm, Change, Commit, Form, Prepare, Withdraw
 from tests.group_bench import FAST, GroupBench
 
 
@@ -190,6 +191,41 @@
 
         await self.on_both(story)
 
+    async def test_change_of_a_stopped_decider_is_settled_before_its_step(self):
+        """Callers of a group wait for two seconds at a step that nobody in charge asked for.
+
+        A stopped decider had staged a map and written its orders to agree too late: they come to
+        the ranks while its successor watches, and ranks that ignore fencing numbers obey. The
+        successor looked at rank 0 and passed over what it was armed for; it found the change once
+        the ranks stood still at its step, 2.2 s later (``longest stall 2.241``, three ranks, steps
+        of 6 ms, looks each second). Here the step is so far ahead that the group never stands
+        still, so nothing but that look can tell.
+        """
+        bench = GroupBench(checks_fencing=False)
+        seldom = replace(FAST, full_read_interval=1000.0, decision_interval=1000.0)
+        async with bench.stepping():
+            old = bench.decider()
+            async with bench.running(old):
+                await bench.until_on(bench.FIRST)
+                await bench.until(lambda: old.status.formed)
+                base = bench.ranks[0].content(bench.ranks[0].state.map)
+                target = base.with_layers(bench.SECOND)
+                await old._stage(base, target)
+            async with bench.running(bench.decider(options=seldom)) as new:
+                await bench.until(lambda: new.status.formed)
+                state = bench.ranks[0].state
+                change = Change(
+                    formation=state.formation.id,
+                    base=base.id,
+                    target=target.id,
+                    step=state.entered + 1_000_000,
+                )
+                late = Arm(term=old._term, change=change)
+                for rank in bench.ranks:
+                    self.assertEqual(rank.handle(late).code, Code.OK)
+                await bench.until(lambda: all(rank.state.committed for rank in bench.ranks))
+        self.assertEqual(bench.group.two_maps(), ())
+
     async def test_two_deciders_want_different_maps(self):
         """Two deciders that both believe they are in charge change the map at the same time.
 
