--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -305,12 +305,14 @@
 
 
 class _SendGuard:
-    """Checks the permit right before the first byte goes out and notes that it did.
+    """Checks the permit right before the head and before the body go out, and notes what did.
 
     Between the choice of an endpoint and the first byte lie a connect and, in a process that was
     paused, any length of time. A permit that ran out meanwhile would put new work on an endpoint
     that is leaving, so it is looked at once more at the last moment; raising here makes
-    ``httpcore`` close the connection with nothing sent.
+    ``httpcore`` close the connection with nothing sent. The body goes out by itself: a process
+    stopped between the two would complete a request when it wakes, which may have run elsewhere
+    meanwhile. An endpoint whose body does not come runs nothing, but that cannot be proved.
     """
 
     __slots__ = ("_req", "sent")
@@ -320,12 +322,19 @@
         self.sent = False
 
     async def trace(self, event: str, info: dict[str, Any]) -> None:
-        """Take an event of ``httpcore``; look at the permit at the first byte alone."""
+        """Take an event of ``httpcore``; look at the permit before what the endpoint waits for."""
         if event == "http11.send_request_headers.started":
-            self.check()
+            self.check_head()
+        elif event == "http11.send_request_body.started" and self._req.body:
+            self.check_body()
 
-    def check(self) -> None:
+    def check_head(self) -> None:
         """Raise where the endpoint may take no new work, else note that the request goes out."""
         if not self._req.still_allowed():
             raise RequestError(Code.ENDPOINT_LEAVING, self._req.endpoint, retry_after=0.1)
         self.sent = True
+
+    def check_body(self) -> None:
+        """Raise where a request that was begun may not be completed any more."""
+        if not self._req.still_allowed():
+            raise RequestError(Code.ANSWER_CUT, f"{self._req.endpoint}: not sent whole")
--- a/tests/test_upstream_surplus.py
+++ b/tests/test_upstream_surplus.py
@@ -2,12 +2,15 @@
 
 import socket
 import unittest
+from collections.abc import Callable
 from itertools import count
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+from carawayhub.codes import Outcome
 from carawayhub.endpoints.upstream import Upstream, UpstreamRequest, UpstreamTimeouts
+from carawayhub.errors import RequestError
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n%d"
 LIMIT_S = 10.0
@@ -74,15 +77,58 @@
                 pass
 
 
-async def _ask(upstream: Upstream, url: str) -> bytes:
+class HalfSentTest(unittest.IsolatedAsyncioTestCase):
+    """A process that is suspended between the head and the body of a request."""
+
+    async def test_body_does_not_follow_its_head_after_a_pause(self) -> None:
+        """A booking ran twice: at the endpoint of a VM that had been replaced, and before that.
+
+        The agent had sent the head when its VM was suspended. The caller's booking ran at another
+        agent meanwhile. The woken one sent the body, which completed the request. Nobody can tell
+        what an endpoint makes of a head alone, so the caller is told "unknown".
+        """
+        answers = iter((True, False))
+        came: list[bytes] = []
+        done = anyio.Event()
+
+        async def serve(client: SocketStream) -> None:
+            async with client:
+                try:
+                    async for part in client:
+                        came.append(part)
+                except anyio.BrokenResourceError:
+                    pass
+            done.set()
+
+        upstream = Upstream()
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        host, port = listener.extra(SocketAttribute.local_address)
+        with anyio.fail_after(LIMIT_S):
+            async with listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, serve)
+                with self.assertRaises(RequestError) as caught:
+                    url = f"http://{host}:{port}/"
+                    await _ask(upstream, url, b"booking", lambda: next(answers))
+                await done.wait()
+                tasks.cancel_scope.cancel()
+        self.assertEqual(caught.exception.outcome, Outcome.UNKNOWN)
+        self.assertNotIn(b"booking", b"".join(came))
+
+
+async def _ask(
+    upstream: Upstream,
+    url: str,
+    body: bytes = b"",
+    still_allowed: Callable[[], bool] = lambda: True,
+) -> bytes:
     req = UpstreamRequest(
         endpoint="desk",
         url=url,
-        method="GET",
-        headers=[(b"host", b"desk")],
-        body=b"",
+        method="POST" if body else "GET",
+        headers=[(b"host", b"desk"), (b"content-length", b"%d" % len(body))],
+        body=body,
         timeouts=UpstreamTimeouts.waiting(LIMIT_S),
-        still_allowed=lambda: True,
+        still_allowed=still_allowed,
     )
     async with upstream.open(req) as response:
         return b"".join([part async for part in response.aiter_stream()])
