Let stand-in replicas name rate limits, and show that entries pass them over

What callers and replicas see: a replica in need says in its answers how many requests a second it takes from all entries together. Nothing reads that, so it gets as many as before.

--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -17,6 +17,7 @@
 import anyio
 import httpcore
 
+from benchmarks.named_limits import NamedLimits
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.addresses import Address
 from carawayhub.constants import CODE_HEADER
@@ -225,8 +226,9 @@
                 self.end()
             return
         line.send(
-            b"HTTP/1.1 200 OK\r\ncarawayhub-request-id: %s\r\ncarawayhub-response-seal: s\r\n"
-            b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n" % request
+            b"HTTP/1.1 200 OK\r\ncarawayhub-request-id: %s\r\ncarawayhub-response-seal: s\r\n%s"
+            b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+            % (request, self._limit_line(line.entry))
         )
         await anyio.sleep(self.fleet.first_seconds)
         for number in range(1, self.fleet.events + 1):
@@ -237,6 +239,14 @@
         del self.running[line]
         line.send(chunk(b""))
 
+    def _limit_line(self, entry: str) -> bytes:
+        """Return the header that names its rate limit, nothing where it has none."""
+        limit = self.fleet.limits.limit(self.id)
+        if limit is None:
+            return b""
+        self.fleet.limits.passed_on(self.id, entry, _now())
+        return b"server-limit: %s\r\n" % f"{limit:.6f}".encode()
+
     def _stands_still(self) -> bool:
         return _now() < self.fleet.closed_until[self.group]
 
@@ -402,6 +412,7 @@
         sent: Requests that reached replicas.
         ends: When replicas ended, by each content that they were running.
         told: What callers got.
+        limits: Rate limits that replicas name, and to whom they named them.
     """
 
     entries: int = 7
@@ -422,6 +433,7 @@
     sent: list[Sent] = field(default_factory=list)
     ends: dict[bytes, list[float]] = field(default_factory=dict)
     told: list[Told] = field(default_factory=list)
+    limits: NamedLimits = field(default_factory=NamedLimits)
     rng: random.Random = field(default_factory=random.Random)
     closed_until: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
     stalled_until: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
