Keep the rate limits that replicas name, by all entries together

What replicas saw: one in need that named three requests a second got 6.7 (seven entries, 20 requests a second, three replicas).

Change: the adapter reads the header into a value; each entry keeps the newest word on each lifetime of a replica, from its own answers and from what entries tell each other anyway, and counts what it sends. Peers tell their sends; what is left of the limit in two seconds may be sent, drawn for as free places are (Claims, now beside the limits, with two users). An entry that misses others takes its part alone, and none at once. A limit ends with an answer to a later request that does not name it, or with the replica; one of 0 leaves one request in ten seconds that asks. Where all endpoints of a service name limits and callers ask for a quarter more than these allow, who gets no place is refused at once, and told a time from the limits.

--- a/carawayhub/gateway/calls.py
+++ b/carawayhub/gateway/calls.py
@@ -97,6 +97,28 @@
     last_event_id: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """An answer names the requests that its replica takes from all entries together.
+
+    Attributes:
+        per_second: Requests a second; 0 for none.
+    """
+
+    per_second: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableLimit:
+    """An answer names a limit that is no decimal number.
+
+    Attributes:
+        text: Its beginning, for the log.
+    """
+
+    text: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerHead:
     """Head of an endpoint's answer.
@@ -110,6 +132,7 @@
         misdirected: Whether it says that it is another incarnation than was expected.
         is_stream: Whether its body is a stream of events.
         encoded: Whether something on the way has encoded its body.
+        limit: The limit that it names, None where it names none.
     """
 
     status: int
@@ -120,6 +143,7 @@
     misdirected: bool
     is_stream: bool
     encoded: bool
+    limit: NamedLimit | UnreadableLimit | None = None
 
 
 class CallerWire(Protocol):
--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -21,6 +21,7 @@
 from carawayhub.gateway.telling import INTERVAL, OTHERS, OwnPlace, OwnState, Part, Teller
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.poisonnews import PoisonNews
+from carawayhub.limits.replicarate import RateRow, ReplicaRates
 
 ENTRIES_ALL_TELL_ALL = 12
 """Entries up to which each tells all others. With 15 in five failure domains, 16 MB in 50 s went
@@ -46,6 +47,10 @@
 """Seconds without a further entry after which all are held to be known: a few rounds of datagrams,
 each of which may name more."""
 
+UNKNOWN_PART = 0.01
+"""Part of all entries that an entry holds itself to be while it does not know how many there are:
+small enough for a hundred that start at once."""
+
 Send = Callable[[str, bytes], Awaitable[None]]
 
 
@@ -57,6 +62,7 @@
         seeds: IP numbers of entries that may live.
         loads: Own work to tell, and where that of peers goes.
         records: Under which requests endpoints ended, here and at peers.
+        rates: Limits that replicas name, and requests sent to them, here and at peers.
         clock: Source of time.
         rng: Source of jitter.
 
@@ -73,6 +79,7 @@
         "_loads",
         "_peers",
         "_poison_news",
+        "_rates",
         "_rng",
         "_seeds",
         "_teller",
@@ -91,6 +98,7 @@
         seeds: frozenset[str],
         loads: Loads,
         records: PoisonRecords,
+        rates: ReplicaRates,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -101,7 +109,8 @@
         self._rng = rng
         self._peers = Peers(place.ip, place.failure_domain)
         self._poison_news = PoisonNews(records)
-        self._teller = Teller(self.own, self._peers, loads, self._poison_news, clock)
+        self._rates = rates
+        self._teller = Teller(self.own, self._peers, loads, self._poison_news, rates, clock)
         self._told_at: dict[str, float] = {}
         self._urgent = False
         self._wake = anyio.Event()
@@ -134,6 +143,14 @@
         settled = self._clock.monotonic() - self._peers.grown_at >= SETTLED_SECONDS
         return self.most_entries if settled else 0
 
+    def part_heard(self) -> float:
+        """Return the part of all entries that this one hears of, itself among them."""
+        if not self._peers and not self._seeds:
+            return 1.0
+        if not self.settled_entries():
+            return UNKNOWN_PART
+        return self._peers.part_heard(self._clock.monotonic())
+
     def add_seeds(self, seeds: frozenset[str]) -> None:
         """Say hello to further entries that may live."""
         self._seeds |= seeds - {self.own.place.ip}
@@ -212,7 +229,7 @@
             return
         if self._peers.is_news(heard.hello):
             self._take_entry(heard.hello, heard.phase)
-            self._take_works(heard.hello, heard.digest)
+            self._take_works(heard)
             self.on_loads()
         self._take_news(heard)
         self._poison_news.records.take(heard.ends)
@@ -225,21 +242,26 @@
         self._meet(hello.peers)
         self._look_at_part()
 
-    def _take_works(self, hello: Hello, digest: Digest | None) -> None:
+    def _take_works(self, heard: Heard) -> None:
         """Take in work of a peer, or what a delegate tells for others.
 
         Each request is told of by one teller alone, whatever this entry's part is.
         """
+        hello, digest = heard.hello, heard.digest
         near = hello.failure_domain == self.own.place.failure_domain
         match self._teller.part:
             case Part.EQUAL:
                 self._take_from(hello.ip, hello.works, hello.refusing)
+                self._take_rates(hello.ip, hello.rates, heard)
             case Part.DELEGATE if near:
                 self._take_from(hello.ip, hello.works, hello.refusing)
+                self._take_rates(hello.ip, hello.rates, heard)
             case Part.DELEGATE if digest is not None:
                 self._take_digest(hello.failure_domain, digest)
+                self._take_rates(hello.failure_domain, digest.rates, heard)
             case Part.MEMBER if digest is not None and hello.ip == self._teller.delegate():
                 self._take_digest(OTHERS, digest)
+                self._take_rates(OTHERS, digest.rates, heard)
 
     def _take_digest(self, teller: str, digest: Digest) -> None:
         self._take_from(teller, digest.works, digest.refusing)
@@ -258,6 +280,18 @@
         if refusing:
             self.on_refusing(refusing)
 
+    def _take_rates(self, teller: str, rows: Sequence[RateRow], heard: Heard) -> None:
+        """Take in limits of replicas; their age is counted as that of news is."""
+        written_at = self._answered_at(heard)
+        if written_at is not None and rows:
+            self._rates.heard(teller, rows, written_at)
+
+    def _answered_at(self, heard: Heard) -> float | None:
+        """Return a moment that is not after the writing of a datagram, None where none is known."""
+        if heard.answers_run != self.own.incarnation:
+            return None
+        return self._teller.sent_at(heard.answers)
+
     def _take_news(self, heard: Heard) -> None:
         """Take in what a peer knows of the published state.
 
@@ -268,7 +302,7 @@
         if heard.answers_run != self.own.incarnation:
             return
         self._poison_news.heard(heard.hello.ip, heard.hello.incarnation, heard.answers)
-        sent_at = self._teller.sent_at(heard.answers)
+        sent_at = self._answered_at(heard)
         if sent_at is not None:
             self.on_news(heard.hello.news, sent_at - heard.hello.news.age)
 
@@ -344,7 +378,7 @@
         for ip in gone:
             self._seeds |= {ip}
             self._forget_teller(ip)
-        self._peers.drop(gone, "silent")
+        self._peers.drop(gone, "silent", now)
         self._poison_news.keep(frozenset(self._peers.ips()))
         if self._teller.part is not Part.EQUAL:
             late = [each for each, at in self._told_at.items() if now - at > DIGEST_SECONDS]
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from carawayhub.limits.poison import EndsRow
+from carawayhub.limits.replicarate import RateRow
 
 
 class Phase(IntEnum):
@@ -65,6 +66,7 @@
         works: Its own work in flight, empty for receivers that hear of it from others.
         news: What it knows of the published state.
         refusing: Endpoints that have just refused requests of its own.
+        rates: Replicas that name a rate limit, and its own requests to them.
     """
 
     ip: str
@@ -78,6 +80,7 @@
     works: list[WorkRow]
     news: News
     refusing: list[str] = []
+    rates: list[RateRow] = []
 
 
 class MemberRow(msgspec.Struct, array_like=True):
@@ -98,11 +101,13 @@
         members: The entries it tells for, None where this datagram does not name them.
         works: Their work in flight together.
         refusing: Endpoints that have just refused requests of theirs.
+        rates: Replicas that name a rate limit, and their requests to them.
     """
 
     members: list[MemberRow] | None
     works: list[WorkRow]
     refusing: list[str]
+    rates: list[RateRow] = []
 
 
 NO_DIGEST = msgspec.Raw(msgspec.msgpack.encode(None))
--- a/carawayhub/gateway/peers.py
+++ b/carawayhub/gateway/peers.py
@@ -16,6 +16,10 @@
 few of the lists of members that it tells."""
 
 
+MISSED_SECONDS = 20.0
+"""Seconds for which an entry that is gone is held to send requests still, while most others are
+heard: it may only be cut off from this one."""
+
 HEARD_SECONDS = 0.7
 """Seconds since an entry was heard itself after which a delegate is believed that does not name it:
 a little more than those after which the delegate finds its silence."""
@@ -33,12 +37,13 @@
         grown_at: When that grew last.
     """
 
-    __slots__ = ("_by_ip", "_domain", "_ip", "grown_at", "most")
+    __slots__ = ("_by_ip", "_domain", "_ip", "_missed", "grown_at", "most")
 
     def __init__(self, ip: str, failure_domain: str) -> None:
         self._ip = ip
         self._domain = failure_domain
         self._by_ip: dict[str, PeerEntry] = {}
+        self._missed: dict[str, float] = {}
         self.most = 0
         self.grown_at = float("-inf")
 
@@ -112,7 +117,7 @@
             and domain in (None, each.failure_domain)
             and now - each.heard_at > HEARD_SECONDS
         ]
-        self.drop(gone, "not named any more")
+        self.drop(gone, "not named any more", now)
 
     def _told(self, row: MemberRow, now: float) -> PeerEntry:
         known = self._by_ip.get(row.ip)
@@ -137,6 +142,7 @@
     def _put(self, entry: PeerEntry, now: float) -> None:
         known = self._by_ip.get(entry.ip)
         self._by_ip[entry.ip] = entry
+        self._missed.pop(entry.ip, None)
         if len(self._by_ip) + 1 > self.most:
             self.most = len(self._by_ip) + 1
             self.grown_at = now
@@ -147,10 +153,24 @@
         if changed:
             logger.bind(peer=entry.ip, phase=entry.phase.name).info("peer heard")
 
-    def drop(self, ips: Iterable[str], reason: str) -> None:
+    def part_heard(self, now: float) -> float:
+        """Return the part of all entries that is heard of, this one among them.
+
+        Entries that are gone count as cut off for some time, and for as long as fewer are heard
+        than missed: who hears nobody is more likely to be cut off itself than to be alone.
+        """
+        heard = len(self._by_ip) + 1
+        if heard > len(self._missed):
+            oldest = now - MISSED_SECONDS
+            self._missed = {ip: at for ip, at in self._missed.items() if at > oldest}
+        return heard / (heard + len(self._missed))
+
+    def drop(self, ips: Iterable[str], reason: str, now: float) -> None:
         """Forget peers that are gone."""
         for ip in ips:
             gone = self._by_ip.pop(ip)
+            if gone.phase is not Phase.LEAVING:
+                self._missed[ip] = now
             logger.bind(peer=ip, phase=gone.phase.name, reason=reason).warning("peer is gone")
 
     def silent(self, now: float) -> list[str]:
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -22,17 +22,18 @@
 from carawayhub.gateway.handing import Handing
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.hello import News, Phase
-from carawayhub.gateway.loads import Loads
+from carawayhub.gateway.loads import Loads, work_key
 from carawayhub.gateway.model import CallerLimits
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.ports import PublishedState
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
-from carawayhub.gateway.tally import Tally
+from carawayhub.gateway.tally import LimitsMet, Tally
 from carawayhub.gateway.telling import OwnPlace
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
 from carawayhub.limits.poison import PoisonRecords
+from carawayhub.limits.replicarate import ReplicaRates
 from carawayhub.peers.pace import LinkPace
 
 KEPT_TIMES = 3.0
@@ -114,6 +115,7 @@
         "_loads",
         "_options",
         "_pools",
+        "_rates",
         "_read_seeds",
         "_records",
         "_rng",
@@ -141,7 +143,7 @@
         self._view = FleetView(clock, options.heartbeat)
         self._pools: dict[str, ServicePool] = {}
         self._upstream = Upstream(options.ip)
-        self._tally = Tally(lambda: self._view.unreadable_entries)
+        self._tally = Tally(lambda: self._view.unreadable_entries, self._limits_met)
         own = OwnPlace(
             ip=options.ip,
             port=options.peer_port,
@@ -150,7 +152,10 @@
         )
         self._records = PoisonRecords(clock)
         self._records.on_ends = self._hear_of_ends
-        self._gossip = Gossip(own, options.seeds, self._loads, self._records, clock, rng)
+        self._rates = ReplicaRates(clock, rng, work_key)
+        self._gossip = Gossip(
+            own, options.seeds, self._loads, self._records, self._rates, clock, rng
+        )
         self._handing = Handing(
             options.ip,
             options.content_port,
@@ -187,6 +192,7 @@
                 entries=self._gossip.settled_entries,
                 load=self._loads.total,
                 endings=Endings(self._upstream, self._records, clock, self._tally.endpoint_ended),
+                rates=self._rates,
             )
         )
         desk = Desk(self._view, clock, rng, options.revoke_after)
@@ -222,6 +228,8 @@
                 retries,
                 self._gossip.spread,
                 lambda: self._gossip.news_seconds,
+                self._rates,
+                self._gossip.part_heard,
             )
         return found
 
@@ -299,6 +307,7 @@
         """
         self._health.forget(self._view.ids())
         self._records.forget_old()
+        self._rates.forget(self._view.ids())
 
     def _look_at_readiness(self) -> None:
         """Take callers once the configuration is known, and only while it can be proved new."""
@@ -340,6 +349,10 @@
         for pool in self._pools.values():
             pool.look_at_groups()
 
+    def _limits_met(self) -> LimitsMet:
+        held_back = sum(each.held_back for each in self._pools.values())
+        return LimitsMet(self._rates.limits(), held_back)
+
     def _connection_limits(self) -> ConnectionLimits:
         limits = self._limits()
         return ConnectionLimits(
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -22,13 +22,21 @@
 )
 from carawayhub.errors import RequestError
 from carawayhub.gateway.answer import CallerAnswer
-from carawayhub.gateway.calls import Admitted, AnswerHead, CallerWire, Dispatch
+from carawayhub.gateway.calls import (
+    Admitted,
+    AnswerHead,
+    CallerWire,
+    Dispatch,
+    NamedLimit,
+    UnreadableLimit,
+)
 from carawayhub.gateway.events import WholeEvents
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Work, work_key
 from carawayhub.gateway.model import Endpoint, Repeat
 from carawayhub.gateway.pool import Place, ServicePool
 from carawayhub.gateway.view import FleetView
+from carawayhub.limits.replicarate import ReplicaRates
 
 OK_STATUS = 200
 SERVER_ERROR = 500
@@ -84,6 +92,7 @@
         entries: Gives the most entries known at one time, 0 while none was heard.
         load: Gives the known work at an endpoint.
         endings: Knows under which requests endpoints ended.
+        rates: Takes the limits that answers name.
     """
 
     clock: Clock
@@ -95,6 +104,7 @@
     entries: Callable[[], int]
     load: Callable[[str], Work]
     endings: Endings
+    rates: ReplicaRates
 
 
 class GatewayRelay:
@@ -256,6 +266,7 @@
             head = self._parts.wire.answer(response.status, list(response.headers))
             if head.misdirected:
                 self._parts.view.misdirected(place.endpoint.id)
+            self._read_limit(course, place.endpoint, head, sent_at)
             self._check(course, head)
             if head.is_stream and head.status == OK_STATUS:
                 await self._stream(course, pool, place, sent_at, head, response)
@@ -264,6 +275,22 @@
             if response.framed:
                 self._parts.endings.answered(course.call.fingerprint)
 
+    def _read_limit(
+        self, course: _Course, endpoint: Endpoint, head: AnswerHead, sent_at: float
+    ) -> None:
+        """Take the limit that an answer names, if the answer is this endpoint's to this request."""
+        if head.request_id not in (b"", course.call.req.id) or head.misdirected:
+            return
+        if not head.sealed and not head.not_run:
+            return
+        match head.limit:
+            case NamedLimit(per_second=per_second):
+                self._parts.rates.read(endpoint.id, per_second, sent_at)
+            case UnreadableLimit(text=text):
+                self._parts.rates.unreadable(endpoint.id, text)
+            case None:
+                self._parts.rates.read(endpoint.id, None, sent_at)
+
     def _check(self, course: _Course, head: AnswerHead) -> None:
         """Raise where an answer must not reach the caller.
 
--- a/carawayhub/gateway/telling.py
+++ b/carawayhub/gateway/telling.py
@@ -29,6 +29,7 @@
 from carawayhub.gateway.loads import Loads, Works
 from carawayhub.gateway.peers import Peers
 from carawayhub.limits.poisonnews import PoisonNews
+from carawayhub.limits.replicarate import ReplicaRates
 
 INTERVAL = 0.1
 """Seconds between two datagrams to a receiver: a place that a peer frees is known within a tenth of
@@ -144,6 +145,7 @@
         peers: The other entries.
         loads: Work in flight.
         poison_news: Requests under which endpoints ended.
+        rates: Limits that replicas name, and requests sent to them.
         clock: Source of time.
 
     Attributes:
@@ -158,6 +160,7 @@
         "_own",
         "_peers",
         "_poison_news",
+        "_rates",
         "_rounds",
         "_sent",
         "part",
@@ -169,9 +172,11 @@
         peers: Peers,
         loads: Loads,
         poison_news: PoisonNews,
+        rates: ReplicaRates,
         clock: Clock,
     ) -> None:
         self._own = own
+        self._rates = rates
         self._peers = peers
         self._loads = loads
         self._poison_news = poison_news
@@ -252,6 +257,7 @@
                 members=self._names("", [*(each.row() for each in near), self._own.row()]),
                 works=self._rows(self._loads.of(tellers)),
                 refusing=self._refusing(tellers),
+                rates=self._rates.rows(tellers),
             )
         )
         hello = self._hello([])
@@ -267,7 +273,8 @@
         told = {}
         for each in self._peers.near():
             works = self._rows(self._loads.without(each.ip))
-            digest = _raw(Digest(members=names, works=works, refusing=refusing))
+            rates = self._rates.rows_without(each.ip)
+            digest = _raw(Digest(members=names, works=works, refusing=refusing, rates=rates))
             told[each.ip] = self._datagram(each.ip, hello, digest)
         return told
 
@@ -329,6 +336,7 @@
             news=own.news(),
             refusing=own.refusing()[:MOST_REFUSING],
             works=works,
+            rates=self._rates.rows(),
         )
         return _Numbered(self._number, _raw(hello))
 
--- a/carawayhub/platform/headers.py
+++ b/carawayhub/platform/headers.py
@@ -1,11 +1,19 @@
 """Headers of requests and answers as the platform spells them."""
 
+import re
 from typing import Any
 
 from carawayhub.codes import Code
 from carawayhub.constants import HOP_BY_HOP_HEADERS, STREAM_TYPE
 from carawayhub.errors import RequestError
-from carawayhub.gateway.calls import AnswerHead, CallerRequest, Dispatch, Headers
+from carawayhub.gateway.calls import (
+    AnswerHead,
+    CallerRequest,
+    Dispatch,
+    Headers,
+    NamedLimit,
+    UnreadableLimit,
+)
 
 REQUEST_ID = b"carawayhub-request-id"
 DEADLINE = b"carawayhub-request-deadline"
@@ -16,6 +24,7 @@
 SEAL = b"carawayhub-response-seal"
 NOT_RUN = b"carawayhub-not-executed"
 LAST_EVENT_ID = b"last-event-id"
+LIMIT = b"server-limit"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 MS = 1000.0
@@ -27,7 +36,12 @@
 """Headers that only the fleet may set; what a caller sends under these names is dropped."""
 
 _NOT_FORWARDED = HOP_BY_HOP_HEADERS | _SET_HERE | {b"content-length", b"expect", AUTHORIZATION}
-_NOT_RETURNED = HOP_BY_HOP_HEADERS | {b"proxy-connection"}
+_NOT_RETURNED = HOP_BY_HOP_HEADERS | {b"proxy-connection", LIMIT}
+"""Callers cannot act on the limit of one replica: it holds for the requests of all of them."""
+
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+SHOWN_BYTES = 40
+"""Bytes of an unreadable value that the log shows."""
 
 
 class PlatformWire:
@@ -96,9 +110,20 @@
             misdirected=status == MISDIRECTED_STATUS,
             is_stream=found.get(b"content-type", b"").startswith(STREAM_TYPE),
             encoded=b"content-encoding" in found,
+            limit=_limit([value for name, value in headers if name.lower() == LIMIT]),
         )
 
 
+def _limit(values: list[bytes]) -> NamedLimit | UnreadableLimit | None:
+    """Return the limit that an answer names; of several the least that can be read."""
+    if not values:
+        return None
+    found = [float(value) for value in values if _DECIMAL.fullmatch(value)]
+    if not found:
+        return UnreadableLimit(values[0][:SHOWN_BYTES].decode("latin-1"))
+    return NamedLimit(min(found))
+
+
 def _connection_headers(headers: Headers) -> frozenset[bytes]:
     """Return the headers that the sender named as concerning its connection only."""
     values = [value for name, value in headers if name.lower() == b"connection"]
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -1,7 +1,10 @@
 """Small pieces that tests of the gateway are built from."""
 
+import random
+
 from carawayhub.addresses import Address
-from carawayhub.gateway.loads import Work
+from carawayhub.clock import Clock
+from carawayhub.gateway.loads import Work, work_key
 from carawayhub.gateway.model import (
     CallerLimits,
     Endpoint,
@@ -16,6 +19,7 @@
     Service,
     Share,
 )
+from carawayhub.limits.replicarate import ReplicaRates
 
 KEY = "key-of-armor"
 
@@ -107,3 +111,8 @@
 def work(prompt: int = 800, answer: int = 140) -> Work:
     """Return the work of one request."""
     return Work(1, prompt, prompt + answer)
+
+
+def rates(clock: Clock) -> ReplicaRates:
+    """Return limits of replicas of which none is known yet."""
+    return ReplicaRates(clock, random.Random(5), work_key)
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -14,6 +14,7 @@
 from carawayhub.gateway.peers import first_of_domains
 from carawayhub.gateway.telling import OwnPlace
 from carawayhub.limits.poison import PoisonRecords
+from tests.gateway_world import rates
 
 
 def free_port() -> int:
@@ -51,6 +52,7 @@
             frozenset({seed}),
             Loads(),
             PoisonRecords(SystemClock()),
+            rates(SystemClock()),
             SystemClock(),
             random.Random(ip),
         )
@@ -167,6 +169,7 @@
             frozenset(),
             Loads(),
             PoisonRecords(ManualClock(1.0)),
+            rates(ManualClock(1.0)),
             ManualClock(1.0),
             random.Random(1),
         )
@@ -176,6 +179,7 @@
             frozenset(),
             Loads(),
             PoisonRecords(ManualClock(1.0)),
+            rates(ManualClock(1.0)),
             ManualClock(1.0),
             random.Random(1),
         )
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -25,7 +25,7 @@
 from carawayhub.http import HttpServer, bind
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.platform.headers import PlatformWire
-from tests.gateway_world import KEY, endpoint, route, table
+from tests.gateway_world import KEY, endpoint, rates, route, table
 from tests.scripted_endpoint import (
     ClosedError,
     ScriptedEndpoint,
@@ -120,6 +120,7 @@
             endings=Endings(
                 upstream, PoisonRecords(self.clock), self.clock, self.tally.endpoint_ended
             ),
+            rates=rates(self.clock),
         )
         desk = Desk(self.view, self.clock, rng, 5.0)
         app = GatewayApp(
--- a/tests/test_group_load.py
+++ b/tests/test_group_load.py
@@ -9,7 +9,7 @@
 
 from benchmarks.group_load import LOADS, Load, jump, moving_demand, play
 from carawayhub.clock import ManualClock
-from carawayhub.gateway.claims import Claims
+from carawayhub.limits.claims import Claims
 
 
 def setUpModule() -> None:
