Name the decider in the reading that asks for no promise

What users saw: nothing; orders counted by decider showed a second one, number 0, beside the one in charge.

A decider reads all ranks anew each ten seconds, and the first reading named nobody. On a slow machine it fell between the two counts.

Change: that reading has term number 0 and the decider's own number. Ranks that check fencing numbers answer it as before: every promised number is above it, and its reply is taken all the same.

The check stays as it is.

--- a/carawayhub/groups/decider.py
+++ b/carawayhub/groups/decider.py
@@ -196,8 +196,12 @@
         return decision
 
     async def _claim(self) -> dict[int, RankState]:
-        """Read all ranks and have them promise to obey no earlier decider than this one."""
-        states = await self._read(Term())
+        """Read all ranks and have them promise to obey no earlier decider than this one.
+
+        The first reading asks for no promise, yet names this decider: without a name, the readings
+        of the decider in charge could not be told from those of one that should be silent.
+        """
+        states = await self._read(Term(0, self._term.decider))
         highest = max(state.promised.number for state in states.values())
         if self._term.number == 0 or any(s.promised > self._term for s in states.values()):
             self._term = Term(highest + 1, self._term.decider)
@@ -214,7 +218,7 @@
                 another decider.
         """
         order = Read(term=self._term if term is None else term)
-        # A read with the zero term asks for nothing to be promised, and must not be fenced.
+        # A read with term number 0 asks for no promise that counts, and must not be fenced.
         replies = await give(
             self._ports, {port.rank: order for port in self._ports}, fenced_is_error=term is None
         )
--- a/tests/test_groups_change.py
+++ b/tests/test_groups_change.py
@@ -191,6 +191,27 @@
 
         await self.on_both(story)
 
+    async def test_every_order_names_its_decider(self):
+        """Orders of two deciders are counted where one gives them all.
+
+        The decider in charge reads all ranks anew each ten seconds, and its first reading named
+        nobody. Who counts the orders of each decider found a second one, number 0, beside it: on a
+        slow machine, where the ten seconds ran out, 14 orders of number 0 became 18 while the
+        decider that had been replaced stood still at 28.
+        """
+
+        async def story(bench):
+            decider = bench.decider()
+            async with bench.running(decider):
+                await bench.until_on(bench.FIRST)
+                await bench.until(lambda: decider.status.formed)
+                read = len(decider.ports[0].given)
+                await bench.until(lambda: len(decider.ports[0].given) > read + 100)
+            givers = {order.term.decider for port in decider.ports for order in port.given}
+            self.assertEqual(givers, {decider._term.decider})
+
+        await self.on_both(story)
+
     async def test_change_of_a_stopped_decider_is_settled_before_its_step(self):
         """Callers of a group wait for two seconds at a step that nobody in charge asked for.
 
--- a/tests/test_promises_groups.py
+++ b/tests/test_promises_groups.py
@@ -90,7 +90,9 @@
         Orders that had passed the check for a pause were written only as the agent woke, since a
         connection and the event loop stood between the check and the write. ``rank 1 Read
         Term(number=2, ...)`` came 6 ms after the wake, and ``PAUSE seen 2.21`` 3 ms after that. So
-        each write asks once more; what it holds back is logged as ``order withheld``.
+        each write asks once more; what it holds back is logged as ``order withheld``. On a slow
+        machine the new agent's own readings made a second giver, since the first of each named
+        nobody: ``'0': 14`` became 18 where the old agent stood still. Now each names its decider.
         """
         await self.faults({3: RankFault(hold=("arm", "withdraw"))})
         await self.provoke()
