--- a/benchmarks/rate_limit.py
+++ b/benchmarks/rate_limit.py
@@ -21,7 +21,7 @@
 import msgspec
 from loguru import logger
 
-from benchmarks.named_limits import Arrival, Window
+from benchmarks.named_limits import Arrival
 from benchmarks.request_fleet import RequestFleet
 from carawayhub.limits.replicarate import RateRow, ReplicaRates, Surroundings
 from carawayhub.output.tables import write_table
@@ -223,14 +223,6 @@
     return came / allowed if allowed else 0.0
 
 
-def show(exceeded: list[Window]) -> str:
-    """Return windows above the bound as text."""
-    return "; ".join(
-        f"{each.replica} got {each.came} of {each.bound:.1f} up to {each.until:.2f} s"
-        for each in exceeded
-    )
-
-
 def main(argv: list[str] | None = None) -> int:
     """Print a row for each play; exit with 1 where the bound was exceeded."""
     parser = argparse.ArgumentParser(prog="benchmarks.rate_limit")
