Send the head of a request together with its body, after one look at its permit

A permit that ran out between the head and the body left a head at the engine; what the engine makes of that cannot be proved, so the caller was told "unknown" where "not run" or the answer itself was owed.

Ruled out: calling a head alone "not run" (a server may run on a head); a grace for what was begun (a stall of the loop outlasts it); more time in the test.

Change: the head is held back until the body may go out; one look, one write. The second question is gone at all three callers. The test of the pause is replaced by one as strict: it wants nothing at all at the endpoint, head included.

--- a/carawayhub/agent/gate.py
+++ b/carawayhub/agent/gate.py
@@ -289,11 +289,10 @@
             body=req.body,
             timeouts=UpstreamTimeouts.waiting(limit),
             still_allowed=lambda: self._may_run(deadline),
-            may_complete=lambda: self._may_run(deadline),
         )
 
     def _may_run(self, deadline: float) -> bool:
-        """Return whether the endpoint may get a request, and what is left of it."""
+        """Return whether the endpoint may get a request."""
         return (
             self._reporter.state is ServingState.SERVING
             and not self._pauses.check()
--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -20,6 +20,7 @@
 from carawayhub.addresses import Address
 from carawayhub.codes import Code
 from carawayhub.endpoints.body import StreamBody
+from carawayhub.endpoints.joinedwrites import JoinedNetwork
 from carawayhub.endpoints.sockets import ABORTING_OPTIONS
 from carawayhub.errors import RequestError
 
@@ -88,9 +89,8 @@
         headers: Headers in order.
         body: The whole body.
         timeouts: Silence allowed.
-        still_allowed: Called once when the connection stands, right before the first byte goes
-            out; may note that it does.
-        may_complete: Called right before the body goes out, where there is one.
+        still_allowed: Called once when the connection stands, right before the request goes out
+            as a whole; may note that it does.
         target: Path and query exactly as they are to be sent; those of ``url`` where empty.
         fresh: Whether it needs a connection on which nothing was sent before.
     """
@@ -102,7 +102,6 @@
     body: bytes
     timeouts: UpstreamTimeouts
     still_allowed: Callable[[], bool]
-    may_complete: Callable[[], bool]
     target: bytes = b""
     fresh: bool = False
 
@@ -164,8 +163,8 @@
         self, source: str = "", backend: httpcore.AsyncNetworkBackend | None = None
     ) -> None:
         self._source = source
-        self._backend = backend
-        self._idle: dict[str, deque[httpcore.AsyncHTTPConnection]] = {}
+        self._backend = backend or httpcore.AnyIOBackend()
+        self._idle: dict[str, deque[_Connection]] = {}
         self._next_sweep = 0.0
 
     @asynccontextmanager
@@ -176,8 +175,8 @@
             RequestError: CONNECT_FAILED or ENDPOINT_LEAVING where no byte was sent; ANSWER_STALLED,
                 ANSWER_CUT where the endpoint may have run it.
         """
-        guard = _SendGuard(req)
         conn = await self._connection(req)
+        guard = _SendGuard(req, conn.writes)
         try:
             response = await conn.handle_async_request(_request(req, guard))
             try:
@@ -201,9 +200,8 @@
         Tells an endpoint that has ended from one that only broke a connection: the VM of the first
         refuses further ones at once.
         """
-        backend = self._backend or httpcore.AnyIOBackend()
         try:
-            stream = await backend.connect_tcp(
+            stream = await self._backend.connect_tcp(
                 address.host,
                 address.port,
                 timeout=LOOK_TIMEOUT,
@@ -221,22 +219,16 @@
                 await conn.aclose()
         self._idle.clear()
 
-    async def _connection(self, req: UpstreamRequest) -> httpcore.AsyncHTTPConnection:
+    async def _connection(self, req: UpstreamRequest) -> "_Connection":
         idle = None if req.fresh else self._idle.get(_address(req))
         while idle:
             conn = idle.pop()
             if conn.is_available() and not conn.has_expired():
                 return conn
             await conn.aclose()
-        return httpcore.AsyncHTTPConnection(
-            origin=httpcore.URL(req.url).origin,
-            keepalive_expiry=KEEPALIVE_SECONDS,
-            local_address=self._source or None,
-            network_backend=self._backend,
-            socket_options=ABORTING_OPTIONS,
-        )
+        return _Connection(req, self._source, JoinedNetwork(self._backend))
 
-    async def _keep(self, req: UpstreamRequest, conn: httpcore.AsyncHTTPConnection) -> None:
+    async def _keep(self, req: UpstreamRequest, conn: "_Connection") -> None:
         """Keep a connection whose answer ended whole for the next request to the same address."""
         if not conn.is_idle() or _holds_surplus(conn):
             await conn.aclose()
@@ -260,6 +252,26 @@
                 del self._idle[address]
 
 
+class _Connection(httpcore.AsyncHTTPConnection):
+    """A connection to an endpoint.
+
+    Args:
+        req: The first request on it.
+        source: IP number to connect from, empty for any.
+        writes: Opens it, and joins what is written.
+    """
+
+    def __init__(self, req: UpstreamRequest, source: str, writes: JoinedNetwork) -> None:
+        super().__init__(
+            origin=httpcore.URL(req.url).origin,
+            keepalive_expiry=KEEPALIVE_SECONDS,
+            local_address=source or None,
+            network_backend=writes,
+            socket_options=ABORTING_OPTIONS,
+        )
+        self.writes = writes
+
+
 def _is_refusal(exc: BaseException | None) -> bool:
     """Return whether a connect failed because nobody listens."""
     while exc is not None:
@@ -308,36 +320,32 @@
 
 
 class _SendGuard:
-    """Checks the permit right before the head and before the body go out, and notes what did.
+    """Checks the permit right before a request goes out, and notes that it does.
 
     Between the choice of an endpoint and the first byte lie a connect and, in a process that was
     paused, any length of time. A permit that ran out meanwhile would put new work on an endpoint
     that is leaving, so it is looked at once more at the last moment; raising here makes
-    ``httpcore`` close the connection with nothing sent. The body goes out by itself: a process
-    stopped between the two would complete a request when it wakes, which may have run elsewhere
-    meanwhile. An endpoint whose body does not come runs nothing, but that cannot be proved.
+    ``httpcore`` close the connection with nothing sent. The head waits for the body until then,
+    since a look at the head alone would let the body follow after a pause.
     """
 
-    __slots__ = ("_req", "sent")
+    __slots__ = ("_req", "_writes", "sent")
 
-    def __init__(self, req: UpstreamRequest) -> None:
+    def __init__(self, req: UpstreamRequest, writes: JoinedNetwork) -> None:
         self._req = req
+        self._writes = writes
         self.sent = False
 
     async def trace(self, event: str, info: dict[str, Any]) -> None:
         """Take an event of ``httpcore``; look at the permit before what the endpoint waits for."""
         if event == "http11.send_request_headers.started":
-            self.check_head()
-        elif event == "http11.send_request_body.started" and self._req.body:
-            self.check_body()
+            self._writes.hold()
+        elif event == "http11.send_request_body.started":
+            self._check()
+            self._writes.release()
 
-    def check_head(self) -> None:
+    def _check(self) -> None:
         """Raise where the endpoint may take no new work, else note that the request goes out."""
         if not self._req.still_allowed():
             raise RequestError(Code.ENDPOINT_LEAVING, self._req.endpoint, retry_after=0.1)
         self.sent = True
-
-    def check_body(self) -> None:
-        """Raise where a request that was begun may not be completed any more."""
-        if not self._req.may_complete():
-            raise RequestError(Code.ANSWER_CUT, f"{self._req.endpoint}: not sent whole")
--- a/carawayhub/entry/relay.py
+++ b/carawayhub/entry/relay.py
@@ -331,23 +331,18 @@
             headers=headers,
             body=call.body,
             timeouts=attempt.timeouts,
-            still_allowed=lambda: self._may_begin(answer, attempt.endpoint, offset),
-            may_complete=lambda: self._is_permitted(attempt.endpoint, offset),
+            still_allowed=lambda: self._may_send(answer, attempt.endpoint, offset),
         )
 
-    def _may_begin(self, answer: Answer, endpoint: str, offset: int) -> bool:
-        """Say whether the first byte may go out, which it then does."""
-        if not self._is_permitted(endpoint, offset):
-            return False
-        answer.dispatched()
-        return True
-
-    def _is_permitted(self, endpoint: str, offset: int) -> bool:
-        """Return whether an endpoint may get a request.
+    def _may_send(self, answer: Answer, endpoint: str, offset: int) -> bool:
+        """Say whether a request may go out, which it then does.
 
         A stream that is being resumed is no new work: an endpoint that leaves finishes it.
         """
-        return offset > 0 or self._router.permitted(endpoint)
+        if offset == 0 and not self._router.permitted(endpoint):
+            return False
+        answer.dispatched()
+        return True
 
 
 def _query(call: Call) -> RouteQuery:
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -385,7 +385,6 @@
             body=call.req.body,
             timeouts=UpstreamTimeouts.waiting(self._silence(course, now)),
             still_allowed=lambda: self._still_allowed(course, endpoint.id),
-            may_complete=lambda: self._now() < call.ends_at,
             fresh=call.route.repeat is Repeat.ONCE,
         )
 
--- a/tests/test_upstream_surplus.py
+++ b/tests/test_upstream_surplus.py
@@ -2,9 +2,12 @@
 
 import socket
 import unittest
+from collections.abc import Callable
 from itertools import count
+from typing import Any
 
 import anyio
+import httpcore
 from anyio.abc import SocketAttribute, SocketStream
 
 from carawayhub.codes import Outcome
@@ -77,14 +80,15 @@
 
 
 class HalfSentTest(unittest.IsolatedAsyncioTestCase):
-    """A process that is suspended between the head and the body of a request."""
+    """A request that may no longer go out when its head would, or its body."""
 
-    async def test_body_does_not_follow_its_head_after_a_pause(self) -> None:
+    async def test_nothing_follows_a_pause_before_the_request_goes_out(self) -> None:
         """A booking ran twice: at the endpoint of a VM that had been replaced, and before that.
 
         The agent had sent the head when its VM was suspended. The caller's booking ran at another
-        agent meanwhile. The woken one sent the body, which completed the request. Nobody can tell
-        what an endpoint makes of a head alone, so the caller is told "unknown".
+        agent meanwhile. The woken one sent the body, which completed the request. Head and body
+        wait for one look now, and where it says no the endpoint gets nothing at all: so nothing
+        ran there.
         """
         came: list[bytes] = []
         done = anyio.Event()
@@ -106,18 +110,74 @@
                 tasks.start_soon(listener.serve, serve)
                 with self.assertRaises(RequestError) as caught:
                     url = f"http://{host}:{port}/"
-                    await _ask(upstream, url, b"booking", may_complete=False)
+                    await _ask(upstream, url, b"booking", still_allowed=lambda: False)
                 await done.wait()
                 tasks.cancel_scope.cancel()
-        self.assertEqual(caught.exception.outcome, Outcome.UNKNOWN)
-        self.assertNotIn(b"booking", b"".join(came))
+        self.assertEqual(caught.exception.outcome, Outcome.NOT_RUN)
+        self.assertEqual(came, [])
+
+    async def test_permit_that_runs_out_while_a_request_goes_out_leaves_it_whole(self) -> None:
+        """Callers were told "unknown" by an entry that had lost its permits.
+
+        Each permit ran out between the head and the body of some request. The endpoint had the
+        head, nothing of the body followed, and nobody could say what it made of that. Now the
+        permit is looked at when nothing is written, and one write takes all, on a connection that
+        is used again too.
+        """
+        network = CountingNetwork()
+        upstream = Upstream(backend=network)
+        asked: list[int] = []
+
+        def still_allowed() -> bool:
+            asked.append(len(network.writes))
+            return True
+
+        for body in (b"booking", b"look", b""):
+            await _ask(upstream, "http://127.0.0.1:80/", body, still_allowed)
+        await upstream.close()
+        self.assertEqual(network.connects, 1)
+        self.assertEqual(asked, [0, 1, 2])
+        self.assertEqual(len(network.writes), 3)
+        ends = [write.partition(b"\r\n\r\n")[2] for write in network.writes]
+        self.assertEqual(ends, [b"booking", b"look", b""])
+
+
+class CountingNetwork(httpcore.AsyncNetworkBackend):
+    """Answers each request and keeps what was written, a part for each write."""
+
+    def __init__(self) -> None:
+        self.writes: list[bytes] = []
+        self.connects = 0
+
+    async def connect_tcp(self, *_args: Any, **_options: Any) -> "CountingStream":
+        self.connects += 1
+        return CountingStream(self.writes)
+
+
+class CountingStream(httpcore.AsyncNetworkStream):
+    """A connection of that network."""
+
+    def __init__(self, writes: list[bytes]) -> None:
+        self._writes = writes
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        return ANSWER % 1
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        self._writes.append(buffer)
+
+    async def aclose(self) -> None:
+        pass
+
+    def get_extra_info(self, info: str) -> Any:
+        return False if info == "is_readable" else None
 
 
 async def _ask(
     upstream: Upstream,
     url: str,
     body: bytes = b"",
-    may_complete: bool = True,
+    still_allowed: Callable[[], bool] = lambda: True,
 ) -> bytes:
     req = UpstreamRequest(
         endpoint="desk",
@@ -126,8 +186,7 @@
         headers=[(b"host", b"desk"), (b"content-length", b"%d" % len(body))],
         body=body,
         timeouts=UpstreamTimeouts.waiting(LIMIT_S),
-        still_allowed=lambda: True,
-        may_complete=lambda: may_complete,
+        still_allowed=still_allowed,
     )
     async with upstream.open(req) as response:
         return b"".join([part async for part in response.aiter_stream()])
