Forget entries that were replaced weeks ago also while no replica names a limit

Cause: Peers._missed was only trimmed where the part heard is asked for, and that is asked only while a replica names a limit. Over a week of replacements it grew beyond the entries heard, and from then on nothing in it was forgotten: the part stood at 0.034 for good, and limits were used to a thirtieth.

Change: it is trimmed where entries are missed as well, before new ones are added.

Ruled out: a bound on its size alone, which would forget the many that a cut entry misses at once.

--- a/carawayhub/gateway/peers.py
+++ b/carawayhub/gateway/peers.py
@@ -159,14 +159,19 @@
         Entries that are gone count as cut off for some time, and for as long as fewer are heard
         than missed: who hears nobody is more likely to be cut off itself than to be alone.
         """
+        self._forget_missed(now)
         heard = len(self._by_ip) + 1
-        if heard > len(self._missed):
+        return heard / (heard + len(self._missed))
+
+    def _forget_missed(self, now: float) -> None:
+        if len(self._by_ip) + 1 > len(self._missed):
             oldest = now - MISSED_SECONDS
             self._missed = {ip: at for ip, at in self._missed.items() if at > oldest}
-        return heard / (heard + len(self._missed))
 
     def drop(self, ips: Iterable[str], reason: str, now: float) -> None:
         """Forget peers that are gone."""
+        # Nobody may ask for the part for weeks, in which replaced entries would outnumber the rest.
+        self._forget_missed(now)
         for ip in ips:
             gone = self._by_ip.pop(ip)
             if gone.phase is not Phase.LEAVING:
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -282,6 +282,22 @@
         peers.drop([f"10.0.0.{at}" for at in range(3, 11)], "silent", 50.0)
         self.assertEqual(peers.part_heard(50.0 + 100 * MISSED_SECONDS), 1 / 9)
 
+    def test_entries_replaced_over_weeks_are_not_missed_for_good(self) -> None:
+        """A limit was used to a thirtieth, by entries that all heard each other.
+
+        An entry an hour fell silent and came back under another address. No replica named a limit
+        for a week, so nobody asked for the part and the silent ones piled up; once they were more
+        than those heard, none of them was forgotten any more.
+        """
+        peers = Peers("10.0.0.1", "brest")
+        for at in range(2, 8):
+            peers.heard(peer_hello(f"10.0.0.{at}"), Phase.READY, 0.0, 1.0)
+        for hour in range(200):
+            now = 3600.0 * hour
+            peers.drop([peers.ips()[0]], "silent", now)
+            peers.heard(peer_hello(f"10.0.1.{hour}"), Phase.READY, now + 30.0, 1.0)
+        self.assertEqual(peers.part_heard(3600.0 * 200), 1.0)
+
 
 class Bound(unittest.TestCase):
     """The check of the plays."""
