Keep the part of a pool that meets endpoints' limits in a module of its own

Change: ServiceLimits holds the choice within limits, the pause and the expected wait, which is worked out once and not at all without limits; the search for the gone runs each 3 s; LONE_PART is the one constant.

Ruled out: nothing decides differently; test_replica_limits, test_gateway_relay, _decisions and _gossip pass unchanged.

--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -18,6 +18,7 @@
 from carawayhub.gateway.hello import Datagram, Digest, Heard, Hello, News, PeerEntry, Phase, WorkRow
 from carawayhub.gateway.loads import Loads, Work
 from carawayhub.gateway.peers import Peers
+from carawayhub.gateway.retryshare import LONE_PART
 from carawayhub.gateway.telling import INTERVAL, OTHERS, OwnPlace, OwnState, Part, Teller
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.poisonnews import PoisonNews
@@ -47,10 +48,6 @@
 """Seconds without a further entry after which all are held to be known: a few rounds of datagrams,
 each of which may name more."""
 
-UNKNOWN_PART = 0.01
-"""Part of all entries that an entry holds itself to be while it does not know how many there are:
-small enough for a hundred that start at once."""
-
 Send = Callable[[str, bytes], Awaitable[None]]
 
 
@@ -148,7 +145,7 @@
         if not self._peers and not self._seeds:
             return 1.0
         if not self.settled_entries():
-            return UNKNOWN_PART
+            return LONE_PART
         return self._peers.part_heard(self._clock.monotonic())
 
     def add_seeds(self, seeds: frozenset[str]) -> None:
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -21,9 +21,10 @@
 from carawayhub.gateway.placement import Chosen, Placement
 from carawayhub.gateway.refusals import Refusals
 from carawayhub.gateway.retryshare import RetryShare
+from carawayhub.gateway.servicelimits import ServiceLimits
 from carawayhub.gateway.view import FleetView
 from carawayhub.limits.claims import Claims
-from carawayhub.limits.replicarate import ReplicaRates, Surroundings
+from carawayhub.limits.replicarate import ReplicaRates
 
 START_WEIGHT = 0.1
 """Weight of one request in the mean time from its dispatch to its first event."""
@@ -48,11 +49,6 @@
 after a loss of power 130 callers left just before their first event."""
 
 
-OVERLOAD = 1.25
-"""Requests of callers over what limited endpoints take from which on waiting is in vain. Up to it
-many still get what others leave by chance."""
-
-
 @dataclass(slots=True)
 class Place:
     """A place at an endpoint that a request holds.
@@ -100,26 +96,23 @@
     Attributes:
         line: Requests that wait.
         retries: This entry's part of the service's retry budget.
-        held_back: Times that a request did not go to an endpoint because of its limit.
     """
 
     __slots__ = (
         "_claims",
         "_clock",
+        "_limits",
         "_loads",
         "_name",
         "_news",
         "_health",
         "_outage",
-        "_part_heard",
         "_placement",
-        "_rates",
         "_refusals",
         "_spread",
         "_start_seconds",
         "_turns",
         "_view",
-        "held_back",
         "line",
         "retries",
     )
@@ -139,9 +132,6 @@
         part_heard: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._name = name
-        self._rates = rates or ReplicaRates(clock, rng, work_key)
-        self._part_heard = part_heard
-        self.held_back = 0
         self._view = view
         self._loads = loads
         self._clock = clock
@@ -156,6 +146,13 @@
         self._turns: dict[int, tuple[_Turn, Work]] = {}
         self.line = Line(clock, rng)
         self.retries = retries
+        rates = rates or ReplicaRates(clock, rng, work_key)
+        self._limits = ServiceLimits(name, rates, retries.rate, spread, news, part_heard)
+
+    @property
+    def held_back(self) -> int:
+        """Times that a request did not go to an endpoint because of its limit."""
+        return self._limits.held_back
 
     async def take(self, call: Admitted, now: float) -> Place:
         """Return a place for a request, at once or when one is free.
@@ -287,7 +284,7 @@
         left = max(0.0, call.ends_at - now)
         away = self._outage.left()
         if away is None:
-            away = self._limited_wait() or None
+            away = self._limits.pause(self._endpoints()) or None
         return RequestError(code, self._name, retry_after=self.line.retry_after(left, away))
 
     def _place_now(self, work: Work) -> Place | None:
@@ -309,64 +306,26 @@
         return self._claims.may_take(self._free_places(), self._wanted(), self._news())
 
     def _free_places(self) -> int:
-        """Return the places that are free as far as is known.
-
-        Those of endpoints that name a limit are none to count on while others serve.
-        """
-        endpoints = self._endpoints()
-        if self._rates.any_limited:
-            unlimited = tuple(each for each in endpoints if self._rates.limit(each.id) is None)
-            endpoints = unlimited or endpoints
+        """Return the places that are free as far as is known."""
+        endpoints = self._limits.to_count_on(self._endpoints())
         return sum(max(0, each.places - self._loads.total(each.id).requests) for each in endpoints)
 
-    def _limited_wait(self) -> float:
-        """Return the mean seconds between two requests that endpoints take, 0 if they say none.
-
-        Over those of all entries: the wait of one request is that long at the least.
-        """
-        if not self._rates.any_limited:
-            return 0.0
-        return self._rates.wait(each.id for each in self._endpoints())
-
     def _wanted(self) -> float:
         """Return the requests that come to all entries before they hear of each other."""
         return self.retries.rate() * self._spread()
 
-    def _competing(self) -> float:
-        """Return the requests that wait for what limited endpoints take, this one among them.
-
-        Those of this entry, and as many at each other one while callers ask for more than the
-        limits allow. What waits in vain at 98 entries would be refused after the time in which
-        its caller could have been served elsewhere.
-        """
-        mine = len(self.line) + 1.0
-        news = self._news()
-        entries = self._spread() / news if news > 0 else 1.0
-        asked = self.retries.rate() * entries
-        return mine * entries if asked * self._limited_wait() > OVERLOAD else mine
-
     def _choose(self, work: Work, tried: Set[str], only: Set[str] | None = None) -> Chosen | None:
         if not self._refusals.may_send():
             return None
         endpoints = self._endpoints(only)
         arrivals = self._wanted()
         sample = max(LEAST_SAMPLE, math.ceil(SAMPLE_PART * len(endpoints) / max(1.0, arrivals)))
-        if not self._rates.any_limited:
-            return self._placement.choose(endpoints, work, self._kv_tokens(), tried, sample)
-        return self._choose_within_limits(endpoints, work, tried, sample)
-
-    def _choose_within_limits(
-        self, endpoints: Sequence[Endpoint], work: Work, tried: Set[str], sample: int
-    ) -> Chosen | None:
-        """Return the best endpoint that takes one more request by the limit that it names."""
-        around = Surroundings(self._wanted(), self._news(), self._part_heard())
-        passed = set(tried)
-        while True:
-            chosen = self._placement.choose(endpoints, work, self._kv_tokens(), passed, sample)
-            if chosen is None or self._rates.may_send(chosen.endpoint.id, around):
-                return chosen
-            passed.add(chosen.endpoint.id)
-            self.held_back += 1
+        tokens = self._kv_tokens()
+
+        def pick(passed: Set[str]) -> Chosen | None:
+            return self._placement.choose(endpoints, work, tokens, passed, sample)
+
+        return self._limits.choose(pick, tried)
 
     async def _wait(self, call: Admitted, now: float) -> Place:
         self.look_at_groups()
@@ -383,9 +342,9 @@
             longest=longest,
             reopening=self._reopening(away, longest),
         )
-        limited = self._limited_wait() * self._competing()
+        limited = self._limits.expected_wait(self._endpoints(), len(self.line))
         if limited > min(longest, max(0.0, wish.patience)):
-            self._log_limited(call, limited, longest)
+            self._limits.log_in_vain(call, self._endpoints(), limited, longest)
             raise self.refusal(call, now, Code.OVERLOADED)
         turn = _Turn(anyio.Event())
         waiter = self.line.join(wish, lambda served: turn.settled.set())
@@ -431,7 +390,7 @@
             places_a_second=round(self.line.rate(), 1),
             expected=round(self.line.expected_wait(wish.rank, returned=wish.returned), 3),
             free=self._free_places(),
-            limited_wait=round(self._limited_wait(), 3),
+            limited_pause=round(self._limits.pause(self._endpoints()), 3),
             patience=round(wish.patience, 3),
             returned=wish.returned,
         ).info("turned away, it would wait in vain")
@@ -445,18 +404,9 @@
             longest=round(longest, 3),
         ).info("turned away, no endpoint can run it while its caller listens")
 
-    def _log_limited(self, call: Admitted, limited: float, longest: float) -> None:
-        logger.bind(
-            request=call.req.id.decode("latin-1"),
-            service=self._name,
-            limits={each.id: self._rates.limit(each.id) for each in self._endpoints()},
-            expected=round(limited, 3),
-            longest=round(longest, 3),
-        ).info("turned away, all endpoints name limits and none takes it while its caller listens")
-
     def _begin(self, endpoint: Endpoint, work: Work) -> Place:
         self._refusals.sent()
-        self._rates.sent(endpoint.id)
+        self._limits.sent(endpoint)
         self._loads.begin(endpoint.id, work)
         return Place(endpoint, work)
 
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -45,6 +45,10 @@
 TICK = 0.25
 """Seconds between two looks at what changes with time alone."""
 
+FORGET_SECONDS = 3.0
+"""Seconds between two looks at which limits are those of replicas that are gone: each look works
+out the keys of all endpoints."""
+
 TOUCH_PART = 0.7
 """Part of the time in which keys that were taken away may still open something after which an entry
 without news of the store leaves the directories: its callers go to others before it must refuse."""
@@ -246,6 +250,7 @@
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._handing.run)
             tasks.start_soon(self._tick)
+            tasks.start_soon(self._forget_limits)
             for probe in probes:
                 tasks.start_soon(probe.run)
             tasks.start_soon(server.run)
@@ -307,7 +312,12 @@
         """
         self._health.forget(self._view.ids())
         self._records.forget_old()
-        self._rates.forget(self._view.ids())
+
+    async def _forget_limits(self) -> None:
+        """Drop now and then what is known of limits and sends of replicas that are gone."""
+        while True:
+            self._rates.forget(self._view.ids())
+            await anyio.sleep(FORGET_SECONDS)
 
     def _look_at_readiness(self) -> None:
         """Take callers once the configuration is known, and only while it can be proved new."""
--- a/carawayhub/gateway/retryshare.py
+++ b/carawayhub/gateway/retryshare.py
@@ -13,8 +13,8 @@
 predecessors' sends still count in the window."""
 
 LONE_PART = 0.01
-"""Part of the extra for an entry that does not know yet how many entries there are: small enough
-for a hundred that start at once."""
+"""Part of what all entries may spend together, for an entry that does not know yet how many there
+are: small enough for a hundred that start at once."""
 
 
 class RetryShare:
