Play limits of plain services, limits that change with each answer, and limits that are taken back

Hypothesis: entries keep to the bound there as well. So far all histories had engines and limits that only moved.

Change: the stand-in fleet can be one of plain services; each answer may name another limit; limits end and begin anew within a history. A short seeded run of each stands in the tests.

--- a/benchmarks/named_limits.py
+++ b/benchmarks/named_limits.py
@@ -1,5 +1,6 @@
 """Rate limits that stand-in replicas name, and whether entries keep to them together."""
 
+import random
 from bisect import bisect_right
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -58,19 +59,27 @@
     Attributes:
         changes: Moments and limits from them on, by replica; None for no limit.
         passed: When an entry first got an answer that names a limit, by replica and entry.
+        swing: Part by which each answer names more or less than the limit.
     """
 
     changes: dict[str, list[tuple[float, float | None]]] = field(default_factory=dict)
     passed: dict[tuple[str, str], float] = field(default_factory=dict)
+    swing: float = 0.0
+    _middle: dict[str, float | None] = field(default_factory=dict)
 
     def name(self, replica: str, per_second: float | None, now: float) -> None:
         """Have a replica name a limit from now on, or none."""
+        self._middle[replica] = per_second
         self.changes.setdefault(replica, []).append((now, per_second))
 
-    def limit(self, replica: str) -> float | None:
-        """Return the limit that a replica names now."""
-        found = self.changes.get(replica)
-        return found[-1][1] if found else None
+    def answered(self, replica: str, now: float, rng: random.Random) -> float | None:
+        """Return the limit that an answer of a replica names."""
+        limit = self._middle.get(replica)
+        if limit is None or not self.swing:
+            return limit
+        limit *= rng.uniform(1.0 - self.swing, 1.0 + self.swing)
+        self.changes[replica].append((now, limit))
+        return limit
 
     def passed_on(self, replica: str, entry: str, now: float) -> None:
         """Note that an entry gets an answer that names a limit."""
--- a/benchmarks/rate_limit.py
+++ b/benchmarks/rate_limit.py
@@ -1,6 +1,7 @@
 """Entries before replicas that name a rate limit: how much these get, and what callers see.
 
     python -m benchmarks.rate_limit [--entries N ...] [--seeds N] [--policy together|alone|ignored]
+        [--kind engines|plain|swinging|taken-back]
 
 Each play is a seeded history: limits that are named and changed, entries that start anew or are cut
 off, datagrams that are lost. What replicas got is held against the bound window by window. The exit
@@ -38,6 +39,22 @@
 CUT_SECONDS = 3.0
 
 
+SWING = 0.4
+"""Part by which answers name more or less where each names another limit."""
+
+NO_LIMIT_ONE_IN = 3
+"""Changes of which one takes the limit back, where limits are taken back."""
+
+
+class Kind(Enum):
+    """What is drawn beside the changes and troubles of a history."""
+
+    ENGINES = "engines"
+    PLAIN = "plain"
+    SWINGING = "swinging"
+    TAKEN_BACK = "taken-back"
+
+
 class Policy(Enum):
     """How entries treat limits."""
 
@@ -59,6 +76,7 @@
         changes: Whether the limit changes on the way.
         troubles: Whether entries start anew and are cut off.
         lost: Part of the datagrams that is lost.
+        kind: What else is drawn.
     """
 
     entries: int
@@ -69,6 +87,7 @@
     changes: bool = False
     troubles: bool = False
     lost: float = 0.03
+    kind: Kind = Kind.ENGINES
 
 
 class Played(msgspec.Struct, kw_only=True):
@@ -97,7 +116,7 @@
     at_once: float
 
 
-def drawn(entries: int, seed: int) -> History:
+def drawn(entries: int, seed: int, kind: Kind = Kind.ENGINES) -> History:
     """Return the history of a seed, with changes and troubles."""
     rng = random.Random(f"limit-{entries}-{seed}")
     return History(
@@ -109,6 +128,7 @@
         changes=True,
         troubles=True,
         lost=rng.choice((0.0, 0.03, 0.1)),
+        kind=kind,
     )
 
 
@@ -122,7 +142,9 @@
         lost=history.lost,
         places=60,
         events=3,
+        plain=history.kind is Kind.PLAIN,
     )
+    fleet.limits.swing = SWING if history.kind is Kind.SWINGING else 0.0
     rng = random.Random(history.seed)
 
     async def callers() -> None:
@@ -171,14 +193,17 @@
     ends_at = anyio.current_time() + PLAY_SECONDS
     replicas = list(fleet.by_host.values())[: history.limited]
     rate = history.rate
+    named: float | None = rate
     while anyio.current_time() < ends_at:
         for each in replicas:
-            fleet.limits.name(each.id, rate, anyio.current_time())
+            fleet.limits.name(each.id, named, anyio.current_time())
         if not history.changes:
             await anyio.sleep(PLAY_SECONDS)
             return
         await anyio.sleep(rng.uniform(3.0, 9.0))
         rate = round(rng.choice((0.5, 0.8, 1.25, 2.0)) * rate, 2)
+        ends = history.kind is Kind.TAKEN_BACK and not rng.randrange(NO_LIMIT_ONE_IN)
+        named = None if ends else rate
 
 
 async def _trouble(fleet: RequestFleet, rng: random.Random) -> None:
@@ -230,6 +255,7 @@
     parser.add_argument("--seeds", type=int, default=SEEDS)
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--policy", choices=[each.value for each in Policy], default="together")
+    parser.add_argument("--kind", choices=[each.value for each in Kind], default="engines")
     parser.add_argument("--steady", action="store_true", help="no changes and no troubles")
     parser.add_argument("--limited", type=int, default=3, help="with --steady: limited of three")
     parser.add_argument("--rate", type=float, default=3.0, help="with --steady: the limit")
@@ -239,7 +265,7 @@
     rows = []
     for entries in args.entries:
         for seed in range(args.first_seed, args.first_seed + args.seeds):
-            history = drawn(entries, seed)
+            history = drawn(entries, seed, Kind(args.kind))
             if args.steady:
                 history = History(entries=entries, seed=seed, limited=args.limited, rate=args.rate)
             rows.append(play(history, Policy(args.policy)))
--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -22,7 +22,7 @@
 from carawayhub.addresses import Address
 from carawayhub.constants import CODE_HEADER
 from carawayhub.gateway.hello import Phase
-from carawayhub.gateway.model import Endpoint, GroupSeat
+from carawayhub.gateway.model import Endpoint, GroupSeat, Repeat, Route
 from carawayhub.gateway.ports import (
     EndpointPublished,
     EndpointRemoved,
@@ -189,15 +189,19 @@
         return endpoint(
             self.id,
             address=str(self.address),
+            service="plain" if self.fleet.plain else "llm",
             places=self.fleet.places,
             registered=self.lifetime + 1,
-            seat=GroupSeat(
-                f"g{self.group}",
-                self.fleet.epochs[self.group],
-                self.at // self.fleet.groups,
-                self.fleet.formed[self.group],
-                self.fleet.ranks,
-            ),
+            seat=None if self.fleet.plain else self._seat(),
+        )
+
+    def _seat(self) -> GroupSeat:
+        return GroupSeat(
+            f"g{self.group}",
+            self.fleet.epochs[self.group],
+            self.at // self.fleet.groups,
+            self.fleet.formed[self.group],
+            self.fleet.ranks,
         )
 
     def take(self, line: Line, head: bytes, body: bytes) -> None:
@@ -225,6 +229,9 @@
             if line in self.running and not self._stands_still():
                 self.end()
             return
+        if self.fleet.plain:
+            await self._answer_whole(line, request)
+            return
         line.send(
             b"HTTP/1.1 200 OK\r\ncarawayhub-request-id: %s\r\ncarawayhub-response-seal: s\r\n%s"
             b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -239,9 +246,20 @@
         del self.running[line]
         line.send(chunk(b""))
 
+    async def _answer_whole(self, line: Line, request: bytes) -> None:
+        """Answer as a plain service does."""
+        await anyio.sleep(self.fleet.first_seconds + self.fleet.event_seconds)
+        if line not in self.running:
+            return
+        del self.running[line]
+        line.send(
+            b"HTTP/1.1 200 OK\r\ncarawayhub-request-id: %s\r\ncarawayhub-response-seal: s\r\n%s"
+            b"content-length: 1\r\n\r\nx" % (request, self._limit_line(line.entry))
+        )
+
     def _limit_line(self, entry: str) -> bytes:
         """Return the header that names its rate limit, nothing where it has none."""
-        limit = self.fleet.limits.limit(self.id)
+        limit = self.fleet.limits.answered(self.id, _now(), self.fleet.rng)
         if limit is None:
             return b""
         self.fleet.limits.passed_on(self.id, entry, _now())
@@ -407,6 +425,7 @@
         wasted: Requests that reached a group which stood still.
         stalls: Whether ranks hold what comes until their group has noticed its loss.
         tells_groups: Whether ranks register whether their group stands.
+        plain: Whether the replicas are those of a plain service and not ranks.
         ending: Contents that end each replica that begins them.
         cut: Entries whose datagrams are all lost.
         sent: Requests that reached replicas.
@@ -428,6 +447,7 @@
     wasted: int = 0
     stalls: bool = False
     tells_groups: bool = False
+    plain: bool = False
     ending: set[bytes] = field(default_factory=set)
     cut: set[str] = field(default_factory=set)
     sent: list[Sent] = field(default_factory=list)
@@ -495,7 +515,7 @@
         )
         process._upstream._backend = _Net(self, ip)
         listed = [EndpointPublished(each.endpoint()) for each in self.by_host.values()]
-        table_published = TablePublished(table(1, route(attempts=2)))
+        table_published = TablePublished(table(1, self._route()))
         process._view.replace(Published(revision=1, changes=(table_published, *listed)))
         process._gossip.set_phase(Phase.READY)
         entry = self.live[ip] = _Entry(process, _now() + IN_TOUCH)
@@ -513,6 +533,11 @@
 
         self.start(live)
 
+    def _route(self) -> Route:
+        if self.plain:
+            return route(service="plain", repeat=Repeat.IDEMPOTENT, attempts=2)
+        return route(attempts=2)
+
     async def _confirm(self, process: GatewayProcess) -> None:
         while True:
             process._view.confirm(_now())
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from benchmarks.named_limits import Arrival, NamedLimits
-from benchmarks.rate_limit import History, Policy, drawn, play
+from benchmarks.rate_limit import History, Kind, Policy, drawn, play
 from benchmarks.request_fleet import RequestFleet
 from carawayhub.clock import ManualClock
 from carawayhub.gateway.calls import NamedLimit, UnreadableLimit
@@ -95,6 +95,12 @@
             with self.subTest(seed=seed):
                 self.assertEqual(play(drawn(7, seed)).exceeded, 0)
 
+    def test_plain_services_and_limits_that_come_and_go_keep_to_the_bound(self) -> None:
+        """Plain services name limits too; some name another with each answer, or take it back."""
+        for kind in (Kind.PLAIN, Kind.SWINGING, Kind.TAKEN_BACK):
+            with self.subTest(kind=kind):
+                self.assertEqual(play(drawn(7, 2, kind)).exceeded, 0)
+
     def test_limits_are_used_while_more_is_asked(self) -> None:
         found = play(History(entries=7, seed=1, limited=3))
         self.assertGreaterEqual(found.used, 0.9)
