--- a/benchmarks/limit_cost.py
+++ b/benchmarks/limit_cost.py
@@ -18,7 +18,7 @@
 
 from carawayhub.clock import ManualClock
 from carawayhub.gateway.health import Health
-from carawayhub.gateway.loads import Loads, work_key
+from carawayhub.gateway.loads import Loads, Work, work_key
 from carawayhub.gateway.placement import Chosen
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
@@ -29,13 +29,15 @@
 from carawayhub.output.tables import write_table
 from tests.gateway_world import endpoint, table, work
 
-SIZES = ((7, 15), (98, 192), (780, 5400))
+SIZES = ((7, 15), (45, 72), (98, 192), (780, 5400))
 """Entries, and endpoints of one service before them."""
 
 ROUNDS = 41
 DECISIONS = 20
 EXCHANGES = 20
 LIMITED = 8
+CHANGED = 5
+TABLE_ROWS = 200
 NEWS_SECONDS = 0.2
 NEWS_MORE_AN_ENTRY = 0.002
 ARRIVALS = 20.0
@@ -54,6 +56,8 @@
         row_bytes: Bytes of the rows in one datagram.
         tell_us: Microseconds to work these rows out.
         hear_us: Microseconds to take them from a datagram.
+        work_us: Microseconds to take a peer's table of work in which some rows changed, and to
+            see whether a place is free.
     """
 
     entries: int
@@ -65,6 +69,7 @@
     row_bytes: int
     tell_us: float
     hear_us: float
+    work_us: float
 
 
 class Probe:
@@ -85,10 +90,11 @@
         retries = RetryShare(self._clock, 0.2, 90.0, 10.0)
         for _ in range(int(ARRIVALS)):
             retries.arrived()
+        self._loads = Loads()
         self._pool = ServicePool(
             "llm",
             self._view(),
-            Loads(),
+            self._loads,
             Health(self._clock),
             self._clock,
             self._rng,
@@ -124,6 +130,16 @@
             if place is not None:
                 self._pool.release(place)
 
+    def hear_work(self) -> None:
+        """Take a peer's table of work again and again, with a few rows changed each time."""
+        for at in range(EXCHANGES):
+            listed = self.ids[:TABLE_ROWS]
+            works = {work_key(each): Work(1, 0, 900) for each in listed}
+            for each in self._rng.sample(listed, CHANGED):
+                works[work_key(each)] = Work(2, at, 1800)
+            self._loads.heard(self.tellers[0], works)
+            self._pool._may_claim()
+
     def tell(self) -> list[RateRow]:
         """Return the rows of one datagram, again and again."""
         for _ in range(EXCHANGES):
@@ -149,6 +165,7 @@
     rows = probe.tell()
     tell = [_seconds(probe.tell) for _ in range(ROUNDS)]
     hear = [_seconds(lambda: probe.hear(rows)) for _ in range(ROUNDS)]
+    hear_work = [_seconds(probe.hear_work) for _ in range(ROUNDS)]
     return Cost(
         entries=entries,
         endpoints=endpoints,
@@ -159,6 +176,7 @@
         row_bytes=len(msgspec.msgpack.encode(rows)),
         tell_us=_micros(tell, EXCHANGES),
         hear_us=_micros(hear, EXCHANGES),
+        work_us=_micros(hear_work, EXCHANGES),
     )
 
 
