--- a/carawayhub/endpoints/checkedwrites.py
+++ b/carawayhub/endpoints/checkedwrites.py
@@ -23,8 +23,7 @@
 from carawayhub.clock import Clock, SystemClock
 
 FRESH_SECONDS = 0.1
-"""Seconds for which an answer holds: far more than asking takes, far less than a pause that counts.
-"""
+"""Seconds for which an answer holds: more than asking takes, less than a pause that counts."""
 
 MaySend = Callable[[], bool]
 
--- a/tests/test_promises_groups.py
+++ b/tests/test_promises_groups.py
@@ -93,6 +93,8 @@
         each write asks once more; what it holds back is logged as ``order withheld``. On a slow
         machine the new agent's own readings made a second giver, since the first of each named
         nobody: ``'0': 14`` became 18 where the old agent stood still. Now each names its decider.
+        A stop within the look itself let one order out, ``32`` became 33, beside three that were
+        held back; the clock is read once more right before the write.
         """
         await self.faults({3: RankFault(hold=("arm", "withdraw"))})
         await self.provoke()
