Look for limits of replicas that are gone within the tick, not in a task of its own

Cause, by going back commit by commit: the task of its own that added shifts the order of events that fall on one moment.

--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -528,7 +528,6 @@
                     process._gossip.tell, lambda to, data: self._carry(ip, to, data)
                 )
                 entry.tasks.start_soon(process._tick)
-                entry.tasks.start_soon(process._forget_limits)
                 entry.tasks.start_soon(self._confirm, process)
 
         self.start(live)
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -113,6 +113,7 @@
         "_clock",
         "_directory",
         "_follower",
+        "_forget_limits_at",
         "_gossip",
         "_handing",
         "_health",
@@ -157,6 +158,7 @@
         self._records = PoisonRecords(clock)
         self._records.on_ends = self._hear_of_ends
         self._rates = ReplicaRates(clock, rng, work_key)
+        self._forget_limits_at = float("-inf")
         self._gossip = Gossip(
             own, options.seeds, self._loads, self._records, self._rates, clock, rng
         )
@@ -250,7 +252,6 @@
             tasks.start_soon(self._gossip.run)
             tasks.start_soon(self._handing.run)
             tasks.start_soon(self._tick)
-            tasks.start_soon(self._forget_limits)
             for probe in probes:
                 tasks.start_soon(probe.run)
             tasks.start_soon(server.run)
@@ -312,12 +313,10 @@
         """
         self._health.forget(self._view.ids())
         self._records.forget_old()
-
-    async def _forget_limits(self) -> None:
-        """Drop now and then what is known of limits and sends of replicas that are gone."""
-        while True:
+        now = self._clock.monotonic()
+        if now >= self._forget_limits_at:
+            self._forget_limits_at = now + FORGET_SECONDS
             self._rates.forget(self._view.ids())
-            await anyio.sleep(FORGET_SECONDS)
 
     def _look_at_readiness(self) -> None:
         """Take callers once the configuration is known, and only while it can be proved new."""
