Keep only the keys of a service's own endpoints for the next look at its free places

Found on reading the whole change once more. A pool noted the key of each endpoint whose work changed, those of other services and of endpoints long gone too, and kept them until somebody asked for its free places. Nobody asks that of a plain service, so the set grew by a key for each lifetime of an endpoint.

Change: Loads calls back with the key, and FreePlaces notes it only where it is one of its own. Beside it two things that were worked out twice: the requests that are wanted (the pool hands them to its limits), and the ids of published endpoints in one tick.

Ruled out: a change of what is decided; the comparison with sums added up anew passes unchanged.

--- a/benchmarks/limit_cost.py
+++ b/benchmarks/limit_cost.py
@@ -181,7 +181,10 @@
 
 
 def _unchecked(
-    self: ServiceLimits, pick: Callable[[Set[str]], Chosen | None], tried: Set[str]
+    self: ServiceLimits,
+    pick: Callable[[Set[str]], Chosen | None],
+    tried: Set[str],
+    wanted: float,
 ) -> Chosen | None:
     return pick(tried)
 
--- a/carawayhub/gateway/freeplaces.py
+++ b/carawayhub/gateway/freeplaces.py
@@ -22,11 +22,12 @@
 
     def __init__(self, loads: Loads) -> None:
         self._loads = loads
-        self._changed = loads.watch()
+        self._changed: set[int] = set()
         self._endpoints: Sequence[Endpoint] = ()
         self._places: dict[int, list[int]] = {}
         self._free: dict[int, int] = {}
         self._sum = 0
+        loads.watch(self._note)
 
     def of(self, endpoints: Sequence[Endpoint]) -> int:
         """Return the free places of endpoints; cheap while they are those of the last call."""
@@ -43,14 +44,15 @@
             self._places.setdefault(work_key(each.id), []).append(each.places)
         self._free = {}
         self._sum = 0
-        self._changed.clear()
-        self._changed.update(self._places)
+        self._changed = set(self._places)
+
+    def _note(self, key: int) -> None:
+        # Those of other services, and of endpoints that are gone, would pile up for ever.
+        if key in self._places:
+            self._changed.add(key)
 
     def _count(self, key: int) -> None:
-        places = self._places.get(key)
-        if places is None:
-            return
         requests = self._loads.requests(key)
-        free = sum(max(0, each - requests) for each in places)
+        free = sum(max(0, each - requests) for each in self._places[key])
         self._sum += free - self._free.get(key, 0)
         self._free[key] = free
--- a/carawayhub/gateway/loads.py
+++ b/carawayhub/gateway/loads.py
@@ -6,7 +6,7 @@
 """
 
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 
@@ -57,7 +57,7 @@
     __slots__ = ("_own", "_peers", "_total", "_watchers")
 
     def __init__(self) -> None:
-        self._watchers: list[set[int]] = []
+        self._watchers: list[Callable[[int], None]] = []
         self._own: dict[int, Work] = {}
         self._peers: dict[str, dict[int, Work]] = {}
         self._total: dict[int, Work] = {}
@@ -69,15 +69,13 @@
         self._total.setdefault(key, Work()).add(work, 1)
         self._changed(key)
 
-    def watch(self) -> set[int]:
-        """Return a set that takes the key of each endpoint whose requests change from now on."""
-        changed: set[int] = set()
-        self._watchers.append(changed)
-        return changed
+    def watch(self, on_change: Callable[[int], None]) -> None:
+        """Call ``on_change`` with the key of each endpoint whose requests change from now on."""
+        self._watchers.append(on_change)
 
     def _changed(self, key: int) -> None:
-        for each in self._watchers:
-            each.add(key)
+        for on_change in self._watchers:
+            on_change(key)
 
     def has_read(self, endpoint_id: str, tokens: int) -> None:
         """Note that an endpoint has read a prompt."""
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -327,7 +327,7 @@
         def pick(passed: Set[str]) -> Chosen | None:
             return self._placement.choose(endpoints, work, tokens, passed, sample)
 
-        return self._limits.choose(pick, tried)
+        return self._limits.choose(pick, tried, arrivals)
 
     async def _wait(self, call: Admitted, now: float) -> Place:
         self.look_at_groups()
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -311,12 +311,13 @@
 
         Records of endpoints that are no longer published, and of requests long past.
         """
-        self._health.forget(self._view.ids())
+        published = self._view.ids()
+        self._health.forget(published)
         self._records.forget_old()
         now = self._clock.monotonic()
         if now >= self._forget_limits_at:
             self._forget_limits_at = now + FORGET_SECONDS
-            self._rates.forget(self._view.ids())
+            self._rates.forget(published)
 
     def _look_at_readiness(self) -> None:
         """Take callers once the configuration is known, and only while it can be proved new."""
--- a/carawayhub/gateway/servicelimits.py
+++ b/carawayhub/gateway/servicelimits.py
@@ -83,16 +83,19 @@
             self._counted = unlimited or endpoints
         return self._counted
 
-    def choose(self, pick: Callable[[Set[str]], Chosen | None], tried: Set[str]) -> Chosen | None:
+    def choose(
+        self, pick: Callable[[Set[str]], Chosen | None], tried: Set[str], wanted: float
+    ) -> Chosen | None:
         """Return the best endpoint that takes one more request by the limit that it names.
 
         Args:
             pick: Gives the best endpoint beside those named, None where none is left.
             tried: Endpoints that the request may not go to.
+            wanted: Requests that come to all entries before they hear of each other.
         """
         if not self.any_named:
             return pick(tried)
-        around = Surroundings(self._rate() * self._spread(), self._news(), self._part_heard())
+        around = Surroundings(wanted, self._news(), self._part_heard())
         passed = set(tried)
         while True:
             chosen = pick(passed)
--- a/tests/test_free_places.py
+++ b/tests/test_free_places.py
@@ -38,6 +38,19 @@
                 self.compare()
         self.compare()
 
+    def test_endpoints_that_are_gone_leave_nothing_behind(self) -> None:
+        """Memory of entries before services whose free places nobody asks for grew for weeks.
+
+        Each lifetime of an endpoint has a key of its own, and each change of its work was kept
+        until the next question.
+        """
+        self.free.of(self.listed)
+        for lifetime in range(1000):
+            self.loads.begin(f"gone-{lifetime}", Work(1))
+            self.loads.end(f"gone-{lifetime}", Work(1))
+        self.assertEqual(len(self.free._changed), 0)
+        self.compare()
+
     def change(self) -> None:
         """Let one thing happen."""
         match self.rng.randrange(8):
