Say where a configuration came from, how late it may be, and by which version a request was routed

Cause: the record of the late configuration cannot be told apart by logs: no line says by which version a request was routed, whether a version came by the watch, a listing or a peer, how long it may have been published before, or which entries were reading the store at that time.

Change: 'configuration in force' carries its source and late_at_most (seconds since a call proved the one before to be the newest); 'request ended' carries service and version; 'role in reading' is logged as it changes. Metrics: version, revision and age of the view, whether the entry reads for its peers, and a histogram of late_at_most.

Ruled out: nothing by this. No decision changes.

--- a/carawayhub/gateway/app.py
+++ b/carawayhub/gateway/app.py
@@ -156,6 +156,8 @@
             request=req.id.decode("latin-1") if req else "",
             content=call.fingerprint.hex() if call else "",
             route=route,
+            service=call.service if call else "",
+            version=call.version if call else 0,
             organisation=organisation,
             code=int(code),
             detail=detail,
--- a/carawayhub/gateway/calls.py
+++ b/carawayhub/gateway/calls.py
@@ -58,6 +58,7 @@
         returned: Whether the caller was refused before and has come back.
         work: What it needs of an endpoint.
         fingerprint: Names what it asks; see ``fingerprint``.
+        version: Version of the configuration by which it was admitted.
     """
 
     req: CallerRequest
@@ -69,6 +70,7 @@
     returned: bool
     work: Work
     fingerprint: bytes = b""
+    version: int = 0
 
     @property
     def priority(self) -> int:
--- a/carawayhub/gateway/desk.py
+++ b/carawayhub/gateway/desk.py
@@ -76,6 +76,7 @@
                 req.target,
                 req.body,
             ),
+            version=table.version,
         )
 
     def _organisation(
--- a/carawayhub/gateway/follower.py
+++ b/carawayhub/gateway/follower.py
@@ -2,13 +2,14 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import anyio
 from loguru import logger
 
 from carawayhub.clock import Clock
 from carawayhub.errors import PlatformError
-from carawayhub.gateway.ports import Handed, Published, PublishedState
+from carawayhub.gateway.ports import Handed, Published, PublishedState, Source
 from carawayhub.gateway.view import FleetView
 
 WATCH_SECONDS = 8.0
@@ -74,6 +75,14 @@
 """Time between two looks at whether an entry is to read for its peers."""
 
 
+class Role(Enum):
+    """Why an entry reads the published state, or does not."""
+
+    CHOSEN = "reads for its peers"
+    LONELY = "reads for want of news"
+    TOLD = "is told by its peers"
+
+
 async def _nothing_beyond(revision: int) -> Handed | None:
     return None
 
@@ -117,6 +126,7 @@
         "_proof_seconds",
         "_read_at",
         "_reads",
+        "_role",
         "_rng",
         "_state",
         "_told_at",
@@ -147,6 +157,7 @@
         self._lonely_seconds = revoke_after * (LONELY_PART + spread)
         self._proof_seconds = revoke_after * PROOF_PART
         self._told_at = float("-inf")
+        self._role = Role.TOLD
         self.on_grown: Callable[[], None] = _nothing
         self._grown = anyio.Event()
         self._behind = anyio.Event()
@@ -168,11 +179,19 @@
             self._behind.set()
 
     def _is_reader(self) -> bool:
+        role = self._role_now()
+        if role is not self._role:
+            logger.bind(role=role.value, age=round(self._view.age, 2)).info("role in reading")
+            self._role = role
+        return role is not Role.TOLD
+
+    def _role_now(self) -> Role:
         if self._reads():
-            return True
+            return Role.CHOSEN
         # What a peer told is proved to be new by the next datagram of a peer, a moment later.
         since_told = self._clock.monotonic() - self._told_at
-        return min(self._view.age, since_told) > self._lonely_seconds
+        lonely = min(self._view.age, since_told) > self._lonely_seconds
+        return Role.LONELY if lonely else Role.TOLD
 
     async def _learn_from_peers(self) -> bool:
         """Learn from a peer what is published, at the start; return whether one told.
@@ -193,9 +212,9 @@
         if handed is None or handed.published.revision <= self._view.revision:
             return False
         if handed.whole:
-            self._view.replace(handed.published)
+            self._view.replace(handed.published, Source.PEER)
         else:
-            self._view.extend(handed.published)
+            self._view.extend(handed.published, Source.PEER)
         self._told_at = self._clock.monotonic()
         logger.bind(revision=self._view.revision, whole=handed.whole).info("told by a peer")
         self._note_growth()
--- a/carawayhub/gateway/ports.py
+++ b/carawayhub/gateway/ports.py
@@ -1,6 +1,7 @@
 """What the gateway asks of the outside: the published state of the fleet."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from carawayhub.gateway.model import Endpoint, RouteTable
@@ -68,6 +69,14 @@
     unreadable: tuple[str, ...] = ()
 
 
+class Source(Enum):
+    """Where content came from."""
+
+    LISTING = "listing"
+    WATCH = "watch"
+    PEER = "peer"
+
+
 @dataclass(frozen=True, slots=True)
 class Handed:
     """Published content that a peer handed on.
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -28,7 +28,7 @@
 from carawayhub.gateway.ports import PublishedState
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
-from carawayhub.gateway.tally import LimitsMet, Tally
+from carawayhub.gateway.tally import LimitsMet, Tally, ViewSeen
 from carawayhub.gateway.telling import OwnPlace
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
@@ -148,7 +148,10 @@
         self._view = FleetView(clock, options.heartbeat)
         self._pools: dict[str, ServicePool] = {}
         self._upstream = Upstream(options.ip)
-        self._tally = Tally(lambda: self._view.unreadable_entries, self._limits_met)
+        self._tally = Tally(
+            lambda: self._view.unreadable_entries, self._limits_met, self._view_seen
+        )
+        self._view.on_table = self._tally.table_in_force
         own = OwnPlace(
             ip=options.ip,
             port=options.peer_port,
@@ -363,6 +366,11 @@
         held_back = sum(each.held_back for each in self._pools.values())
         return LimitsMet(self._rates.limits(), held_back)
 
+    def _view_seen(self) -> ViewSeen:
+        view = self._view
+        version = view.table.version if view.table is not None else 0
+        return ViewSeen(version, view.revision, view.age, self._gossip.is_reader())
+
     def _connection_limits(self) -> ConnectionLimits:
         limits = self._limits()
         return ConnectionLimits(
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -21,23 +21,52 @@
     held_back: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ViewSeen:
+    """What an entry knows of the published state at one moment.
+
+    Attributes:
+        version: Version of the configuration in force, 0 while none is.
+        revision: Everything published up to it is known.
+        age: Seconds since that was proved to be the newest.
+        reads: Whether this entry reads for its peers.
+    """
+
+    version: int = 0
+    revision: int = 0
+    age: float = 0.0
+    reads: bool = False
+
+
 class Tally:
     """What one entry measured since it started.
 
     Args:
         unreadable_entries: Gives the entries of endpoints so far that could not be read.
         limits_met: Gives the limits of replicas.
+        view_seen: Gives what is known of the published state.
     """
 
-    __slots__ = ("_ended_under_requests", "_ends", "_limits_met", "_times", "_unreadable_entries")
+    __slots__ = (
+        "_ended_under_requests",
+        "_ends",
+        "_late_tables",
+        "_limits_met",
+        "_times",
+        "_unreadable_entries",
+        "_view_seen",
+    )
 
     def __init__(
         self,
         unreadable_entries: Callable[[], int] = lambda: 0,
         limits_met: Callable[[], LimitsMet] = LimitsMet,
+        view_seen: Callable[[], ViewSeen] = ViewSeen,
     ) -> None:
         self._unreadable_entries = unreadable_entries
         self._limits_met = limits_met
+        self._view_seen = view_seen
+        self._late_tables = Recorder()
         self._ends: Counter[tuple[str, str, Code, int]] = Counter()
         self._times: dict[str, Recorder] = {}
         self._ended_under_requests: Counter[str] = Counter()
@@ -50,6 +79,10 @@
             recorder = self._times[route] = Recorder()
         recorder.record(seconds)
 
+    def table_in_force(self, late_at_most: float) -> None:
+        """Record for how many seconds a configuration may have been published before."""
+        self._late_tables.record(late_at_most)
+
     def endpoint_ended(self, service: str) -> None:
         """Count a request whose endpoint ended while it worked on it."""
         self._ended_under_requests[service] += 1
@@ -75,8 +108,25 @@
             lines.append(f'carawayhub_gateway_replica_limit{{replica="{key}"}} {per_second}')
         lines.append("# TYPE carawayhub_gateway_held_back_total counter")
         lines.append(f"carawayhub_gateway_held_back_total {met.held_back}")
+        lines += self._view_lines()
         lines.append("# TYPE carawayhub_gateway_milliseconds summary")
         for route, recorder in sorted(self._times.items()):
             labels = f'route="{route}"'
             lines += summary_lines("carawayhub_gateway_milliseconds", labels, recorder)
         return "\n".join(lines) + "\n"
+
+    def _view_lines(self) -> list[str]:
+        seen = self._view_seen()
+        name = "carawayhub_gateway_configuration_late_milliseconds"
+        return [
+            "# TYPE carawayhub_gateway_configuration_version gauge",
+            f"carawayhub_gateway_configuration_version {seen.version}",
+            "# TYPE carawayhub_gateway_revision gauge",
+            f"carawayhub_gateway_revision {seen.revision}",
+            "# TYPE carawayhub_gateway_view_age_seconds gauge",
+            f"carawayhub_gateway_view_age_seconds {seen.age:.3f}",
+            "# TYPE carawayhub_gateway_reads_for_peers gauge",
+            f"carawayhub_gateway_reads_for_peers {int(seen.reads)}",
+            f"# TYPE {name} summary",
+            *summary_lines(name, "", self._late_tables),
+        ]
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -1,7 +1,7 @@
 """What this process knows of the published state, how old that is, and which endpoints it uses."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
@@ -14,6 +14,7 @@
     EndpointRemoved,
     EndpointUnreadable,
     Published,
+    Source,
     TablePublished,
 )
 from carawayhub.gateway.standing import GroupStanding
@@ -49,6 +50,8 @@
         revision: Everything published up to this revision is known.
         unreadable_entries: Entries of endpoints so far that could not be read, each revision of
             one once.
+        on_table: Called as a configuration comes into force, with the seconds for which it may have
+            been published before.
     """
 
     __slots__ = (
@@ -67,6 +70,7 @@
         "_superseded",
         "_trusted_from",
         "_unreadable",
+        "on_table",
         "revision",
         "table",
         "unreadable_entries",
@@ -91,6 +95,7 @@
         self.table: RouteTable | None = None
         self.revision = 0
         self.unreadable_entries = 0
+        self.on_table: Callable[[float], None] = _ignore_delay
 
     @property
     def age(self) -> float:
@@ -141,7 +146,7 @@
         """Note that a call sent at ``sent_at`` proved this view to be the newest."""
         self._confirmed_at = max(self._confirmed_at, sent_at)
 
-    def replace(self, published: Published) -> None:
+    def replace(self, published: Published, source: Source = Source.LISTING) -> None:
         """Take in a snapshot: what it does not name is gone."""
         named = {
             change.endpoint.incarnation.replica
@@ -153,13 +158,13 @@
             change.replica for change in published.changes if isinstance(change, EndpointUnreadable)
         }
         self._unreadable = {name: at for name, at in self._unreadable.items() if name in listed}
-        self._apply((*published.changes, *gone))
+        self._apply((*published.changes, *gone), source)
         self.revision = published.revision
         self._tell_unreadable(published)
 
-    def extend(self, published: Published) -> None:
+    def extend(self, published: Published, source: Source = Source.WATCH) -> None:
         """Take in changes that follow this view."""
-        self._apply(published.changes)
+        self._apply(published.changes, source)
         self.revision = max(self.revision, published.revision)
         self._tell_unreadable(published)
 
@@ -231,11 +236,11 @@
         if gone:
             self._rebuild()
 
-    def _apply(self, changes: Iterable[Change]) -> None:
+    def _apply(self, changes: Iterable[Change], source: Source) -> None:
         for change in changes:
             match change:
                 case TablePublished(table):
-                    self._take_table(table)
+                    self._take_table(table, source)
                 case EndpointPublished(endpoint):
                     self._take_endpoint(endpoint)
                 case EndpointRemoved(replica):
@@ -244,7 +249,7 @@
                     self._drop_unreadable(replica, problem, revision)
         self._rebuild()
 
-    def _take_table(self, table: RouteTable) -> None:
+    def _take_table(self, table: RouteTable, source: Source) -> None:
         """Put a configuration into force unless it is older than the one that is.
 
         Guards against a store that serves history again after a loss: a caller would be routed by a
@@ -252,10 +257,16 @@
         """
         if self.table is not None and table.version <= self.table.version:
             return
+        is_first = self.table is None
         self.table = table
-        logger.bind(version=table.version, routes=len(table.routes())).info(
-            "configuration in force"
-        )
+        logger.bind(
+            version=table.version,
+            routes=len(table.routes()),
+            source=source.value,
+            late_at_most=None if is_first else round(self.age, 3),
+        ).info("configuration in force")
+        if not is_first:
+            self.on_table(self.age)
 
     def _take_endpoint(self, endpoint: Endpoint) -> None:
         if endpoint.id in self._gone or self._is_of_the_past(endpoint):
@@ -356,3 +367,7 @@
     def _tell_unreadable(self, published: Published) -> None:
         for problem in published.unreadable:
             logger.bind(problem=problem).error("published content cannot be read, the last holds")
+
+
+def _ignore_delay(seconds: float) -> None:
+    return
--- a/tests/test_platform_metrics.py
+++ b/tests/test_platform_metrics.py
@@ -11,7 +11,7 @@
 from carawayhub.experts.planner import Plan
 from carawayhub.experts.switch import Ended
 from carawayhub.experts.tally import GroupTally
-from carawayhub.gateway.tally import Tally
+from carawayhub.gateway.tally import Tally, ViewSeen
 from carawayhub.platform.probes import METRICS_PATH, METRICS_PORT, metrics_app, probe_app
 
 DEPLOY_FILE = Path(__file__).parent.parent / "deploy" / "system.toml"
@@ -67,6 +67,21 @@
         self.assertIn('carawayhub_gateway_milliseconds{route="songs",quantile="0.5"} 20', text)
         self.assertIn('carawayhub_gateway_milliseconds_count{route="songs"} 10', text)
 
+    def test_entry_tells_what_it_knows_of_the_published_state(self) -> None:
+        tally = Tally(view_seen=lambda: ViewSeen(version=7, revision=31, age=0.4, reads=True))
+        tally.table_in_force(0.25)
+        app = probe_app(lambda: True, list, tally.page)
+        text = get(app, METRICS_PATH)[1].splitlines()
+        for line in (
+            "carawayhub_gateway_configuration_version 7",
+            "carawayhub_gateway_revision 31",
+            "carawayhub_gateway_view_age_seconds 0.400",
+            "carawayhub_gateway_reads_for_peers 1",
+            'carawayhub_gateway_configuration_late_milliseconds{quantile="0.99"} 250',
+            "carawayhub_gateway_configuration_late_milliseconds_count 1",
+        ):
+            self.assertIn(line, text)
+
     def test_other_paths_are_not_found(self) -> None:
         self.assertEqual(get(metrics_app(str), "/v1/ready")[0], 404)
 
