Reproduce late configurations: connections to the store that go silent for good

Cause: found, not mended yet. Two entries read the store for all; a watch whose connection went silent is only noticed by the next proof of age, and times between proofs follow from the bound for revoked keys (5 s), not from that for configurations (2 s). A call on a kept connection that went silent takes 1 s to fail. A reader that waits in its watch does not ask its peers.

Change: benchmarks/store_fleet.py plays entries with the real client of the store, gossip and exchange of content in virtual time; connections go silent for good, entries are cut off or start anew.

Ruled out here: a calm fleet, and both readers cut off from all (ten moments each, none late). Both readers cut off from the store alone was not late at these ten moments; the search has this as one of its kinds.

--- /dev/null
+++ b/benchmarks/late_configurations.py
@@ -0,0 +1,166 @@
+"""Histories of entries that follow a store while routes move, searched for late configurations.
+
+    python -m benchmarks.late_configurations --seed 7              one history
+    python -m benchmarks.late_configurations --seeds 50            histories with fresh seeds
+    python -m benchmarks.late_configurations --seeds 5 --entries 98
+
+Connections to the store go silent for good, entries are cut off from it or from all, end and start
+anew, all in overlapping series, in virtual time. A configuration must be in force at each entry
+that nothing disturbs within the stated bound, and none may come back once a newer one was in force.
+"""
+
+import argparse
+import random
+import statistics
+import sys
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+from loguru import logger
+
+from benchmarks.store_fleet import CONFIG_APPLY, Late, StoreFleet
+
+STORY_SECONDS = 30.0
+CALM_SECONDS = 4.0
+"""Seconds at the end of a history without a new disturbance: the last configuration is due too."""
+
+LOST_PART = 0.002
+
+
+@dataclass(slots=True)
+class History:
+    """One history.
+
+    Attributes:
+        seed: Seed of all its chance.
+        entries: How many entries.
+        struck: Disturbances by kind.
+        late: Versions that came too late.
+        back: Entries that went back to an older version.
+        delays: Seconds from acknowledgements to configurations in force, at calm entries.
+    """
+
+    seed: int
+    entries: int
+    struck: Counter[str] = field(default_factory=Counter)
+    late: list[Late] = field(default_factory=list)
+    back: list[str] = field(default_factory=list)
+    delays: list[float] = field(default_factory=list)
+
+    def play(self) -> None:
+        """Play it and hold what the entries did against the bound."""
+        fleet = StoreFleet(self.entries, self.seed, lost=LOST_PART)
+        fleet.play(lambda: self._story(fleet))
+        self.late = fleet.late(CONFIG_APPLY)
+        self.back = fleet.went_back()
+        self.delays = sorted(fleet.delays())
+
+    def line(self) -> str:
+        """Return the outcome in one line."""
+        worst = self.delays[-1] if self.delays else 0.0
+        middle = statistics.median(self.delays) if self.delays else 0.0
+        verdict = "kept" if not self.late and not self.back else "BROKEN"
+        times = f"{len(self.delays)} in force at calm entries, median {middle:.2f} s"
+        counts = f"late {len(self.late)}, gone back {len(self.back)}"
+        return f"seed {self.seed}: {times}, worst {worst:.2f} s, {counts}, {verdict}"
+
+    async def _story(self, fleet: StoreFleet) -> None:
+        rng = random.Random(self.seed)
+        until = anyio.current_time() + STORY_SECONDS
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._move, fleet, rng, until)
+            while anyio.current_time() < until:
+                strike = rng.choice(STRIKES)
+                self.struck[strike.__name__.strip("_")] += 1
+                tasks.start_soon(strike, fleet, rng)
+                await anyio.sleep(rng.uniform(0.1, 2.5))
+        await anyio.sleep(CALM_SECONDS)
+
+    async def _move(self, fleet: StoreFleet, rng: random.Random, until: float) -> None:
+        """Publish configurations, alone and ten in quick succession."""
+        while anyio.current_time() < until:
+            for _ in range(rng.choice((1, 1, 1, 10))):
+                fleet.move_route()
+                await anyio.sleep(rng.uniform(0.05, 0.4))
+            await anyio.sleep(rng.uniform(0.2, 3.0))
+
+
+async def _watches_go_silent(fleet: StoreFleet, rng: random.Random) -> None:
+    for ip in fleet.ips:
+        fleet.silence_watches(ip)
+
+
+async def _connections_go_silent(fleet: StoreFleet, rng: random.Random) -> None:
+    fleet.silence(rng.choice(fleet.ips))
+
+
+async def _all_connections_go_silent(fleet: StoreFleet, rng: random.Random) -> None:
+    for ip in fleet.ips:
+        fleet.silence(ip)
+
+
+async def _readers_lose_the_store(fleet: StoreFleet, rng: random.Random) -> None:
+    async with anyio.create_task_group() as tasks:
+        for ip in fleet.readers():
+            tasks.start_soon(fleet.cut_off, ip, rng.uniform(1.0, 6.0))
+
+
+async def _one_loses_the_store(fleet: StoreFleet, rng: random.Random) -> None:
+    await fleet.cut_off(rng.choice(fleet.ips), rng.uniform(0.5, 6.0))
+
+
+async def _one_loses_all(fleet: StoreFleet, rng: random.Random) -> None:
+    await fleet.isolate(rng.choice(fleet.ips), rng.uniform(0.5, 6.0))
+
+
+async def _one_starts_anew(fleet: StoreFleet, rng: random.Random) -> None:
+    await fleet.restart(rng.choice(fleet.ips), rng.uniform(0.2, 3.0))
+
+
+async def _endpoints_come_and_go(fleet: StoreFleet, rng: random.Random) -> None:
+    await fleet.replace_endpoints(rng.randint(1, 12), rng.uniform(0.05, 0.4))
+
+
+Strike = Callable[[StoreFleet, random.Random], Awaitable[None]]
+
+STRIKES: tuple[Strike, ...] = (
+    _watches_go_silent,
+    _connections_go_silent,
+    _all_connections_go_silent,
+    _readers_lose_the_store,
+    _one_loses_the_store,
+    _one_loses_all,
+    _one_starts_anew,
+    _endpoints_come_and_go,
+)
+
+
+def main(argv: list[str]) -> int:
+    """Play histories and return 0 if all configurations came in time."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, action="append", default=[])
+    parser.add_argument("--seeds", type=int, default=0, help="fresh seeds")
+    parser.add_argument("--entries", type=int, default=6)
+    options = parser.parse_args(argv)
+    logger.disable("carawayhub")
+    fresh = [random.SystemRandom().randrange(1_000_000) for _ in range(options.seeds)]
+    broken = 0
+    delays: list[float] = []
+    for seed in [*options.seed, *fresh]:
+        history = History(seed, options.entries)
+        history.play()
+        print(history.line(), flush=True)
+        for late in history.late[:5]:
+            print(f"  {late.ip}: version {late.version} after {late.seconds} s", flush=True)
+        broken += bool(history.late or history.back)
+        delays += history.delays
+    delays.sort()
+    worst = f"{delays[-1]:.2f}" if delays else "none"
+    print(f"{broken} broken, worst {worst} s of {len(delays)}", flush=True)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/benchmarks/store_fleet.py
@@ -0,0 +1,405 @@
+"""Entries that follow a store in virtual time: real clients of the store, gossip and content."""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import httpcore
+
+from benchmarks.virtual_time import LoopClock, VirtualTimeLoop
+from carawayhub.addresses import Address
+from carawayhub.gateway.process import GatewayOptions, GatewayProcess
+from carawayhub.peers.pace import LinkPace
+from carawayhub.platform.headers import PlatformWire
+from carawayhub.platform.standins import StandinStore, configuration, registration
+from carawayhub.platform.store import StoreClient
+from tests.datagram_net import DatagramNet
+
+STORE = Address("10.200.1.7", 8223)
+CONNECT_SECONDS = 0.001
+STORE_SECONDS = 0.004
+DATAGRAM_SECONDS = 0.002
+LINK_RATE = 125e6
+LINK_QUEUE = 10**7
+CONFIG_APPLY = 2.0
+REVOKE_AFTER = 5.0
+IN_TOUCH = 3.0
+"""Seconds without a disturbance after which bounds in time hold for an entry again."""
+
+LOOK_SECONDS = 0.05
+
+
+def _now() -> float:
+    return anyio.current_time()
+
+
+class StoreLine(httpcore.AsyncNetworkStream):
+    """A connection of an entry to the store; once silent it carries nothing for good.
+
+    Attributes:
+        silent: Whether something between its ends has lost track of it.
+        watching: Whether a call that waits for a change is under way.
+    """
+
+    def __init__(self, fleet: "StoreFleet", ip: str) -> None:
+        self.silent = False
+        self.watching = False
+        self._fleet = fleet
+        self._ip = ip
+        self._written = b""
+        self._unread = b""
+        self._closed = False
+        self._changed = anyio.Event()
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Return what the store sent."""
+        try:
+            with anyio.fail_after(timeout):
+                while not self._unread and not self._closed:
+                    await self._changed.wait()
+        except TimeoutError as exc:
+            raise httpcore.ReadTimeout("silent") from exc
+        found, self._unread = self._unread[:max_bytes], self._unread[max_bytes:]
+        return found
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Hand a call to the store once its head is whole."""
+        self._written += buffer
+        head, mark, _ = self._written.partition(b"\r\n\r\n")
+        if mark:
+            self._written = b""
+            self._fleet.start(self._call, head.split(b" ")[1])
+
+    async def aclose(self) -> None:
+        """Close the entry's end."""
+        self._closed = True
+        self._fleet.lines[self._ip].discard(self)
+        self._changed.set()
+
+    def get_extra_info(self, info: str) -> Any:
+        """Return whether the store closed its end, the one thing that is asked for."""
+        return self._closed if info == "is_readable" else None
+
+    async def _call(self, target: bytes) -> None:
+        if self.silent or self._ip in self._fleet.cut:
+            return
+        self._fleet.calls += 1
+        path, _, query = target.partition(b"?")
+        self.watching = path.endswith(b"watch")
+        answer = bytearray()
+
+        async def send(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start":
+                answer.extend(b"HTTP/1.1 %d OK\r\n" % message["status"])
+                for name, value in message["headers"]:
+                    answer.extend(name + b": " + value + b"\r\n")
+                answer.extend(b"\r\n")
+            else:
+                answer.extend(message["body"])
+
+        await anyio.sleep(STORE_SECONDS)
+        scope = {"path": path.decode(), "query_string": query}
+        await self._fleet.store(scope, _receive_nothing, send)
+        self.watching = False
+        if not self.silent and self._ip not in self._fleet.cut:
+            self._unread += bytes(answer)
+            self._changed.set()
+            self._changed = anyio.Event()
+
+
+async def _receive_nothing() -> dict[str, Any]:
+    return {}
+
+
+class _StoreNet(httpcore.AsyncNetworkBackend):
+    """The way from one entry to the store."""
+
+    def __init__(self, fleet: "StoreFleet", ip: str) -> None:
+        self._fleet = fleet
+        self._ip = ip
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: Any = None,
+    ) -> StoreLine:
+        while self._ip in self._fleet.cut:
+            await anyio.sleep(1.0)
+        await anyio.sleep(CONNECT_SECONDS)
+        line = StoreLine(self._fleet, self._ip)
+        self._fleet.lines[self._ip].add(line)
+        return line
+
+
+@dataclass(slots=True)
+class Entry:
+    """One run of an entry.
+
+    Attributes:
+        process: Its parts.
+        ran_from: When it started.
+        in_force: When each version came into force, in this order.
+        tasks: Its tasks.
+    """
+
+    process: GatewayProcess
+    ran_from: float
+    in_force: list[tuple[float, int]] = field(default_factory=list)
+    tasks: anyio.abc.TaskGroup | None = None
+
+
+@dataclass(slots=True)
+class Late:
+    """A version that an undisturbed entry did not have in force in time.
+
+    Attributes:
+        ip: The entry.
+        version: The version.
+        seconds: Time from its acknowledgement.
+    """
+
+    ip: str
+    version: int
+    seconds: float
+
+
+class StoreFleet:
+    """Entries, the store that they follow, and disturbances of both.
+
+    Args:
+        entries: How many entries.
+        seed: Seed of all chance.
+        domains: Failure domains.
+        lost: Part of the datagrams that is lost.
+        revoke_after: Seconds after which a key that was taken away must open nothing.
+
+    Attributes:
+        store: The store.
+        lines: Open connections to it by entry.
+        cut: Entries whose packets to and from the store vanish.
+        deaf: Entries whose datagrams vanish.
+        acks: When each version was acknowledged.
+        calls: Calls that reached the store.
+    """
+
+    def __init__(
+        self,
+        entries: int,
+        seed: int,
+        domains: int = 3,
+        lost: float = 0.0,
+        revoke_after: float = REVOKE_AFTER,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.store = StandinStore()
+        self.ips = [f"10.{at % domains + 1}.0.{at // domains + 10}" for at in range(entries)]
+        self.lines: dict[str, set[StoreLine]] = {ip: set() for ip in self.ips}
+        self.cut: set[str] = set()
+        self.deaf: set[str] = set()
+        self.acks: dict[int, float] = {}
+        self.calls = 0
+        self.live: dict[str, Entry] = {}
+        self.runs: list[tuple[str, Entry, float]] = []
+        self.disturbed: list[tuple[str, float, float]] = []
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self._lost = lost
+        self._revoke_after = revoke_after
+        self._version = 0
+        self._net = DatagramNet(LINK_RATE, LINK_QUEUE, self.rng, lost)
+
+    def play(self, story: Callable[[], Awaitable[None]]) -> None:
+        """Start all entries, and run a story once they follow the store."""
+
+        async def main() -> None:
+            async with anyio.create_task_group() as tasks:
+                self.tasks = self._net.tasks = tasks
+                for at in range(6):
+                    self.store.put(f"servers/i-{at}", registration("desk", f"10.9.0.{at + 1}:80"))
+                self.move_route()
+                for ip in self.ips:
+                    self.start_entry(ip)
+                await anyio.sleep(4.0)
+                await story()
+                for ip in list(self.live):
+                    self.runs.append((ip, self.live.pop(ip), _now()))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(main, backend_options={"loop_factory": VirtualTimeLoop})
+
+    def start(self, function: Callable[..., Any], *args: Any) -> None:
+        """Run something beside the story."""
+        assert self.tasks is not None
+        self.tasks.start_soon(function, *args)
+
+    def move_route(self) -> int:
+        """Publish a version in which the route goes to the other service; return the version."""
+        self._version += self.rng.randint(1, 3)
+        service = ("desk", "hall")[len(self.acks) % 2]
+        routes = {"/moved/": ("idempotent", service)}
+        self.store.put("op/config", configuration(self._version, ["k1"], routes))
+        self.acks[self._version] = _now()
+        return self._version
+
+    def start_entry(self, ip: str) -> None:
+        """Start an entry that knows nobody."""
+        process = self._process(ip)
+        entry = self.live[ip] = Entry(process, _now())
+        process._view.on_table = lambda _: self._note_table(entry)
+        handing = process._handing
+        handing._link = self._net.link(ip, handing.answer, LinkPace(LoopClock(), LINK_RATE))
+
+        async def live() -> None:
+            async with anyio.create_task_group() as entry.tasks:
+                entry.tasks.start_soon(
+                    process._gossip.tell, lambda to, data: self._carry(ip, to, data)
+                )
+                entry.tasks.start_soon(process._follower.run)
+                entry.tasks.start_soon(process._tick)
+
+        self.start(live)
+
+    def _process(self, ip: str) -> GatewayProcess:
+        options = GatewayOptions(
+            callers=Address(ip, 80),
+            seeds=frozenset(self.ips[:3]),
+            ip=ip,
+            peer_port=7340,
+            content_port=7341,
+            link_rate=LINK_RATE,
+            failure_domain=ip.split(".")[1],
+            heartbeat=1.2,
+            revoke_after=self._revoke_after,
+            grace=8.0,
+            retry_ratio=0.2,
+            retry_extra=90.0,
+            retry_window=10.0,
+        )
+        client = StoreClient(STORE, backend=_StoreNet(self, ip))
+        rng = random.Random(self.rng.random())
+        return GatewayProcess(
+            options, client, PlatformWire(), LoopClock(), rng, lambda: options.seeds
+        )
+
+    def _note_table(self, entry: Entry) -> None:
+        table = entry.process._view.table
+        assert table is not None
+        entry.in_force.append((_now(), table.version))
+
+    async def _carry(self, ip: str, to: str, data: bytes) -> None:
+        if self.rng.random() >= self._lost and not {ip, to} & self.deaf:
+            self.start(self._arrive, to, data)
+
+    async def _arrive(self, to: str, data: bytes) -> None:
+        await anyio.sleep(DATAGRAM_SECONDS)
+        entry = self.live.get(to)
+        if entry is None:
+            return
+        gossip = entry.process._gossip
+        heard = gossip.read(data)
+        if heard is not None:
+            gossip.take(heard)
+
+    def readers(self) -> list[str]:
+        """Return the entries that read the store for all."""
+        return [ip for ip, each in self.live.items() if each.process._gossip.is_reader()]
+
+    def silence(self, ip: str) -> None:
+        """Let all open connections of an entry to the store go silent; new ones work."""
+        for line in self.lines[ip]:
+            line.silent = True
+
+    def silence_watches(self, ip: str) -> None:
+        """Do the same with the connections alone on which the entry waits for changes."""
+        for line in self.lines[ip]:
+            line.silent |= line.watching
+
+    async def cut_off(self, ip: str, seconds: float) -> None:
+        """Cut an entry off from the store alone for some seconds."""
+        began_at = _now()
+        self.cut.add(ip)
+        self.disturbed.append((ip, began_at, began_at + seconds))
+        await anyio.sleep(seconds)
+        self.cut.discard(ip)
+
+    async def isolate(self, ip: str, seconds: float) -> None:
+        """Cut an entry off from the store and from its peers for some seconds."""
+        self.deaf.add(ip)
+        await self.cut_off(ip, seconds)
+        self.deaf.discard(ip)
+
+    async def restart(self, ip: str, seconds: float) -> None:
+        """End an entry without a word and start it anew after some seconds."""
+        entry = self.live.pop(ip, None)
+        if entry is None:
+            return
+        self.disturbed.append((ip, _now(), _now() + seconds))
+        self.runs.append((ip, entry, _now()))
+        assert entry.tasks is not None
+        entry.tasks.cancel_scope.cancel()
+        self.lines[ip].clear()
+        await anyio.sleep(seconds)
+        self.start_entry(ip)
+
+    async def replace_endpoints(self, count: int, gap: float) -> None:
+        """Replace endpoints one after the other."""
+        for _ in range(count):
+            at = self.rng.randrange(6)
+            self.store.remove(f"servers/i-{at}")
+            self.store.put(f"servers/i-{at}", registration("desk", f"10.9.0.{at + 1}:80"))
+            await anyio.sleep(gap)
+
+    def late(self, bound: float = CONFIG_APPLY) -> list[Late]:
+        """Return the versions that undisturbed entries did not have in force within a bound."""
+        found = []
+        for ip, entry, ended_at in self.runs:
+            for version, acked_at in self.acks.items():
+                in_force_at = self._in_force_at(entry, version, ended_at)
+                if self._calm_between(ip, entry, acked_at + bound, in_force_at):
+                    found.append(Late(ip, version, round(in_force_at - acked_at, 2)))
+        return found
+
+    def delays(self) -> list[float]:
+        """Return the seconds from versions acknowledged to in force, at entries that stay calm."""
+        found = []
+        for ip, entry, ended_at in self.runs:
+            for version, acked_at in self.acks.items():
+                at = self._in_force_at(entry, version, ended_at)
+                if self._calm_throughout(ip, entry, acked_at, at):
+                    found.append(at - acked_at)
+        return found
+
+    def went_back(self) -> list[str]:
+        """Return the entries that put an older version into force after a newer one."""
+        return [
+            ip
+            for ip, entry, _ in self.runs
+            if [version for _, version in entry.in_force]
+            != sorted(version for _, version in entry.in_force)
+        ]
+
+    def _in_force_at(self, entry: Entry, version: int, ended_at: float) -> float:
+        return min((at for at, found in entry.in_force if found >= version), default=ended_at)
+
+    def _calm_throughout(self, ip: str, entry: Entry, begin: float, end: float) -> bool:
+        """Return whether bounds in time held for an entry all the while between two moments."""
+        return entry.ran_from + IN_TOUCH <= begin and not any(
+            each == ip and began <= end and begin - IN_TOUCH < ended
+            for each, began, ended in self.disturbed
+        )
+
+    def _calm_between(self, ip: str, entry: Entry, begin: float, end: float) -> bool:
+        """Return whether bounds in time held for an entry at some moment between two."""
+        at = max(begin, entry.ran_from + IN_TOUCH)
+        while at < end:
+            if not any(
+                each == ip and began - LOOK_SECONDS <= at and at - IN_TOUCH < ended
+                for each, began, ended in self.disturbed
+            ):
+                return True
+            at += LOOK_SECONDS
+        return False
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -1,5 +1,6 @@
 """Counters and latencies of a gateway, as text for metric collectors."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -80,8 +81,12 @@
         recorder.record(seconds)
 
     def table_in_force(self, late_at_most: float) -> None:
-        """Record for how many seconds a configuration may have been published before."""
-        self._late_tables.record(late_at_most)
+        """Record for how many seconds a configuration may have been published before.
+
+        The first one of a process has nothing to be counted from.
+        """
+        if not math.isinf(late_at_most):
+            self._late_tables.record(late_at_most)
 
     def endpoint_ended(self, service: str) -> None:
         """Count a request whose endpoint ended while it worked on it."""
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -1,5 +1,6 @@
 """What this process knows of the published state, how old that is, and which endpoints it uses."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable
 
@@ -51,7 +52,7 @@
         unreadable_entries: Entries of endpoints so far that could not be read, each revision of
             one once.
         on_table: Called as a configuration comes into force, with the seconds for which it may have
-            been published before.
+            been published before; infinite for the first.
     """
 
     __slots__ = (
@@ -257,16 +258,14 @@
         """
         if self.table is not None and table.version <= self.table.version:
             return
-        is_first = self.table is None
         self.table = table
         logger.bind(
             version=table.version,
             routes=len(table.routes()),
             source=source.value,
-            late_at_most=None if is_first else round(self.age, 3),
+            late_at_most=None if math.isinf(self.age) else round(self.age, 3),
         ).info("configuration in force")
-        if not is_first:
-            self.on_table(self.age)
+        self.on_table(self.age)
 
     def _take_endpoint(self, endpoint: Endpoint) -> None:
         if endpoint.id in self._gone or self._is_of_the_past(endpoint):
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -70,6 +70,7 @@
     Args:
         address: Address of the store.
         source: IP number to connect from, empty for any.
+        backend: Opens connections, None for those of the machine.
 
     Attributes:
         mirror: What was read so far.
@@ -77,7 +78,12 @@
 
     __slots__ = ("_pool", "_url", "mirror")
 
-    def __init__(self, address: Address, source: str = "") -> None:
+    def __init__(
+        self,
+        address: Address,
+        source: str = "",
+        backend: httpcore.AsyncNetworkBackend | None = None,
+    ) -> None:
         self.mirror = StoreMirror()
         self._url = f"http://{address}"
         self._pool = httpcore.AsyncConnectionPool(
@@ -85,6 +91,7 @@
             keepalive_expiry=20,
             local_address=source or None,
             socket_options=LIVENESS_OPTIONS,
+            network_backend=backend,
         )
 
     async def snapshot(self) -> Published:
--- a/tests/test_platform_metrics.py
+++ b/tests/test_platform_metrics.py
@@ -69,6 +69,7 @@
 
     def test_entry_tells_what_it_knows_of_the_published_state(self) -> None:
         tally = Tally(view_seen=lambda: ViewSeen(version=7, revision=31, age=0.4, reads=True))
+        tally.table_in_force(float("inf"))
         tally.table_in_force(0.25)
         app = probe_app(lambda: True, list, tally.page)
         text = get(app, METRICS_PATH)[1].splitlines()
