Read the store by the shortest bound, and get what is known to exist from whomever has it

What callers saw: requests on a moved route ran at the old service more than 2 s after the new configuration was acknowledged, at entries that nothing had disturbed.

Cause: times of reading followed from the bound for revoked keys (5 s) alone; the bounds for configurations and leaving endpoints (2 s) were decoded and read by nothing. Two entries read for all. A watch whose connection went silent was noticed by a proof up to 1.8 s later, which waited 0.4 s and listed everything; a call on a kept connection that went silent took 1 s to fail and the next one could take another such; entries that leave the reading to others began after 2.5 to 3 s. A reader did not ask its peers while its watch waited, and an entry whose read had failed asked nobody.

Class: a bound that nothing reads, and a belief that rests on a connection which is only known not to have failed.

Change: gateway/freshness.py derives all ages from the shortest bound. Proofs are due by the age of the newest proof, whoever made it, so two readers prove in turn: one each 0.86 s at the price of two each 1.8 s. Whoever knows of a revision that it lacks (from its own proof, a peer, or after a failure) asks peers at once and reads what none can tell; a watch that did not bring it is made anew. Each call of the store opens its own connection. A proof of a revision that is reached later counts then. A listing that was overtaken takes nothing back.

Ruled out: more readers (calls), shorter watches (a watch proves nothing).

--- a/benchmarks/late_configurations.py
+++ b/benchmarks/late_configurations.py
@@ -14,8 +14,9 @@
 import statistics
 import sys
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 from loguru import logger
@@ -123,7 +124,7 @@
     await fleet.replace_endpoints(rng.randint(1, 12), rng.uniform(0.05, 0.4))
 
 
-Strike = Callable[[StoreFleet, random.Random], Awaitable[None]]
+Strike = Callable[[StoreFleet, random.Random], Coroutine[Any, Any, None]]
 
 STRIKES: tuple[Strike, ...] = (
     _watches_go_silent,
--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -21,6 +21,7 @@
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.addresses import Address
 from carawayhub.constants import CODE_HEADER
+from carawayhub.gateway.freshness import Bounds
 from carawayhub.gateway.hello import Phase
 from carawayhub.gateway.model import Endpoint, GroupSeat, Repeat, Route
 from carawayhub.gateway.ports import (
@@ -503,7 +504,7 @@
             link_rate=0.0,
             failure_domain=ip.split(".")[1],
             heartbeat=1.2,
-            revoke_after=5.0,
+            bounds=Bounds(config_apply=2.0, drain=2.0, revoke_after=5.0),
             grace=8.0,
             retry_ratio=0.2,
             retry_extra=90.0,
--- a/benchmarks/store_fleet.py
+++ b/benchmarks/store_fleet.py
@@ -10,6 +10,7 @@
 
 from benchmarks.virtual_time import LoopClock, VirtualTimeLoop
 from carawayhub.addresses import Address
+from carawayhub.gateway.freshness import Bounds
 from carawayhub.gateway.process import GatewayOptions, GatewayProcess
 from carawayhub.peers.pace import LinkPace
 from carawayhub.platform.headers import PlatformWire
@@ -24,7 +25,7 @@
 LINK_RATE = 125e6
 LINK_QUEUE = 10**7
 CONFIG_APPLY = 2.0
-REVOKE_AFTER = 5.0
+BOUNDS = Bounds(config_apply=CONFIG_APPLY, drain=2.0, revoke_after=5.0)
 IN_TOUCH = 3.0
 """Seconds without a disturbance after which bounds in time hold for an entry again."""
 
@@ -176,7 +177,7 @@
         seed: Seed of all chance.
         domains: Failure domains.
         lost: Part of the datagrams that is lost.
-        revoke_after: Seconds after which a key that was taken away must open nothing.
+        bounds: Within how many seconds what is published must hold.
 
     Attributes:
         store: The store.
@@ -193,7 +194,7 @@
         seed: int,
         domains: int = 3,
         lost: float = 0.0,
-        revoke_after: float = REVOKE_AFTER,
+        bounds: Bounds = BOUNDS,
     ) -> None:
         self.rng = random.Random(seed)
         self.store = StandinStore()
@@ -208,7 +209,7 @@
         self.disturbed: list[tuple[str, float, float]] = []
         self.tasks: anyio.abc.TaskGroup | None = None
         self._lost = lost
-        self._revoke_after = revoke_after
+        self._bounds = bounds
         self._version = 0
         self._net = DatagramNet(LINK_RATE, LINK_QUEUE, self.rng, lost)
 
@@ -273,7 +274,7 @@
             link_rate=LINK_RATE,
             failure_domain=ip.split(".")[1],
             heartbeat=1.2,
-            revoke_after=self._revoke_after,
+            bounds=self._bounds,
             grace=8.0,
             retry_ratio=0.2,
             retry_extra=90.0,
--- a/carawayhub/gateway/follower.py
+++ b/carawayhub/gateway/follower.py
@@ -9,28 +9,18 @@
 
 from carawayhub.clock import Clock
 from carawayhub.errors import PlatformError
+from carawayhub.gateway.freshness import ReadTimes
 from carawayhub.gateway.ports import Handed, Published, PublishedState, Source
 from carawayhub.gateway.view import FleetView
 
-WATCH_SECONDS = 8.0
-"""Longest wait of one watch. A connection that went silent under one shows after this."""
+WATCH_SECONDS = 25.0
+"""Longest wait of one watch. One whose connection went silent is found out by proofs."""
 
-PROOF_PART = 0.36
-"""Time between two proofs of age, as a part of the time after which a key that was taken away opens
-nothing. Two entries read for all, so that usually one comes in half of that; where one of them is
-suspended, those of the other still keep views fresh."""
-
-LONELY_PART = 0.5
-"""Age of the view, as the same part, from which on an entry reads for itself that leaves it to its
-peers: the readers it hears of are gone or out of touch. It has two tries left before its view is
-too old to let keys in."""
-
-LONELY_SPREAD_PART = 0.1
-"""Part over which entries without news begin to read for themselves. The first one's news keep the
-others from it; all 98 at one moment would take a good part of what the store answers."""
+WATCH_GRACE = 0.05
+"""Seconds in which a watch that works brings a change that is known to have happened."""
 
 CATCH_UP = 0.4
-"""Seconds that a watch may lag behind a proof before everything is read anew."""
+"""Seconds that changes may take after the proof that named them before it is made again."""
 
 FIRST_RETRY = 0.1
 LAST_RETRY = 0.8
@@ -53,8 +43,7 @@
 LAST_GATHER_SECONDS = 0.7
 """Time that an entry which was told of a change waits for further ones before it reads them from
 the store, as no peer can tell them, at first and at the most; it doubles while one change follows
-the other. While 75 endpoints start one by one, each of 40 entries would read after each of them. A
-configuration is to be in force within two seconds everywhere."""
+the other. While 75 endpoints start one by one, each of 40 entries would read after each of them."""
 
 IN_A_ROW_SECONDS = 1.0
 """Time without a change after which the next one is read as soon as the first was."""
@@ -72,7 +61,15 @@
 more often, and tell of the store's return at once."""
 
 ROLE_SECONDS = 0.25
-"""Time between two looks at whether an entry is to read for its peers."""
+"""Longest time between two looks at whether an entry is to read for its peers."""
+
+LEAST_TURN = 0.05
+LONGEST_TURN = 0.15
+"""Seconds for which one that reads for its peers leaves the next proof to another where it made the
+last one itself: both try their ways to the store, in turn and not at one moment."""
+
+LEAST_LOOK = 0.01
+"""Shortest time between two looks at whether a proof is due."""
 
 
 class Role(Enum):
@@ -94,19 +91,20 @@
 class Follower:
     """Follows the published state.
 
-    Two tasks: a watch brings changes at once, and short reads of the newest revision prove that
-    none was missed. A watch alone proves nothing: one whose connection went silent, or that the
-    store has stopped feeding, looks like a fleet in which nothing changes.
+    A watch brings changes at once to entries that read for all, and short reads of the newest
+    revision prove that none was missed. A watch alone proves nothing: one whose connection went
+    silent, or that the store has stopped feeding, looks like a fleet in which nothing changes.
 
     Each call has a price, so two entries do this for all. The others hear from them which revision
-    is the newest, and as of when, and ask them or each other for what has changed.
+    is the newest, and as of when. Whoever knows of a revision that it lacks, from whomever, asks
+    peers for it and reads it from the store where none can tell.
 
     Args:
         state: The published state.
         view: The view to keep up to date.
         clock: Source of time.
         rng: Source of jitter.
-        revoke_after: Seconds after which a key that was taken away must open nothing.
+        times: Ages of the newest proof at which this entry reads.
         reads: Whether this entry is to read for its peers.
         beyond: Gives what peers know beyond a revision, None where none can tell.
         first: Whether this entry reads at its start without waiting for peers.
@@ -122,16 +120,21 @@
         "_first",
         "_gather",
         "_grown",
-        "_lonely_seconds",
-        "_proof_seconds",
+        "_lonely_age",
+        "_newest",
+        "_proof_age",
+        "_proved",
+        "_proved_at",
         "_read_at",
         "_reads",
-        "_role",
         "_rng",
+        "_role",
         "_state",
         "_told_at",
+        "_turn",
         "_view",
         "_watch_scope",
+        "_watching",
         "on_grown",
     )
 
@@ -141,7 +144,7 @@
         view: FleetView,
         clock: Clock,
         rng: random.Random,
-        revoke_after: float,
+        times: ReadTimes,
         reads: Callable[[], bool] = lambda: True,
         beyond: Callable[[int], Awaitable[Handed | None]] = _nothing_beyond,
         first: bool = True,
@@ -153,15 +156,19 @@
         self._reads = reads
         self._beyond = beyond
         self._first = first
-        spread = rng.uniform(0.0, LONELY_SPREAD_PART)
-        self._lonely_seconds = revoke_after * (LONELY_PART + spread)
-        self._proof_seconds = revoke_after * PROOF_PART
+        self._lonely_age = times.lonely + rng.uniform(0.0, times.lonely_spread)
+        self._proof_age = times.proof
+        self._proved = 0
+        self._proved_at = float("-inf")
+        self._turn = rng.uniform(LEAST_TURN, LONGEST_TURN)
         self._told_at = float("-inf")
         self._role = Role.TOLD
         self.on_grown: Callable[[], None] = _nothing
+        self._newest = 0
         self._grown = anyio.Event()
         self._behind = anyio.Event()
         self._watch_scope = anyio.CancelScope()
+        self._watching = False
         self._gather = GATHER_SECONDS
         self._read_at = float("-inf")
 
@@ -171,27 +178,30 @@
             await self._read_all()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch)
+            tasks.start_soon(self._catch_up)
             tasks.start_soon(self._prove)
+            tasks.start_soon(self._touch)
 
     def heard_of(self, revision: int) -> None:
-        """Note that a peer knows of a revision."""
-        if revision > self._view.revision:
+        """Note that a revision exists."""
+        self._newest = max(self._newest, revision)
+        if self._lacks_some():
             self._behind.set()
 
-    def _is_reader(self) -> bool:
+    def _lacks_some(self) -> bool:
+        return self._newest > self._view.revision
+
+    def _look_at_role(self) -> Role:
         role = self._role_now()
         if role is not self._role:
             logger.bind(role=role.value, age=round(self._view.age, 2)).info("role in reading")
             self._role = role
-        return role is not Role.TOLD
+        return role
 
     def _role_now(self) -> Role:
         if self._reads():
             return Role.CHOSEN
-        # What a peer told is proved to be new by the next datagram of a peer, a moment later.
-        since_told = self._clock.monotonic() - self._told_at
-        lonely = min(self._view.age, since_told) > self._lonely_seconds
-        return Role.LONELY if lonely else Role.TOLD
+        return Role.LONELY if self._age_of_news() > self._lonely_age else Role.TOLD
 
     async def _learn_from_peers(self) -> bool:
         """Learn from a peer what is published, at the start; return whether one told.
@@ -234,50 +244,109 @@
                 delay = await self._pause(exc, "snapshot", delay, sent_at)
                 continue
             self._view.heard()
-            self._view.replace(published)
+            # What was taken in while the listing was under way must not be taken back.
+            if published.revision >= self._view.revision:
+                self._view.replace(published)
             self._view.confirm(sent_at)
             self.on_grown()
             return
 
     async def _watch(self) -> None:
+        """Wait for changes at the store while this entry reads for its peers."""
         delay = FIRST_RETRY
         while True:
+            if not self._reads():
+                await anyio.sleep(ROLE_SECONDS)
+                continue
             # After a failure the answer is wanted at once: it tells how long the store was away.
-            failed = delay > FIRST_RETRY
-            wait = WATCH_SECONDS if self._is_reader() and not failed else 0.0
-            if not wait and not failed:
-                if not await self._told_of_change() or await self._take_from_peers():
-                    continue
-                await self._gather_changes()
-                if await self._take_from_peers():
-                    continue
+            wait = WATCH_SECONDS if delay == FIRST_RETRY else 0.0
             with anyio.CancelScope() as self._watch_scope:
-                try:
-                    published = await self._state.changes(self._view.revision, wait)
-                except PlatformError as exc:
-                    # A watch may have waited for seconds at a sound store before it was cut.
-                    seen_at = self._clock.monotonic()
-                    delay = await self._pause(exc, "watch", delay, seen_at)
-                    continue
-                delay = FIRST_RETRY
-                await self._take(published)
-                if wait and published is not None and published.changes:
-                    await anyio.sleep(WATCH_GATHER_SECONDS)
-
-    async def _told_of_change(self) -> bool:
-        """Return whether a peer told of a change, after waiting a while for that."""
-        with anyio.move_on_after(ROLE_SECONDS):
-            await self._behind.wait()
-        if not self._behind.is_set():
-            return False
-        await anyio.sleep(self._rng.uniform(0.0, ASK_SPREAD))
+                delay = await self._wait_for_changes(wait, delay)
+
+    async def _wait_for_changes(self, wait: float, delay: float) -> float:
+        """Take in what a watch brings.
+
+        Args:
+            wait: Seconds to wait for a change.
+            delay: Seconds to wait after a failure.
+
+        Returns:
+            The same for the next time.
+        """
+        self._watching = True
+        try:
+            published = await self._state.changes(self._view.revision, wait)
+        except PlatformError as exc:
+            # A watch may have waited for seconds at a sound store before it was cut.
+            return await self._pause(exc, "watch", delay, self._clock.monotonic())
+        finally:
+            self._watching = False
+        await self._take(published, Source.WATCH)
+        if published is not None and published.changes:
+            await anyio.sleep(WATCH_GATHER_SECONDS)
+        return FIRST_RETRY
+
+    async def _catch_up(self) -> None:
+        """Get what is known to exist and was not brought by a watch of this entry."""
+        delay = FIRST_RETRY
+        while True:
+            await self._until_behind()
+            if not self._lacks_some():
+                continue
+            known = self._view.revision
+            if not await self._take_from_peers():
+                delay = await self._read_missing(delay)
+            if self._watching and self._view.revision > known:
+                # It has not brought what it should have, so its connection may be silent.
+                self._watch_scope.cancel()
+
+    async def _until_behind(self) -> None:
+        """Wait until a revision is known that this entry lacks, and a moment for who brings it."""
         self._behind = anyio.Event()
-        return True
+        if not self._lacks_some():
+            await self._behind.wait()
+        if self._watching:
+            await anyio.sleep(WATCH_GRACE)
+        else:
+            await anyio.sleep(self._rng.uniform(0.0, ASK_SPREAD))
+
+    async def _read_missing(self, delay: float) -> float:
+        """Read from the store what no peer can tell.
+
+        Args:
+            delay: Seconds to wait after a failure.
+
+        Returns:
+            The same for the next time.
+        """
+        if self._look_at_role() is Role.TOLD:
+            await self._gather_changes()
+            if not self._lacks_some() or await self._take_from_peers():
+                return FIRST_RETRY
+        sent_at = self._clock.monotonic()
+        try:
+            published = await self._state.changes(self._view.revision, 0.0)
+        except PlatformError as exc:
+            return await self._pause(exc, "changes", delay, sent_at)
+        known = self._view.revision
+        await self._take(published, Source.READ)
+        # Where the store knows of nothing further, there is nothing: a peer was wrong.
+        self._newest = self._view.revision
+        if self._view.revision < self._proved:
+            logger.bind(revision=self._proved, known=self._view.revision).warning(
+                "the store does not tell what has changed, reading everything"
+            )
+            await self._read_all()
+        if self._view.revision > known:
+            return FIRST_RETRY
+        await anyio.sleep(delay)
+        return min(2 * delay, LAST_RETRY)
 
     async def _gather_changes(self) -> None:
         """Wait for further changes before they are read from the store."""
-        await anyio.sleep(self._gather_seconds() * self._rng.uniform(0.5, 1.0))
-        self._behind = anyio.Event()
+        left = self._lonely_age - self._view.age
+        seconds = min(self._gather_seconds(), max(GATHER_SECONDS, left))
+        await anyio.sleep(seconds * self._rng.uniform(0.5, 1.0))
         self._read_at = self._clock.monotonic()
 
     def _gather_seconds(self) -> float:
@@ -286,24 +355,22 @@
         self._gather = min(2 * self._gather, LAST_GATHER_SECONDS) if in_a_row else GATHER_SECONDS
         return self._gather
 
-    async def _take(self, published: Published | None) -> None:
+    async def _take(self, published: Published | None, source: Source) -> None:
         self._view.heard()
         if published is None:
             logger.info("history is gone, reading everything")
             await self._read_all()
         else:
-            self._view.extend(published)
+            self._view.extend(published, source)
             if published.changes:
                 self.on_grown()
         self._note_growth()
 
     async def _prove(self) -> None:
-        delay = touch_delay = FIRST_RETRY
-        await anyio.sleep(self._rng.uniform(0, self._proof_seconds))
+        """Prove again and again that this view is the newest, where peers do not."""
+        delay = FIRST_RETRY
         while True:
-            if not self._is_reader():
-                touch_delay = await self._touch(touch_delay)
-                continue
+            await self._until_proof_is_due()
             sent_at = self._clock.monotonic()
             try:
                 revision = await self._state.revision()
@@ -312,36 +379,49 @@
                 continue
             delay = FIRST_RETRY
             self._view.heard()
+            self._proved = revision
+            self.heard_of(revision)
+            self._view.confirm_revision(revision, sent_at)
+            self._proved_at = sent_at
+            self._turn = self._rng.uniform(LEAST_TURN, LONGEST_TURN)
             if await self._reaches(revision):
-                self._view.confirm(sent_at)
                 self.on_grown()
             else:
                 logger.bind(revision=revision, known=self._view.revision).warning(
-                    "watch lags behind, reading everything"
+                    "changes that the store has do not come"
                 )
-                await self._read_all()
-                self._watch_scope.cancel()
-            await anyio.sleep(self._proof_seconds)
 
-    async def _touch(self, delay: float) -> float:
-        """See whether the store answers, then wait a while or until this entry is to read.
+    async def _until_proof_is_due(self) -> None:
+        """Wait until the newest proof is too old, whoever made it."""
+        while (left := self._seconds_to_proof()) > 0:
+            await anyio.sleep(max(LEAST_LOOK, min(left, ROLE_SECONDS)))
 
-        Args:
-            delay: Seconds to wait where it does not.
+    def _seconds_to_proof(self) -> float:
+        if self._look_at_role() is not Role.CHOSEN:
+            return self._lonely_age - self._age_of_news()
+        is_own = self._proved_at >= self._view.confirmed_at
+        return self._proof_age + (self._turn if is_own else 0.0) - self._view.age
 
-        Returns:
-            The same for the next time.
-        """
-        sent_at = self._clock.monotonic()
-        try:
-            await self._state.touch()
-        except PlatformError as exc:
-            return await self._pause(exc, "touch", delay, sent_at)
-        self._view.heard()
-        until = self._clock.monotonic() + TOUCH_SECONDS * self._rng.uniform(0.8, 1.2)
-        while self._clock.monotonic() < until and not self._is_reader():
-            await anyio.sleep(ROLE_SECONDS)
-        return FIRST_RETRY
+    def _age_of_news(self) -> float:
+        # What a peer told is proved to be new by the next datagram of a peer, a moment later.
+        return min(self._view.age, self._clock.monotonic() - self._told_at)
+
+    async def _touch(self) -> None:
+        """See now and then whether the store answers, while peers do the reading."""
+        delay = FIRST_RETRY
+        while True:
+            if self._look_at_role() is not Role.TOLD:
+                await anyio.sleep(ROLE_SECONDS)
+                continue
+            sent_at = self._clock.monotonic()
+            try:
+                await self._state.touch()
+            except PlatformError as exc:
+                delay = await self._pause(exc, "touch", delay, sent_at)
+                continue
+            delay = FIRST_RETRY
+            self._view.heard()
+            await anyio.sleep(TOUCH_SECONDS * self._rng.uniform(0.8, 1.2))
 
     async def _reaches(self, revision: int) -> bool:
         """Return whether the view gets to ``revision`` soon."""
--- a/carawayhub/gateway/ports.py
+++ b/carawayhub/gateway/ports.py
@@ -74,6 +74,7 @@
 
     LISTING = "listing"
     WATCH = "watch"
+    READ = "read"
     PEER = "peer"
 
 
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -18,6 +18,7 @@
 from carawayhub.gateway.desk import Desk
 from carawayhub.gateway.directory import ANSWER_SECONDS, EntryDirectory
 from carawayhub.gateway.follower import Follower
+from carawayhub.gateway.freshness import Bounds, read_times
 from carawayhub.gateway.gossip import Gossip
 from carawayhub.gateway.handing import Handing
 from carawayhub.gateway.health import Health
@@ -73,7 +74,7 @@
         link_rate: Bytes a second that the link of the VM carries, 0 where that is not known.
         failure_domain: Where it stands.
         heartbeat: Seconds between two heartbeats of an endpoint.
-        revoke_after: Seconds after which a key that was taken away must open nothing.
+        bounds: Within how many seconds what is published must hold here.
         grace: Seconds from the stop signal to the end.
         retry_ratio: Repeated sends for each request of a service.
         retry_extra: Repeated sends beyond that in one window, over all entries.
@@ -88,7 +89,7 @@
     link_rate: float
     failure_domain: str
     heartbeat: float
-    revoke_after: float
+    bounds: Bounds
     grace: float
     retry_ratio: float
     retry_extra: float
@@ -177,7 +178,7 @@
             self._view,
             clock,
             rng,
-            options.revoke_after,
+            read_times(options.bounds),
             self._gossip.is_reader,
             self._handing.beyond,
             first=options.ip in options.seeds,
@@ -204,7 +205,7 @@
                 rates=self._rates,
             )
         )
-        desk = Desk(self._view, clock, rng, options.revoke_after)
+        desk = Desk(self._view, clock, rng, options.bounds.revoke_after)
         self._app = GatewayApp(clock, wire, desk, relay, self._limits, self._tally)
 
     def is_ready(self) -> bool:
@@ -326,7 +327,7 @@
         """Take callers once the configuration is known, and only while it can be proved new."""
         if self._stopping.is_set() or self._view.table is None:
             return
-        most = self._options.revoke_after * TOUCH_PART
+        most = self._options.bounds.revoke_after * TOUCH_PART
         fresh = max(self._view.age, self._view.cut_off + CUT_ALLOWANCE) < most
         phase = Phase.READY if fresh else Phase.OUT_OF_TOUCH
         if phase is not self._gossip.phase:
@@ -341,7 +342,7 @@
         if news.grace > 0:
             self._view.distrust(news.grace)
         self._follower.heard_of(news.revision)
-        self._view.confirm_by_peer(news.revision, proved_at)
+        self._view.confirm_revision(news.revision, proved_at)
 
     def _hear_of_ends(self, keys: frozenset[int]) -> None:
         """Leave endpoints alone that a peer saw end, and their groups.
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -31,6 +31,9 @@
 may come late after a replica has started again; one that goes on has a clock that was set back, and
 what it says last, as that it drains, must hold."""
 
+MOST_AWAITED = 16
+"""Proofs of revisions not known yet that are remembered: of more, the later ones come again."""
+
 LAPSE_HEARTBEATS = 1.0
 """Heartbeats of endpoints for which calls must have failed before entries may have lapsed.
 
@@ -51,14 +54,16 @@
         revision: Everything published up to this revision is known.
         unreadable_entries: Entries of endpoints so far that could not be read, each revision of
             one once.
+        confirmed_at: When the newest call was sent whose answer proved this view to be the newest
+            one: what was published after that is not in its answer.
         on_table: Called as a configuration comes into force, with the seconds for which it may have
             been published before; infinite for the first.
     """
 
     __slots__ = (
+        "_awaited",
         "_by_service",
         "_clock",
-        "_confirmed_at",
         "_current",
         "_endpoints",
         "_failing_since",
@@ -71,6 +76,7 @@
         "_superseded",
         "_trusted_from",
         "_unreadable",
+        "confirmed_at",
         "on_table",
         "revision",
         "table",
@@ -90,7 +96,8 @@
         self._lapsed: dict[str, float] = {}
         self._gone: set[str] = set()
         self._superseded: frozenset[str] = frozenset()
-        self._confirmed_at = float("-inf")
+        self.confirmed_at = float("-inf")
+        self._awaited: dict[int, float] = {}
         self._failing_since: float | None = None
         self._trusted_from = float("-inf")
         self.table: RouteTable | None = None
@@ -100,12 +107,8 @@
 
     @property
     def age(self) -> float:
-        """Seconds since the newest call whose answer proved this view to be the newest one.
-
-        Counted from the moment at which that call was sent: what was published after it is not in
-        its answer.
-        """
-        return self._clock.monotonic() - self._confirmed_at
+        """Seconds since the newest call whose answer proved this view to be the newest one."""
+        return self._clock.monotonic() - self.confirmed_at
 
     @property
     def grace(self) -> float:
@@ -138,14 +141,21 @@
         """Hold entries that are removed within ``seconds`` to have lapsed only."""
         self._trusted_from = max(self._trusted_from, self._clock.monotonic() + seconds)
 
-    def confirm_by_peer(self, revision: int, proved_at: float) -> None:
-        """Take over a peer's proof that ``revision`` was the newest at ``proved_at``."""
+    def confirm_revision(self, revision: int, proved_at: float) -> None:
+        """Note a proof that ``revision`` was the newest at ``proved_at``.
+
+        Where it is not known here yet, the proof counts once it is: while changes follow each other
+        closely, an entry is always a moment behind the newest.
+        """
         if self.revision >= revision:
             self.confirm(proved_at)
+        elif revision in self._awaited or len(self._awaited) < MOST_AWAITED:
+            known_at = self._awaited.get(revision, proved_at)
+            self._awaited[revision] = max(known_at, proved_at)
 
     def confirm(self, sent_at: float) -> None:
         """Note that a call sent at ``sent_at`` proved this view to be the newest."""
-        self._confirmed_at = max(self._confirmed_at, sent_at)
+        self.confirmed_at = max(self.confirmed_at, sent_at)
 
     def replace(self, published: Published, source: Source = Source.LISTING) -> None:
         """Take in a snapshot: what it does not name is gone."""
@@ -160,15 +170,20 @@
         }
         self._unreadable = {name: at for name, at in self._unreadable.items() if name in listed}
         self._apply((*published.changes, *gone), source)
-        self.revision = published.revision
+        self._reach(published.revision)
         self._tell_unreadable(published)
 
     def extend(self, published: Published, source: Source = Source.WATCH) -> None:
         """Take in changes that follow this view."""
         self._apply(published.changes, source)
-        self.revision = max(self.revision, published.revision)
+        self._reach(max(self.revision, published.revision))
         self._tell_unreadable(published)
 
+    def _reach(self, revision: int) -> None:
+        self.revision = revision
+        for each in [each for each in self._awaited if each <= revision]:
+            self.confirm(self._awaited.pop(each))
+
     def endpoint(self, endpoint_id: str) -> Endpoint | None:
         """Return an endpoint that may get work, None where it may not."""
         found = self._endpoints.get(endpoint_id)
--- a/carawayhub/platform/entry.py
+++ b/carawayhub/platform/entry.py
@@ -7,6 +7,7 @@
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
 from carawayhub.errors import CommandError
+from carawayhub.gateway.freshness import Bounds
 from carawayhub.gateway.process import GatewayOptions, GatewayProcess
 from carawayhub.http import HttpServer, bind
 from carawayhub.platform.headers import PlatformWire
@@ -60,7 +61,11 @@
         link_rate=settings.link_rate,
         failure_domain=settings.failure_domain,
         heartbeat=settings.heartbeat,
-        revoke_after=bounds.revoke_after,
+        bounds=Bounds(
+            config_apply=bounds.config_apply,
+            drain=bounds.drain,
+            revoke_after=bounds.revoke_after,
+        ),
         grace=bounds.grace,
         retry_ratio=bounds.retry_ratio,
         retry_extra=bounds.retry_extra,
--- a/carawayhub/platform/mirror.py
+++ b/carawayhub/platform/mirror.py
@@ -57,7 +57,9 @@
         self.revision = 0
 
     def replace(self, revision: int, events: Iterable[Event]) -> None:
-        """Take in a listing of all keys."""
+        """Take in a listing of all keys, unless more is known since it was asked for."""
+        if revision < self.revision:
+            return
         self._written = {each.key: each for each in events}
         self._removed = {}
         self._known_from = self.revision = revision
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -63,9 +63,9 @@
 class StoreClient:
     """Reads the store.
 
-    Each call stands under a deadline of its own. A connection that went silent would otherwise hold
-    a watch for ever and hide every change; the call ends, its connection is closed, and the next
-    one opens a new connection.
+    Each call opens a connection of its own and stands under a deadline of its own. A connection may
+    go silent for good while new ones work: one that was kept would hold up the call that takes it
+    until its deadline, and so would the next one of the pool.
 
     Args:
         address: Address of the store.
@@ -88,7 +88,7 @@
         self._url = f"http://{address}"
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=4,
-            keepalive_expiry=20,
+            max_keepalive_connections=0,
             local_address=source or None,
             socket_options=LIVENESS_OPTIONS,
             network_backend=backend,
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -11,11 +11,11 @@
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.follower import (
     CATCH_UP,
-    LONELY_PART,
-    LONELY_SPREAD_PART,
-    PROOF_PART,
+    LAST_RETRY,
+    LONGEST_TURN,
     Follower,
 )
+from carawayhub.gateway.freshness import Bounds, read_times
 from carawayhub.gateway.model import EndpointState
 from carawayhub.gateway.ports import (
     EndpointPublished,
@@ -28,9 +28,9 @@
 from tests.gateway_world import endpoint, table
 
 HEARTBEAT = 1.2
-REVOKE_AFTER = 5.0
-PROOF_SECONDS = REVOKE_AFTER * PROOF_PART
-LONELY_SECONDS = REVOKE_AFTER * (LONELY_PART + LONELY_SPREAD_PART)
+TIMES = read_times(Bounds(config_apply=2.0, drain=2.0, revoke_after=5.0))
+PROOF_SECONDS = TIMES.proof + LONGEST_TURN
+LONELY_SECONDS = TIMES.lonely + TIMES.lonely_spread
 
 
 def published(revision: int, *changes) -> Published:
@@ -223,7 +223,7 @@
                     self.view,
                     clock,
                     random.Random(1),
-                    REVOKE_AFTER,
+                    TIMES,
                     lambda: reads,
                     self.beyond,
                     first=self.first,
@@ -275,12 +275,12 @@
         async def story() -> None:
             reads = self.state.reads
             for _ in range(40):
-                self.view.confirm_by_peer(self.state.now, anyio.current_time())
+                self.view.confirm_revision(self.state.now, anyio.current_time())
                 await anyio.sleep(0.25)
             self.assertEqual(self.state.reads, reads)
             self.state.change()
             self.follower.heard_of(self.state.now)
-            self.view.confirm_by_peer(self.state.now, anyio.current_time())
+            self.view.confirm_revision(self.state.now, anyio.current_time())
             await anyio.sleep(0.6)
             self.assertEqual(self.state.reads, reads + 1)
             self.assertEqual(self.view.table.version, 2)
@@ -299,7 +299,7 @@
             for _ in range(70):
                 self.state.change()
                 self.follower.heard_of(self.state.now)
-                self.view.confirm_by_peer(self.state.now, anyio.current_time())
+                self.view.confirm_revision(self.state.now, anyio.current_time())
                 await anyio.sleep(0.07)
             self.assertLessEqual(self.state.reads - reads, 12)
             await anyio.sleep(1.0)
@@ -324,7 +324,7 @@
 
         async def story() -> None:
             age = self.view.age
-            self.view.confirm_by_peer(self.state.now + 1, anyio.current_time())
+            self.view.confirm_revision(self.state.now + 1, anyio.current_time())
             self.assertEqual(self.view.age, age)
 
         self.follow(story, reads=False)
@@ -347,7 +347,7 @@
                 self.follower.heard_of(self.state.now)
                 await anyio.sleep(0.2)
                 self.assertEqual(self.view.table.version, self.state.now)
-                self.view.confirm_by_peer(self.state.now, anyio.current_time())
+                self.view.confirm_revision(self.state.now, anyio.current_time())
             self.assertEqual(self.state.reads, reads)
 
         self.follow(story, reads=False)
@@ -377,6 +377,80 @@
         self.follow(story, reads=False)
         self.assertEqual(self.state.snapshots, 1)
 
+    def test_proof_of_a_revision_counts_once_that_is_known(self) -> None:
+        """Guards against entries that seem old while changes follow each other closely."""
+
+        async def story() -> None:
+            self.state.change()
+            proved_at = anyio.current_time()
+            self.view.confirm_revision(self.state.now, proved_at)
+            self.assertLess(self.view.confirmed_at, proved_at)
+            self.view.extend(published(self.state.now, TablePublished(table(2))))
+            self.assertEqual(self.view.confirmed_at, proved_at)
+
+        self.follow(story, reads=False)
+
+    def test_reader_that_hears_of_a_change_does_not_wait_for_its_own_watch(self) -> None:
+        """Guards against a reader that is deaf to its peers while its watch is silent."""
+
+        async def story() -> None:
+            self.state.deaf = True
+            self.state.change()
+            self.peers = self.state
+            self.follower.heard_of(self.state.now)
+            await anyio.sleep(0.1)
+            self.assertEqual(self.view.table.version, self.state.now)
+
+        self.follow(story)
+
+    def test_entry_that_the_store_turns_away_asks_its_peers(self) -> None:
+        """Guards against an entry whose read failed and that waits for the store alone."""
+
+        async def story() -> None:
+            self.state.down = True
+            for _ in range(8):
+                self.state.change()
+                self.follower.heard_of(self.state.now)
+                await anyio.sleep(0.5)
+            self.peers = self.state
+            self.follower.heard_of(self.state.now)
+            await anyio.sleep(LAST_RETRY + 0.5)
+            self.assertEqual(self.view.table.version, self.state.now)
+            for _ in range(4):
+                self.state.change()
+                self.follower.heard_of(self.state.now)
+                await anyio.sleep(0.2)
+                self.assertEqual(self.view.table.version, self.state.now)
+
+        self.follow(story)
+
+    def test_peer_that_names_a_revision_which_does_not_exist_costs_few_reads(self) -> None:
+        async def story() -> None:
+            reads = self.state.reads
+            for _ in range(100):
+                self.follower.heard_of(self.state.now + 1)
+                await anyio.sleep(0.1)
+            self.assertLessEqual(self.state.reads - reads, 30)
+
+        self.follow(story)
+
+    def test_listing_that_was_overtaken_takes_nothing_back(self) -> None:
+        """Guards against a listing that ends after a change which a watch or peer had brought."""
+
+        async def story() -> None:
+            self.state.change()
+            await anyio.sleep(0.1)
+            old = published(1, TablePublished(table(1)))
+
+            async def overtaken() -> Published:
+                return old
+
+            self.state.snapshot = overtaken
+            await self.follower._read_all()
+            self.assertEqual((self.view.revision, self.view.table.version), (2, 2))
+
+        self.follow(story)
+
     def test_peer_that_is_behind_changes_nothing(self) -> None:
         """A peer answers late with what it knew before. A configuration must not go back."""
 
--- a/tests/test_platform_mirror.py
+++ b/tests/test_platform_mirror.py
@@ -64,6 +64,14 @@
                 self.assertEqual(mirror._written, store.written, seed)
                 self.assertEqual(self.contents(mirror), store.written, seed)
 
+    def test_listing_that_was_overtaken_takes_nothing_back(self) -> None:
+        mirror = StoreMirror()
+        new = Event("servers/i-1", 5, 5, content=b"new")
+        mirror.extend(5, [new])
+        mirror.replace(3, [Event("servers/i-1", 2, 2, content=b"old")])
+        self.assertEqual(mirror.revision, 5)
+        self.assertEqual(self.contents(mirror), {"servers/i-1": new})
+
     def step(self, rng: random.Random, store: FakeStore, mirrors: list[StoreMirror]) -> None:
         at = rng.randrange(len(mirrors))
         match rng.randrange(8):
