--- a/carawayhub/platform/settings.py
+++ b/carawayhub/platform/settings.py
@@ -30,8 +30,6 @@
         retry_ratio: Repeated sends for each request of a service.
         retry_extra: Repeated sends of a service beyond that, in one window, over all VMs.
         retry_window: Length of that window.
-        answer_ttl: Longest time for which callers keep a list of entries.
-        event_lag: An event of a stream that reaches its caller later than this is late.
     """
 
     revoke_after: float
@@ -41,8 +39,6 @@
     retry_ratio: float
     retry_extra: float
     retry_window: float
-    answer_ttl: float
-    event_lag: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -105,7 +101,6 @@
         "budget_ratio": "BudgetRatio",
         "budget_extra": "BudgetExtra",
         "budget_window_s": "BudgetWindowS",
-        "pass_ms": "PassMs",
     },
 ):
     revoke_ms: float = 5000.0
@@ -115,8 +110,6 @@
     budget_ratio: float = 0.2
     budget_extra: float = 20.0
     budget_window_s: float = 10.0
-    pass_ms: float = 120.0
-    ttl_max_s: float = 5.0
 
 
 class _Limits(msgspec.Struct, frozen=True, rename={"link_mbps": "LinkMbps"}):
@@ -212,8 +205,6 @@
             retry_ratio=bounds.budget_ratio,
             retry_extra=bounds.budget_extra,
             retry_window=bounds.budget_window_s,
-            answer_ttl=bounds.ttl_max_s,
-            event_lag=bounds.pass_ms / MS,
         ),
     )
 
