Soak real entries while routes move and their ways to the store fail

Cause: benchmarks/soak.py runs three entries behind one link to the store, moves no route and asks of no answer which service ran it; a configuration that is late by minutes passes it.

The connections of a stand-in replica are kept in their order, so that a play of benchmarks.request_fleet does not depend on addresses of objects.

--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -153,7 +153,7 @@
     async def aclose(self) -> None:
         """Close the entry's end; the replica drops what it runs for it."""
         self.cut()
-        self.replica.lines.discard(self)
+        self.replica.lines.pop(self, None)
         self.replica.running.pop(self, None)
 
     def get_extra_info(self, info: str) -> Any:
@@ -177,7 +177,7 @@
         self.address = Address(f"10.9.{at // 200}.{at % 200 + 1}", 8441)
         self.lifetime = 0
         self.listens = True
-        self.lines: set[Line] = set()
+        self.lines: dict[Line, None] = {}
         self.running: dict[Line, bytes] = {}
 
     @property
@@ -321,7 +321,7 @@
         if not replica.listens:
             raise httpcore.ConnectError("refused") from ConnectionRefusedError()
         line = Line(replica, self._entry)
-        replica.lines.add(line)
+        replica.lines[line] = None
         return line
 
     async def sleep(self, seconds: float) -> None:
--- /dev/null
+++ b/benchmarks/soak_configuration.py
@@ -0,0 +1,299 @@
+"""Soak: real entries as processes while routes move and their ways to the store fail.
+
+    python -m benchmarks.soak_configuration --seed 7       one seed, with its faults and verdict
+    python -m benchmarks.soak_configuration --seeds 50     fifty fresh seeds, a line each
+
+Each entry reaches the store over a fault-injecting proxy of its own. One route moves to another
+service with each configuration, alone or ten times in quick succession, while connections go silent
+for good, links are cut, and processes are stopped, paused, killed and started. A prober asks every
+entry ten times a second over a connection that it keeps; the replicas say which service ran what.
+"""
+
+import math
+import random
+import sys
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+from benchmarks.moved_routes import Disturbance, Probe, Published, going_back, late
+from benchmarks.soak_callers import FRONT_PORT
+from benchmarks.soak_command import main_of, subnet
+from carawayhub.addresses import Address
+from carawayhub.clock import SystemClock
+from carawayhub.http import HttpServer, bind
+from carawayhub.platform.settings import SETTINGS_VARIABLE
+from carawayhub.platform.standins import (
+    StandinReplica,
+    StandinStore,
+    configuration,
+    registration,
+    request_head,
+    settings,
+)
+from carawayhub.standins.faults import LinkFault
+from carawayhub.standins.proxy import Proxy
+from tests.processes import ProcessHandle
+
+ENTRIES = 6
+DOMAINS = 3
+SERVICES = 6
+STRIKE_SECONDS = 20.0
+CALM_SECONDS = 4.0
+PROBE_SECONDS = 0.1
+PROBE_PATIENCE = 1.0
+LINK_PORT = 29500
+LEAST_PROBES = 200
+CALM_ENTRIES = 2
+"""Entries that no fault of a process or link strikes at any one time."""
+
+
+@dataclass(slots=True)
+class ConfigurationSoak:
+    """One run.
+
+    Attributes:
+        seed: Its seed.
+        folder: Where logs and settings go.
+        struck: Faults that struck.
+        probes: Requests to single entries.
+        published: Configurations in their order.
+        disturbed: When bounds in time do not hold for an entry.
+        problems: Broken promises.
+    """
+
+    seed: int
+    folder: Path
+    struck: Counter[str] = field(default_factory=Counter)
+    probes: list[Probe] = field(default_factory=list)
+    published: list[Published] = field(default_factory=list)
+    disturbed: list[Disturbance] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
+    rng: random.Random = field(default_factory=random.Random)
+    clock: SystemClock = field(default_factory=SystemClock)
+    store: StandinStore = field(default_factory=StandinStore)
+    replicas: list[StandinReplica] = field(default_factory=list)
+    entries: dict[str, ProcessHandle] = field(default_factory=dict)
+    proxy: Proxy = field(default_factory=Proxy)
+    struck_now: set[str] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Start everything, move the route while faults strike, and check what ran where."""
+        self.rng.seed(self.seed)
+        async with anyio.create_task_group() as tasks:
+            store = self._serve(tasks, self.store)
+            for at in range(SERVICES):
+                self.replicas.append(StandinReplica(f"i-{at}-0"))
+                record = registration(f"s{at}", self._serve(tasks, self.replicas[at]))
+                self.store.put(f"servers/i-{at}-0", record)
+            self._publish()
+            ips = [f"{subnet()}.{11 + at}" for at in range(ENTRIES)]
+            for at, ip in enumerate(ips):
+                self.proxy.add(ip, f"{subnet()}.9:{LINK_PORT + at}", store)
+            async with self.proxy.running():
+                try:
+                    for at, ip in enumerate(ips):
+                        self._prepare(at, ip, ips)
+                        self.entries[ip].start()
+                    await self._until_served(ips)
+                    for ip in ips:
+                        tasks.start_soon(self._probe_on, ip)
+                    await self._strike()
+                    await anyio.sleep(CALM_SECONDS)
+                finally:
+                    for each in self.entries.values():
+                        each.resume()
+                        each.kill()
+            tasks.cancel_scope.cancel()
+        self._check()
+
+    def line(self) -> str:
+        """Return the outcome in one line."""
+        ran = sum(each.service >= 0 for each in self.probes)
+        return f"{len(self.published)} configurations, {ran} of {len(self.probes)} probes ran"
+
+    def _serve(self, tasks: anyio.abc.TaskGroup, app: object) -> str:
+        sock = bind(Address("127.0.0.1", 0))
+        tasks.start_soon(HttpServer(app, sock).run)
+        host, port = sock.getsockname()
+        return f"{host}:{port}"
+
+    def _prepare(self, at: int, ip: str, ips: list[str]) -> None:
+        path = self.folder / f"{ip}.toml"
+        store = f"{subnet()}.9:{LINK_PORT + at}"
+        path.write_text(settings(ip, ips[:DOMAINS], store, zone=f"z{at % DOMAINS}"))
+        self.entries[ip] = ProcessHandle(
+            ip,
+            ["carawayhub.platform", "entry"],
+            self.folder / f"{ip}.log",
+            env={SETTINGS_VARIABLE: str(path)},
+        )
+
+    def _publish(self) -> None:
+        number = len(self.published)
+        version = 3 * number + self.rng.randint(1, 3)
+        routes = {"/moved/": ("idempotent", f"s{number % SERVICES}")}
+        table = configuration(version, ["k1"], routes)
+        table["Services"] = [{"Name": f"s{at}"} for at in range(SERVICES)]
+        self.store.put("op/config", table)
+        self.published.append(Published(number % SERVICES, self.clock.monotonic()))
+
+    async def _until_served(self, ips: list[str]) -> None:
+        with anyio.fail_after(30.0):
+            for ip in ips:
+                while (await self._ask_once(ip)).service < 0:
+                    await anyio.sleep(0.1)
+
+    async def _ask_once(self, ip: str) -> Probe:
+        try:
+            async with await anyio.connect_tcp(ip, FRONT_PORT) as stream:
+                return await self._ask(stream, ip)
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, TimeoutError):
+            now = self.clock.monotonic()
+            return Probe(ip, 0, now, now)
+
+    async def _probe_on(self, ip: str) -> None:
+        """Ask one entry until cancelled, over one connection while that lasts."""
+        while True:
+            try:
+                async with await anyio.connect_tcp(ip, FRONT_PORT) as stream:
+                    while True:
+                        self.probes.append(await self._ask(stream, ip))
+                        await anyio.sleep(PROBE_SECONDS)
+            except (OSError, anyio.EndOfStream, anyio.BrokenResourceError, TimeoutError):
+                await anyio.sleep(PROBE_SECONDS)
+
+    async def _ask(self, stream: anyio.abc.SocketStream, ip: str) -> Probe:
+        now = self.clock.monotonic()
+        probe = Probe(ip, self.entries[ip].pid, now, now)
+        name = f"{ip}/{probe.sent_at:.6f}"
+        await stream.send(
+            request_head("/moved/1", name, "k1", int(PROBE_PATIENCE * 1000), b"tempo")
+        )
+        data = b""
+        with anyio.fail_after(2 * PROBE_PATIENCE):
+            while b"\r\n\r\n" not in data:
+                data += await stream.receive()
+            head, _, body = data.partition(b"\r\n\r\n")
+            length = int(head.lower().partition(b"content-length:")[2].split()[0])
+            while len(body) < length:
+                body += await stream.receive()
+        probe.ended_at = self.clock.monotonic()
+        probe.service = self._ran_at(name)
+        return probe
+
+    def _ran_at(self, request: str) -> int:
+        """Return the number of the service that ran a request just now, -1 for none."""
+        for number, each in enumerate(self.replicas):
+            if any(run.request == request for run in each.runs[-2 * ENTRIES :]):
+                return number
+        return -1
+
+    async def _strike(self) -> None:
+        quiet = [self._move_often, self._silence_one, self._silence_all, self._silence_often]
+        struck = [self._cut, self._cut_two, self._pause, self._kill, self._stop]
+        acts: list[Callable[[], Coroutine[Any, Any, None]]] = [*quiet, *quiet, *struck]
+        until = self.clock.monotonic() + STRIKE_SECONDS
+        async with anyio.create_task_group() as tasks:
+            while self.clock.monotonic() < until:
+                for act in (self._move_once, self.rng.choice(acts)):
+                    self.struck[act.__name__.strip("_")] += 1
+                    tasks.start_soon(act)
+                await anyio.sleep(self.rng.uniform(0.3, 1.5))
+
+    async def _move_once(self) -> None:
+        await anyio.sleep(self.rng.uniform(0.0, 0.5))
+        self._publish()
+
+    async def _move_often(self) -> None:
+        for _ in range(10):
+            self._publish()
+            await anyio.sleep(0.4)
+
+    async def _silence_one(self) -> None:
+        self.proxy.links[self.rng.choice(list(self.entries))].silence_open()
+
+    async def _silence_all(self) -> None:
+        for ip in self.entries:
+            self.proxy.links[ip].silence_open()
+
+    async def _silence_often(self) -> None:
+        for _ in range(5):
+            await self._silence_all()
+            await anyio.sleep(self.rng.uniform(0.2, 1.0))
+
+    def _take_one(self) -> str | None:
+        """Return an entry to disturb, None while too many are."""
+        free = [ip for ip in self.entries if ip not in self.struck_now]
+        if len(free) <= CALM_ENTRIES:
+            return None
+        ip = self.rng.choice(free)
+        self.struck_now.add(ip)
+        return ip
+
+    async def _disturb(self, ip: str, act: Coroutine[Any, Any, None]) -> None:
+        """Let something happen to an entry; bounds in time do not hold for it meanwhile."""
+        disturbance = Disturbance(ip, self.clock.monotonic(), math.inf)
+        self.disturbed.append(disturbance)
+        await act
+        disturbance.ended_at = self.clock.monotonic()
+        self.struck_now.discard(ip)
+
+    async def _cut(self) -> None:
+        if (ip := self._take_one()) is not None:
+            await self._disturb(ip, self._cut_link(ip))
+
+    async def _cut_two(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for _ in range(2):
+                tasks.start_soon(self._cut)
+
+    async def _cut_link(self, ip: str) -> None:
+        state = self.proxy.links[ip].state
+        state.set_fault(LinkFault(silent_to_target=True, silent_to_client=True))
+        await anyio.sleep(self.rng.uniform(0.5, 6.0))
+        state.clear()
+        self.proxy.links[ip].cut_open()
+
+    async def _pause(self) -> None:
+        if (ip := self._take_one()) is not None:
+            self.entries[ip].pause()
+            await self._disturb(ip, anyio.sleep(self.rng.uniform(0.3, 4.0)))
+            self.entries[ip].resume()
+
+    async def _kill(self) -> None:
+        if (ip := self._take_one()) is not None:
+            self.entries[ip].kill()
+            await self._disturb(ip, anyio.sleep(self.rng.uniform(0.1, 1.0)))
+            self.entries[ip].start()
+
+    async def _stop(self) -> None:
+        if (ip := self._take_one()) is not None:
+            await self._disturb(ip, self._replace(ip))
+
+    async def _replace(self, ip: str) -> None:
+        await self.entries[ip].stop()
+        self.entries[ip].start()
+
+    def _check(self) -> None:
+        """Hold what replicas ran against the promises."""
+        self.problems += late(self.probes, self.published, self.disturbed)
+        self.problems += going_back(self.probes, self.published)
+        ran = sum(each.service >= 0 for each in self.probes)
+        if ran < LEAST_PROBES:
+            self.problems.append(f"only {ran} probes ran")
+
+
+async def play(seed: int, folder: Path) -> ConfigurationSoak:
+    """Play one seed and return what became of it."""
+    soak = ConfigurationSoak(seed, folder)
+    await soak.run()
+    return soak
+
+
+if __name__ == "__main__":
+    sys.exit(main_of(play, __doc__ or ""))
--- a/carawayhub/platform/standins.py
+++ b/carawayhub/platform/standins.py
@@ -227,12 +227,12 @@
     }
 
 
-def settings(ip: str, seeds: list[str], store: str) -> str:
+def settings(ip: str, seeds: list[str], store: str, zone: str = "z1") -> str:
     """Return the settings file of an entry on a loopback address."""
     return f"""
 Node = "{ip}"
 Ip = "{ip}"
-Zone = "z1"
+Zone = "{zone}"
 Region = "r1"
 PortRange = [29340,29350]
 Seeds = {msgspec.json.encode([f"{seed}:29229" for seed in seeds]).decode()}
