Drop kept connections to an endpoint that have shown no life since one went silent

What callers saw: where something on the way to an endpoint loses track of its connections, each kept one costs a request the whole time that it may wait.

A request whose connection went silent closed that one alone; the next request took the next silent one.

Change: idle connections to the address that have answered nothing since the silent request was sent are closed; those that have are kept.

Test: test_upstream_silence failed before (the second request went silent too, code 3005) and passes now.

Ruled out: the pools of agents to ranks (0.25 s a call, one rank each) and the product's own watchers (9 s to notice, of 17 s).

--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -177,6 +177,7 @@
         """
         conn = await self._connection(req)
         guard = _SendGuard(req, conn.writes)
+        began_at = time.monotonic()
         try:
             response = await conn.handle_async_request(_request(req, guard))
             try:
@@ -188,6 +189,7 @@
         except NotSent as exc:
             raise RequestError(Code.CONNECT_FAILED, req.endpoint, retry_after=1.0) from exc
         except httpcore.TimeoutException as exc:
+            await self._drop_unproven(req, began_at)
             raise RequestError(Code.ANSWER_STALLED, f"{req.endpoint} went silent") from exc
         except Broken as exc:
             if not guard.sent:
@@ -234,11 +236,21 @@
             await conn.aclose()
             return
         idle = self._idle.setdefault(_address(req), deque())
+        conn.kept_at = time.monotonic()
         idle.append(conn)
         if len(idle) > MAX_IDLE:
             await idle.popleft().aclose()
         await self._sweep()
 
+    async def _drop_unproven(self, req: UpstreamRequest, since: float) -> None:
+        """Close the idle connections to an endpoint that have answered nothing since then.
+
+        What lost track of one connection may have lost the others, and each would cost a request.
+        """
+        idle = self._idle.get(_address(req))
+        while idle and idle[0].kept_at < since:
+            await idle.popleft().aclose()
+
     async def _sweep(self) -> None:
         """Now and then close what lies idle for long, also of endpoints that are gone."""
         now = time.monotonic()
@@ -259,6 +271,9 @@
         req: The first request on it.
         source: IP number to connect from, empty for any.
         writes: Opens it, and joins what is written.
+
+    Attributes:
+        kept_at: When its newest answer ended, by the clock of ``time.monotonic``.
     """
 
     def __init__(self, req: UpstreamRequest, source: str, writes: JoinedNetwork) -> None:
@@ -270,6 +285,7 @@
             socket_options=ABORTING_OPTIONS,
         )
         self.writes = writes
+        self.kept_at = 0.0
 
 
 def _is_refusal(exc: BaseException | None) -> bool:
--- /dev/null
+++ b/tests/test_upstream_silence.py
@@ -0,0 +1,119 @@
+"""Kept connections to an endpoint that go silent for good while new ones work."""
+
+import unittest
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream
+
+from carawayhub.codes import Code
+from carawayhub.endpoints.upstream import Upstream, UpstreamRequest, UpstreamTimeouts
+from carawayhub.errors import RequestError
+
+ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+SILENCE = 0.5
+"""Seconds for which the request waits whose connection is silent."""
+
+LIMIT_S = 10.0
+KEPT = 3
+
+
+class Endpoint:
+    """Answers each request, but none on connections that something on the way has lost track of."""
+
+    def __init__(self) -> None:
+        self.lost: set[SocketStream] = set()
+        self.open: set[SocketStream] = set()
+        self.hold = anyio.Event()
+        self.loses_next = False
+
+    def lose_all(self) -> None:
+        """Let all open connections go silent."""
+        self.lost |= self.open
+
+    async def serve(self, client: SocketStream) -> None:
+        """Answer on one connection."""
+        self.open.add(client)
+        async with client:
+            while True:
+                try:
+                    await client.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                if self.loses_next:
+                    self.loses_next = False
+                    self.lost.add(client)
+                if client in self.lost:
+                    await anyio.sleep_forever()
+                await self.hold.wait()
+                await client.send(ANSWER)
+
+
+class SilenceTest(unittest.IsolatedAsyncioTestCase):
+    """Several connections to one endpoint."""
+
+    async def asyncSetUp(self) -> None:
+        self.endpoint = Endpoint()
+        self.upstream = Upstream()
+        self.listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        host, port = self.listener.extra(SocketAttribute.local_address)
+        self.url = f"http://{host}:{port}/"
+
+    async def ask(self, silence: float = LIMIT_S) -> bytes:
+        """Send one request and return the body of its answer."""
+        req = UpstreamRequest(
+            endpoint="i-1",
+            url=self.url,
+            method="GET",
+            headers=[(b"host", b"x")],
+            body=b"",
+            timeouts=UpstreamTimeouts.waiting(silence),
+            still_allowed=lambda: True,
+        )
+        async with self.upstream.open(req) as response:
+            return b"".join([part async for part in response.aiter_stream()])
+
+    async def keep(self, count: int) -> None:
+        """Open connections by requests at the same time, and keep them."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(self.ask)
+            while len(self.endpoint.open) < count:
+                await anyio.sleep(0.01)
+            self.endpoint.hold.set()
+
+    async def test_one_silent_connection_costs_one_request(self) -> None:
+        """Guards against requests that take one silent connection after the other."""
+        with anyio.fail_after(LIMIT_S):
+            async with self.listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(self.listener.serve, self.endpoint.serve)
+                await self.keep(KEPT)
+                self.endpoint.lose_all()
+                await self.stall()
+                self.assertEqual(await self.ask(), b"ok")
+                tasks.cancel_scope.cancel()
+
+    async def test_connection_that_answered_meanwhile_is_kept(self) -> None:
+        with anyio.fail_after(LIMIT_S):
+            async with self.listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(self.listener.serve, self.endpoint.serve)
+                await self.keep(2)
+                opened = len(self.endpoint.open)
+                self.endpoint.loses_next = True
+                async with anyio.create_task_group() as both:
+                    both.start_soon(self.stall)
+                    while not self.endpoint.lost:
+                        await anyio.sleep(0.01)
+                    self.assertEqual(await self.ask(), b"ok")
+                self.assertEqual(await self.ask(), b"ok")
+                self.assertEqual(len(self.endpoint.open), opened)
+                tasks.cancel_scope.cancel()
+
+    async def stall(self) -> None:
+        """Send a request whose connection is silent."""
+        with self.assertRaises(RequestError) as caught:
+            await self.ask(SILENCE)
+        self.assertIs(caught.exception.code, Code.ANSWER_STALLED)
+
+
+if __name__ == "__main__":
+    unittest.main()
