Let no entry of a very large fleet take slow news for a lack of news

Cause: found by adding up the longest ways at 780 entries. A delegate of 156 entries tells each of them every half second, so a proof reaches an entry 1.6 s late. With the age at which an entry reads for itself now 1.3 s for 2.5 s, all of them would have called the store all the time.

Change: that age is never below the usual age of proofs plus the seconds that news take to reach all entries; a member works those out from what its delegate has to send, not from its own one datagram a round.

Test: the new one fails on the code before (20 reads in 20 s). Nothing changes below about 150 entries: news take 0.1 s there, or 0.3 s by way of delegates.

--- a/carawayhub/gateway/follower.py
+++ b/carawayhub/gateway/follower.py
@@ -108,6 +108,7 @@
         reads: Whether this entry is to read for its peers.
         beyond: Gives what peers know beyond a revision, None where none can tell.
         first: Whether this entry reads at its start without waiting for peers.
+        news_seconds: Gives the seconds that news take to reach all entries.
 
     Attributes:
         on_grown: Called when this entry has read something new for its peers.
@@ -122,6 +123,7 @@
         "_grown",
         "_lonely_age",
         "_newest",
+        "_news_seconds",
         "_proof_age",
         "_proved",
         "_proved_at",
@@ -148,6 +150,7 @@
         reads: Callable[[], bool] = lambda: True,
         beyond: Callable[[int], Awaitable[Handed | None]] = _nothing_beyond,
         first: bool = True,
+        news_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._state = state
         self._view = view
@@ -156,6 +159,7 @@
         self._reads = reads
         self._beyond = beyond
         self._first = first
+        self._news_seconds = news_seconds
         self._lonely_age = times.lonely + rng.uniform(0.0, times.lonely_spread)
         self._proof_age = times.proof
         self._proved = 0
@@ -201,7 +205,16 @@
     def _role_now(self) -> Role:
         if self._reads():
             return Role.CHOSEN
-        return Role.LONELY if self._age_of_news() > self._lonely_age else Role.TOLD
+        return Role.LONELY if self._age_of_news() > self._lonely_after() else Role.TOLD
+
+    def _lonely_after(self) -> float:
+        """Return the age of the newest proof at which this entry reads though others are to.
+
+        In a fleet so large that news take longer than that leaves, no entry may take the usual age
+        of proofs for a lack of them: all would call the store all the time.
+        """
+        usual = self._proof_age + LONGEST_TURN + self._news_seconds()
+        return max(self._lonely_age, usual)
 
     async def _learn_from_peers(self) -> bool:
         """Learn from a peer what is published, at the start; return whether one told.
@@ -344,7 +357,7 @@
 
     async def _gather_changes(self) -> None:
         """Wait for further changes before they are read from the store."""
-        left = self._lonely_age - self._view.age
+        left = self._lonely_after() - self._view.age
         seconds = min(self._gather_seconds(), max(GATHER_SECONDS, left))
         await anyio.sleep(seconds * self._rng.uniform(0.5, 1.0))
         self._read_at = self._clock.monotonic()
@@ -398,7 +411,7 @@
 
     def _seconds_to_proof(self) -> float:
         if self._look_at_role() is not Role.CHOSEN:
-            return self._lonely_age - self._age_of_news()
+            return self._lonely_after() - self._age_of_news()
         is_own = self._proved_at >= self._view.confirmed_at
         return self._proof_age + (self._turn if is_own else 0.0) - self._view.age
 
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -182,6 +182,7 @@
             self._gossip.is_reader,
             self._handing.beyond,
             first=options.ip in options.seeds,
+            news_seconds=lambda: self._gossip.news_seconds,
         )
         self._follower.on_grown = self._gossip.tell_soon
         self._gossip.on_loads = self._serve_lines
--- a/carawayhub/gateway/telling.py
+++ b/carawayhub/gateway/telling.py
@@ -196,13 +196,19 @@
             case Part.MEMBER:
                 receivers = 1
             case Part.DELEGATE:
-                receivers = len(self._peers.near()) + len(self._peers.far_delegates())
+                receivers = self._receivers_of_delegate()
         return max(INTERVAL, receivers / DATAGRAMS_A_SECOND)
 
+    def _receivers_of_delegate(self) -> int:
+        return len(self._peers.near()) + len(self._peers.far_delegates())
+
     @property
     def news_seconds(self) -> float:
         """Seconds until all entries know of a choice of this one."""
-        return self.interval * (1 if self.part is Part.EQUAL else STEPS_OF_NEWS)
+        if self.part is Part.EQUAL:
+            return self.interval
+        interval = max(INTERVAL, self._receivers_of_delegate() / DATAGRAMS_A_SECOND)
+        return STEPS_OF_NEWS * interval
 
     def sent_at(self, number: int) -> float | None:
         """Return when a datagram was sent, None where that is too long ago."""
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -203,6 +203,7 @@
         self.first = True
         self.peers: FakeState | None = None
         self.asked = 0
+        self.news_seconds = 0.0
 
     async def beyond(self, revision: int) -> Handed | None:
         """Answer as peers do that know all that is published, None while there are none."""
@@ -227,6 +228,7 @@
                     lambda: reads,
                     self.beyond,
                     first=self.first,
+                    news_seconds=lambda: self.news_seconds,
                 )
                 self.follower = follower
                 tasks.start_soon(follower.run)
@@ -336,6 +338,19 @@
 
         self.follow(story, reads=False)
 
+    def test_slow_news_of_a_large_fleet_are_no_lack_of_news(self) -> None:
+        """Guards against hundreds of entries that all call the store, as proofs reach them late."""
+        self.news_seconds = 1.5
+
+        async def story() -> None:
+            reads = self.state.reads
+            for _ in range(20):
+                self.view.confirm_revision(self.state.now, anyio.current_time() - 1.3)
+                await anyio.sleep(1.0)
+            self.assertEqual(self.state.reads, reads)
+
+        self.follow(story, reads=False)
+
     def test_changes_that_a_peer_knows_are_not_read_from_the_store(self) -> None:
         """98 entries each read every change: 2,609 calls on a quiet day, each with a price."""
 
