Let a soak of configurations run an entry that breaks the promise

Cause: a check that nothing can break is no check.

Change: tests/broken_entries.py runs an entry that puts configurations into force three seconds late, routes one request in twenty by its first configuration, or hears nothing of new revisions; the soak gives it to one of its six entries where CARAWAYHUB_TEST_BROKEN names it. Histories take more routes than a datagram holds, and lost datagrams.

--- a/benchmarks/late_configurations.py
+++ b/benchmarks/late_configurations.py
@@ -37,6 +37,8 @@
     Attributes:
         seed: Seed of all its chance.
         entries: How many entries.
+        routes: Routes of each configuration.
+        lost: Part of the datagrams that is lost.
         struck: Disturbances by kind.
         late: Versions that came too late.
         back: Entries that went back to an older version.
@@ -45,6 +47,8 @@
 
     seed: int
     entries: int
+    routes: int = 1
+    lost: float = LOST_PART
     struck: Counter[str] = field(default_factory=Counter)
     late: list[Late] = field(default_factory=list)
     back: list[str] = field(default_factory=list)
@@ -52,7 +56,7 @@
 
     def play(self) -> None:
         """Play it and hold what the entries did against the bound."""
-        fleet = StoreFleet(self.entries, self.seed, lost=LOST_PART)
+        fleet = StoreFleet(self.entries, self.seed, lost=self.lost, routes=self.routes)
         fleet.play(lambda: self._story(fleet))
         self.late = fleet.late(CONFIG_APPLY)
         self.back = fleet.went_back()
@@ -144,13 +148,15 @@
     parser.add_argument("--seed", type=int, action="append", default=[])
     parser.add_argument("--seeds", type=int, default=0, help="fresh seeds")
     parser.add_argument("--entries", type=int, default=6)
+    parser.add_argument("--routes", type=int, default=1, help="of each configuration")
+    parser.add_argument("--lost", type=float, default=LOST_PART, help="part of the datagrams")
     options = parser.parse_args(argv)
     logger.disable("carawayhub")
     fresh = [random.SystemRandom().randrange(1_000_000) for _ in range(options.seeds)]
     broken = 0
     delays: list[float] = []
     for seed in [*options.seed, *fresh]:
-        history = History(seed, options.entries)
+        history = History(seed, options.entries, options.routes, options.lost)
         history.play()
         print(history.line(), flush=True)
         for late in history.late[:5]:
--- a/benchmarks/soak_configuration.py
+++ b/benchmarks/soak_configuration.py
@@ -10,6 +10,7 @@
 """
 
 import math
+import os
 import random
 import sys
 from collections import Counter
@@ -44,6 +45,7 @@
 )
 from carawayhub.standins.faults import LinkFault
 from carawayhub.standins.proxy import Proxy
+from tests.broken_entries import VARIABLE
 from tests.processes import ProcessHandle
 
 ENTRIES = 6
@@ -59,6 +61,9 @@
 """Seconds in a look for which a process that could run waited for a processor: a slowed VM."""
 
 LOOK_SECONDS = 1.0
+BROKEN_AT = 4
+"""Number of the entry that runs a broken variant, where one is named: no first of its domain."""
+
 CALM_ENTRIES = 2
 """Entries that no fault of a process or link strikes at any one time."""
 
@@ -140,11 +145,17 @@
         path.write_text(settings(ip, ips[:DOMAINS], store, zone=f"z{at % DOMAINS}"))
         self.entries[ip] = ProcessHandle(
             ip,
-            ["carawayhub.platform", "entry"],
+            self._command(at),
             self.folder / f"{ip}.log",
             env={SETTINGS_VARIABLE: str(path)},
         )
 
+    def _command(self, at: int) -> list[str]:
+        variant = os.environ.get(VARIABLE, "")
+        if variant and at == BROKEN_AT:
+            return ["tests.broken_entries", variant, "entry"]
+        return ["carawayhub.platform", "entry"]
+
     def _publish(self) -> None:
         number = len(self.published)
         version = 3 * number + self.rng.randint(1, 3)
--- a/benchmarks/store_fleet.py
+++ b/benchmarks/store_fleet.py
@@ -178,6 +178,7 @@
         domains: Failure domains.
         lost: Part of the datagrams that is lost.
         bounds: Within how many seconds what is published must hold.
+        routes: Routes of each configuration; some 250 fill the datagram of an answer.
 
     Attributes:
         store: The store.
@@ -195,6 +196,7 @@
         domains: int = 3,
         lost: float = 0.0,
         bounds: Bounds = BOUNDS,
+        routes: int = 1,
     ) -> None:
         self.rng = random.Random(seed)
         self.store = StandinStore()
@@ -211,6 +213,7 @@
         self._lost = lost
         self._bounds = bounds
         self._version = 0
+        self._routes = routes
         self._net = DatagramNet(LINK_RATE, LINK_QUEUE, self.rng, lost)
 
     def play(self, story: Callable[[], Awaitable[None]]) -> None:
@@ -242,6 +245,7 @@
         self._version += self.rng.randint(1, 3)
         service = ("desk", "hall")[len(self.acks) % 2]
         routes = {"/moved/": ("idempotent", service)}
+        routes |= {f"/kept-{at}/": ("idempotent", "desk") for at in range(1, self._routes)}
         self.store.put("op/config", configuration(self._version, ["k1"], routes))
         self.acks[self._version] = _now()
         return self._version
--- /dev/null
+++ b/tests/broken_entries.py
@@ -0,0 +1,90 @@
+"""Runs an entry that breaks a promise: ``python -m tests.broken_entries VARIANT entry``.
+
+The product has no such switch. A soak whose checker does not find each variant checks nothing.
+"""
+
+import random
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from carawayhub.gateway.desk import Desk
+from carawayhub.gateway.follower import Follower
+from carawayhub.gateway.view import FleetView
+from carawayhub.platform.__main__ import main
+
+VARIABLE = "CARAWAYHUB_TEST_BROKEN"
+"""Environment variable by which a soak is told which variant one of its entries runs."""
+
+HELD_SECONDS = 3.0
+BACKWARDS_PART = 0.05
+
+
+def _held_back() -> None:
+    """Put each configuration into force three seconds late."""
+    take = FleetView._take_table
+
+    def hold(self: FleetView, table: Any, source: Any) -> None:
+        waiting = _WAITING.setdefault(id(self), [])
+        waiting.append((time.monotonic() + HELD_SECONDS, table))
+        if self.table is None:
+            take(self, table, source)
+
+    admit = Desk.admit
+
+    def admit_late(self: Desk, req: Any, arrived_at: float) -> Any:
+        view = self._view
+        waiting = _WAITING.get(id(view), [])
+        while waiting and waiting[0][0] <= time.monotonic():
+            view.table = waiting.pop(0)[1]
+        return admit(self, req, arrived_at)
+
+    FleetView._take_table = hold  # type: ignore[method-assign]
+    Desk.admit = admit_late  # type: ignore[method-assign]
+
+
+def _backwards() -> None:
+    """Route some requests by the first configuration that the process ever had."""
+    admit = Desk.admit
+    first: list[Any] = []
+
+    def admit_by_any(self: Desk, req: Any, arrived_at: float) -> Any:
+        view = self._view
+        if not first and view.table is not None:
+            first.append(view.table)
+        if not first or random.random() > BACKWARDS_PART:
+            return admit(self, req, arrived_at)
+        newest, view.table = view.table, first[0]
+        try:
+            return admit(self, req, arrived_at)
+        finally:
+            view.table = newest
+
+    Desk.admit = admit_by_any  # type: ignore[method-assign]
+
+
+def _deaf() -> None:
+    """Take in nothing that peers tell of new revisions, and prove nothing."""
+
+    async def nothing(self: Follower) -> None:
+        return
+
+    Follower.heard_of = lambda self, revision: None  # type: ignore[method-assign]
+    Follower._prove = nothing  # type: ignore[method-assign]
+    FleetView.confirm_revision = (  # type: ignore[method-assign]
+        lambda self, revision, proved_at: self.confirm(proved_at)
+    )
+
+
+_WAITING: dict[int, list[tuple[float, Any]]] = {}
+
+VARIANTS: dict[str, Callable[[], None]] = {
+    "held-back": _held_back,
+    "backwards": _backwards,
+    "deaf": _deaf,
+}
+
+if __name__ == "__main__":
+    VARIANTS[sys.argv[1]]()
+    sys.exit(main(sys.argv[2:]))
