Check the checks of the soak with entries that break them

Change: an entry that lets in every key it ever knew, one that sends what may run once to a second endpoint, one that takes no notice of endpoints that leave; benchmarks.soak gives them to one of its three entries.

--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -68,6 +68,7 @@
         bound="none runs twice",
         excused=NOBODY,
         checker=Soak._check,
+        variants=("runs-twice",),
     ),
     Promise(
         name="refused means not run",
@@ -89,6 +90,7 @@
         bound="2 s after the acknowledgement",
         excused="times in which entries may not hear of changes",
         checker=Soak._check_drain,
+        variants=("uses-leaving",),
     ),
     Promise(
         name="revoked key opens nothing",
@@ -96,6 +98,7 @@
         bound="5 s after the acknowledgement",
         excused=NOBODY,
         checker=Soak._check,
+        variants=("old-keys",),
     ),
     Promise(
         name="configuration in force in time",
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -35,6 +35,7 @@
 )
 from carawayhub.standins.faults import LinkFault
 from carawayhub.standins.proxy import Proxy
+from tests.broken_entries import command_of_entry
 from tests.processes import ProcessHandle
 
 ENTRIES = 3
@@ -147,7 +148,7 @@
         path.write_text(settings(ip, ips, store))
         handle = ProcessHandle(
             ip,
-            ["carawayhub.platform", "entry"],
+            command_of_entry(ip == ips[-1]),
             self.folder / f"{ip}.log",
             env={SETTINGS_VARIABLE: str(path)},
         )
--- a/benchmarks/soak_configuration.py
+++ b/benchmarks/soak_configuration.py
@@ -10,7 +10,6 @@
 """
 
 import math
-import os
 import random
 import sys
 from collections import Counter
@@ -46,7 +45,7 @@
 )
 from carawayhub.standins.faults import LinkFault
 from carawayhub.standins.proxy import Proxy
-from tests.broken_entries import VARIABLE
+from tests.broken_entries import command_of_entry
 from tests.processes import ProcessHandle
 
 ENTRIES = 6
@@ -147,17 +146,11 @@
         path.write_text(settings(ip, ips[:DOMAINS], store, zone=f"z{at % DOMAINS}"))
         self.entries[ip] = ProcessHandle(
             ip,
-            self._command(at),
+            command_of_entry(at == BROKEN_AT),
             self.folder / f"{ip}.log",
             env={SETTINGS_VARIABLE: str(path)},
         )
 
-    def _command(self, at: int) -> list[str]:
-        variant = os.environ.get(VARIABLE, "")
-        if variant and at == BROKEN_AT:
-            return ["tests.broken_entries", variant, "entry"]
-        return ["carawayhub.platform", "entry"]
-
     def _publish(self) -> None:
         number = len(self.published)
         version = 3 * number + self.rng.randint(1, 3)
--- a/tests/broken_entries.py
+++ b/tests/broken_entries.py
@@ -3,15 +3,19 @@
 The product has no such switch. A soak whose checker does not find each variant checks nothing.
 """
 
+import os
 import random
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from carawayhub.gateway.desk import Desk
 from carawayhub.gateway.follower import Follower
+from carawayhub.gateway.model import EndpointState, Repeat
 from carawayhub.gateway.view import FleetView
+from carawayhub.platform import published
 from carawayhub.platform.__main__ import main
 
 VARIABLE = "CARAWAYHUB_TEST_BROKEN"
@@ -77,14 +81,64 @@
     )
 
 
+def _old_keys() -> None:
+    """Let in every key that the process ever knew."""
+    organisation = Desk._organisation
+    known: dict[str, Any] = {}
+
+    def by_any(self: Desk, table: Any, route: Any, req: Any) -> Any:
+        known.update(table.organisations)
+        table.organisations.update(known)
+        return organisation(self, table, route, req)
+
+    Desk._organisation = by_any  # type: ignore[method-assign]
+
+
+def _runs_twice() -> None:
+    """Send what may run once to a second endpoint where the first gave no answer."""
+    route = published._route
+
+    def repeatable(wire: Any) -> Any:
+        return replace(route(wire), repeat=Repeat.IDEMPOTENT, attempts=2)
+
+    published._route = repeatable
+
+
+def _uses_leaving() -> None:
+    """Take no notice of endpoints that say that they leave."""
+    take = FleetView._take_endpoint
+
+    def take_ready(self: FleetView, endpoint: Any) -> None:
+        if endpoint.state is EndpointState.READY:
+            take(self, endpoint)
+
+    FleetView._take_endpoint = take_ready  # type: ignore[method-assign]
+
+
 _WAITING: dict[int, list[tuple[float, Any]]] = {}
 
 VARIANTS: dict[str, Callable[[], None]] = {
     "held-back": _held_back,
     "backwards": _backwards,
     "deaf": _deaf,
+    "old-keys": _old_keys,
+    "runs-twice": _runs_twice,
+    "uses-leaving": _uses_leaving,
 }
 
+
+def command_of_entry(broken: bool) -> list[str]:
+    """Return the module and arguments that start an entry.
+
+    Args:
+        broken: Whether it runs the variant that the environment names, if it names one.
+    """
+    variant = os.environ.get(VARIABLE, "")
+    if variant and broken:
+        return ["tests.broken_entries", variant, "entry"]
+    return ["carawayhub.platform", "entry"]
+
+
 if __name__ == "__main__":
     VARIANTS[sys.argv[1]]()
     sys.exit(main(sys.argv[2:]))
