Name the roles in reading and their times by the usual terms

Cause: read as a newcomer would, 'chosen', 'lonely' and 'told' and the notes on the constants needed explaining.

Change: reader, fallback and follower; proof_after and fallback_after; comments in plain terms. A failed watch counts as over before the pause that follows it, not after: an entry in that pause now takes its place among those that ask peers, 0 to 0.08 s after it hears of a change, for 0.05 s.

--- a/carawayhub/gateway/follower.py
+++ b/carawayhub/gateway/follower.py
@@ -14,13 +14,13 @@
 from carawayhub.gateway.view import FleetView
 
 WATCH_SECONDS = 25.0
-"""Longest wait of one watch. One whose connection went silent is found out by proofs."""
+"""Longest wait of one watch; a proof detects one whose connection went silent."""
 
 WATCH_GRACE = 0.05
-"""Seconds in which a watch that works brings a change that is known to have happened."""
+"""Time allowed for a healthy watch to deliver a change that is known to exist."""
 
 CATCH_UP = 0.4
-"""Seconds that changes may take after the proof that named them before it is made again."""
+"""Time allowed to reach the revision that a proof named before the proof is repeated."""
 
 FIRST_RETRY = 0.1
 LAST_RETRY = 0.8
@@ -56,28 +56,34 @@
 it could read. One that the store turns away is served by its peers' proofs, but is none that could
 read for others, and sends its callers on. At 1.5 s these were half of all calls of 98 entries."""
 
-LONELY_RETRY = 2.0
-"""Seconds before an entry tries again that reads only for want of news: those that read for all try
-more often, and tell of the store's return at once."""
+FALLBACK_RETRY = 2.0
+"""Longest pause between failed calls of an entry that is no reader. Readers retry more often, and
+report the store's return at once."""
 
 ROLE_SECONDS = 0.25
 """Longest time between two looks at whether an entry is to read for its peers."""
 
 LEAST_TURN = 0.05
 LONGEST_TURN = 0.15
-"""Seconds for which one that reads for its peers leaves the next proof to another where it made the
-last one itself: both try their ways to the store, in turn and not at one moment."""
+"""Extra delay before a reader proves twice in a row, so that readers alternate and each path to the
+store is tried."""
 
 LEAST_LOOK = 0.01
-"""Shortest time between two looks at whether a proof is due."""
+"""Shortest sleep while a proof is about to fall due."""
 
 
 class Role(Enum):
-    """Why an entry reads the published state, or does not."""
+    """Whether an entry reads the store.
 
-    CHOSEN = "reads for its peers"
-    LONELY = "reads for want of news"
-    TOLD = "is told by its peers"
+    Attributes:
+        READER: It reads for its peers.
+        FALLBACK: It reads because no peer has reported a recent proof.
+        FOLLOWER: It is told by its peers.
+    """
+
+    READER = "reader"
+    FALLBACK = "fallback"
+    FOLLOWER = "follower"
 
 
 async def _nothing_beyond(revision: int) -> Handed | None:
@@ -96,8 +102,8 @@
     silent, or that the store has stopped feeding, looks like a fleet in which nothing changes.
 
     Each call has a price, so two entries do this for all. The others hear from them which revision
-    is the newest, and as of when. Whoever knows of a revision that it lacks, from whomever, asks
-    peers for it and reads it from the store where none can tell.
+    is the newest, and as of when. An entry that learns of a revision which it lacks, from any
+    source, asks peers for it and reads it from the store where none has it.
 
     Args:
         state: The published state.
@@ -121,7 +127,7 @@
         "_first",
         "_gather",
         "_grown",
-        "_lonely_age",
+        "_fallback_age",
         "_newest",
         "_news_seconds",
         "_proof_age",
@@ -160,13 +166,13 @@
         self._beyond = beyond
         self._first = first
         self._news_seconds = news_seconds
-        self._lonely_age = times.lonely + rng.uniform(0.0, times.lonely_spread)
-        self._proof_age = times.proof
+        self._fallback_age = times.fallback_after + rng.uniform(0.0, times.fallback_spread)
+        self._proof_age = times.proof_after
         self._proved = 0
         self._proved_at = float("-inf")
         self._turn = rng.uniform(LEAST_TURN, LONGEST_TURN)
         self._told_at = float("-inf")
-        self._role = Role.TOLD
+        self._role = Role.FOLLOWER
         self.on_grown: Callable[[], None] = _nothing
         self._newest = 0
         self._grown = anyio.Event()
@@ -204,17 +210,17 @@
 
     def _role_now(self) -> Role:
         if self._reads():
-            return Role.CHOSEN
-        return Role.LONELY if self._age_of_news() > self._lonely_after() else Role.TOLD
+            return Role.READER
+        return Role.FALLBACK if self._age_of_news() > self._fallback_after() else Role.FOLLOWER
 
-    def _lonely_after(self) -> float:
-        """Return the age of the newest proof at which this entry reads though others are to.
+    def _fallback_after(self) -> float:
+        """Return the age of the newest proof from which on an entry that is no reader reads.
 
-        In a fleet so large that news take longer than that leaves, no entry may take the usual age
-        of proofs for a lack of them: all would call the store all the time.
+        Never below the age that proofs usually have when they arrive: in a very large fleet every
+        entry would otherwise call the store all the time.
         """
         usual = self._proof_age + LONGEST_TURN + self._news_seconds()
-        return max(self._lonely_age, usual)
+        return max(self._fallback_age, usual)
 
     async def _learn_from_peers(self) -> bool:
         """Learn from a peer what is published, at the start; return whether one told.
@@ -286,21 +292,25 @@
         Returns:
             The same for the next time.
         """
-        self._watching = True
         try:
-            published = await self._state.changes(self._view.revision, wait)
+            published = await self._watch_once(wait)
         except PlatformError as exc:
             # A watch may have waited for seconds at a sound store before it was cut.
             return await self._pause(exc, "watch", delay, self._clock.monotonic())
-        finally:
-            self._watching = False
         await self._take(published, Source.WATCH)
         if published is not None and published.changes:
             await anyio.sleep(WATCH_GATHER_SECONDS)
         return FIRST_RETRY
 
+    async def _watch_once(self, wait: float) -> Published | None:
+        self._watching = True
+        try:
+            return await self._state.changes(self._view.revision, wait)
+        finally:
+            self._watching = False
+
     async def _catch_up(self) -> None:
-        """Get what is known to exist and was not brought by a watch of this entry."""
+        """Fetch revisions that exist and that no watch of this entry has delivered."""
         delay = FIRST_RETRY
         while True:
             await self._until_behind()
@@ -310,11 +320,11 @@
             if not await self._take_from_peers():
                 delay = await self._read_missing(delay)
             if self._watching and self._view.revision > known:
-                # It has not brought what it should have, so its connection may be silent.
+                # The watch did not deliver these changes, so its connection may be silent.
                 self._watch_scope.cancel()
 
     async def _until_behind(self) -> None:
-        """Wait until a revision is known that this entry lacks, and a moment for who brings it."""
+        """Wait until a revision is missing here, and give a watch in flight time to deliver it."""
         self._behind = anyio.Event()
         if not self._lacks_some():
             await self._behind.wait()
@@ -332,7 +342,7 @@
         Returns:
             The same for the next time.
         """
-        if self._look_at_role() is Role.TOLD:
+        if self._look_at_role() is Role.FOLLOWER:
             await self._gather_changes()
             if not self._lacks_some() or await self._take_from_peers():
                 return FIRST_RETRY
@@ -343,7 +353,7 @@
             return await self._pause(exc, "changes", delay, sent_at)
         known = self._view.revision
         await self._take(published, Source.READ)
-        # Where the store knows of nothing further, there is nothing: a peer was wrong.
+        # The store is the authority: a peer that named a later revision was wrong.
         self._newest = self._view.revision
         if self._view.revision < self._proved:
             logger.bind(revision=self._proved, known=self._view.revision).warning(
@@ -357,7 +367,7 @@
 
     async def _gather_changes(self) -> None:
         """Wait for further changes before they are read from the store."""
-        left = self._lonely_after() - self._view.age
+        left = self._fallback_after() - self._view.age
         seconds = min(self._gather_seconds(), max(GATHER_SECONDS, left))
         await anyio.sleep(seconds * self._rng.uniform(0.5, 1.0))
         self._read_at = self._clock.monotonic()
@@ -380,7 +390,7 @@
         self._note_growth()
 
     async def _prove(self) -> None:
-        """Prove again and again that this view is the newest, where peers do not."""
+        """Prove that this view is the newest whenever the last proof has grown too old."""
         delay = FIRST_RETRY
         while True:
             await self._until_proof_is_due()
@@ -405,13 +415,13 @@
                 )
 
     async def _until_proof_is_due(self) -> None:
-        """Wait until the newest proof is too old, whoever made it."""
+        """Wait until the newest proof, whoever made it, has grown too old."""
         while (left := self._seconds_to_proof()) > 0:
             await anyio.sleep(max(LEAST_LOOK, min(left, ROLE_SECONDS)))
 
     def _seconds_to_proof(self) -> float:
-        if self._look_at_role() is not Role.CHOSEN:
-            return self._lonely_after() - self._age_of_news()
+        if self._look_at_role() is not Role.READER:
+            return self._fallback_after() - self._age_of_news()
         is_own = self._proved_at >= self._view.confirmed_at
         return self._proof_age + (self._turn if is_own else 0.0) - self._view.age
 
@@ -423,7 +433,7 @@
         """See now and then whether the store answers, while peers do the reading."""
         delay = FIRST_RETRY
         while True:
-            if self._look_at_role() is not Role.TOLD:
+            if self._look_at_role() is not Role.FOLLOWER:
                 await anyio.sleep(ROLE_SECONDS)
                 continue
             sent_at = self._clock.monotonic()
@@ -457,4 +467,4 @@
             "store did not answer"
         )
         await anyio.sleep(delay * self._rng.uniform(0.7, 1.3))
-        return min(delay * 2, LAST_RETRY if self._reads() else LONELY_RETRY)
+        return min(delay * 2, LAST_RETRY if self._reads() else FALLBACK_RETRY)
--- a/carawayhub/gateway/freshness.py
+++ b/carawayhub/gateway/freshness.py
@@ -3,18 +3,18 @@
 from dataclasses import dataclass
 
 KEY_PART = 0.5
-"""Part of the time in which a revoked key may still open something that reading may use: the rest
-is for refusing in time where nothing can be read."""
+"""Part of the time allowed for a revoked key within which it must be known; the rest is for
+refusing keyed requests in time while the store cannot be read."""
 
 PROOF_PART = 0.43
-"""Part of the shortest bound after which one that reads for its peers proves again. What it finds
-is then read, told and asked for within the other part."""
+"""Part of the shortest bound after which a reader proves again; what a proof finds is read and
+passed on within the rest."""
 
-LONELY_PART = 0.65
-"""The same for entries that leave the reading to others: proofs of two readers are missing then."""
+FALLBACK_PART = 0.65
+"""The same for all other entries: by then both readers have missed their turns."""
 
-LONELY_SPREAD_PART = 0.1
-"""Part over which such entries begin, so that the proof of the first keeps most from calling."""
+FALLBACK_SPREAD_PART = 0.1
+"""Part over which those entries spread, so that the first one's proof spares most others a call."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -42,21 +42,21 @@
     """Ages of the newest proof at which an entry acts, in seconds.
 
     Attributes:
-        proof: One that reads for its peers proves again.
-        lonely: One that does not begins to, at the earliest.
-        lonely_spread: Longest time after that at which it does.
+        proof_after: A reader proves again.
+        fallback_after: Any other entry does, at the earliest.
+        fallback_spread: Random extra for the latter, at the most.
     """
 
-    proof: float
-    lonely: float
-    lonely_spread: float
+    proof_after: float
+    fallback_after: float
+    fallback_spread: float
 
 
 def read_times(bounds: Bounds) -> ReadTimes:
-    """Return the times by which every bound is kept."""
+    """Return the times that keep every bound."""
     shortest = bounds.shortest
     return ReadTimes(
-        proof=shortest * PROOF_PART,
-        lonely=shortest * LONELY_PART,
-        lonely_spread=shortest * LONELY_SPREAD_PART,
+        proof_after=shortest * PROOF_PART,
+        fallback_after=shortest * FALLBACK_PART,
+        fallback_spread=shortest * FALLBACK_SPREAD_PART,
     )
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -32,7 +32,7 @@
 what it says last, as that it drains, must hold."""
 
 MOST_AWAITED = 16
-"""Proofs of revisions not known yet that are remembered: of more, the later ones come again."""
+"""Most proofs of unknown revisions that are remembered; later ones are reported again."""
 
 LAPSE_HEARTBEATS = 1.0
 """Heartbeats of endpoints for which calls must have failed before entries may have lapsed.
@@ -144,8 +144,8 @@
     def confirm_revision(self, revision: int, proved_at: float) -> None:
         """Note a proof that ``revision`` was the newest at ``proved_at``.
 
-        Where it is not known here yet, the proof counts once it is: while changes follow each other
-        closely, an entry is always a moment behind the newest.
+        A proof of a revision that is not known here yet counts once it is: while changes follow
+        each other closely, an entry is always a moment behind.
         """
         if self.revision >= revision:
             self.confirm(proved_at)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -28,14 +28,14 @@
 
 def reader_way(times: ReadTimes, told: float) -> float:
     """Return the longest way of a change: one reader suspended, the other's watch silent."""
-    seen = times.proof + LONGEST_TURN + STORE_SECONDS
+    seen = times.proof_after + LONGEST_TURN + STORE_SECONDS
     read = WATCH_GRACE + STORE_SECONDS
     return seen + read + told + ASK_SPREAD + ASK_SECONDS
 
 
-def lonely_way(times: ReadTimes) -> float:
+def fallback_way(times: ReadTimes) -> float:
     """Return the longest way to an entry that is told nothing at all."""
-    proved = times.lonely + times.lonely_spread + STORE_SECONDS
+    proved = times.fallback_after + times.fallback_spread + STORE_SECONDS
     return proved + ASK_SPREAD + STORE_SECONDS
 
 
@@ -48,7 +48,7 @@
                 self.assertLess(reader_way(read_times(USUAL), told), 1.5)
 
     def test_entry_that_is_told_nothing_keeps_the_bound(self) -> None:
-        self.assertLess(lonely_way(read_times(USUAL)), USUAL.config_apply)
+        self.assertLess(fallback_way(read_times(USUAL)), USUAL.config_apply)
 
     def test_the_shortest_bound_decides(self) -> None:
         for bounds in (
@@ -57,12 +57,12 @@
             Bounds(config_apply=9.0, drain=9.0, revoke_after=3.0),
         ):
             with self.subTest(bounds=bounds):
-                self.assertLess(lonely_way(read_times(bounds)), 1.5)
+                self.assertLess(fallback_way(read_times(bounds)), 1.5)
 
     def test_entries_do_not_call_while_readers_prove_in_time(self) -> None:
         times = read_times(USUAL)
-        self.assertGreater(times.lonely, times.proof + LONGEST_TURN + 0.1)
-        self.assertLess(LAST_GATHER_SECONDS, times.lonely)
+        self.assertGreater(times.fallback_after, times.proof_after + LONGEST_TURN + 0.1)
+        self.assertLess(LAST_GATHER_SECONDS, times.fallback_after)
 
 
 class Read(unittest.TestCase):
@@ -79,7 +79,10 @@
         usual = read_times(USUAL)
         for each in fields(Bounds):
             with self.subTest(bound=each.name):
-                self.assertLess(read_times(replace(USUAL, **{each.name: 1.0})).lonely, usual.lonely)
+                self.assertLess(
+                    read_times(replace(USUAL, **{each.name: 1.0})).fallback_after,
+                    usual.fallback_after,
+                )
 
 
 if __name__ == "__main__":
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -29,8 +29,8 @@
 
 HEARTBEAT = 1.2
 TIMES = read_times(Bounds(config_apply=2.0, drain=2.0, revoke_after=5.0))
-PROOF_SECONDS = TIMES.proof + LONGEST_TURN
-LONELY_SECONDS = TIMES.lonely + TIMES.lonely_spread
+PROOF_SECONDS = TIMES.proof_after + LONGEST_TURN
+FALLBACK_SECONDS = TIMES.fallback_after + TIMES.fallback_spread
 
 
 def published(revision: int, *changes) -> Published:
@@ -334,7 +334,7 @@
     def test_entry_whose_peers_fall_silent_reads_for_itself(self) -> None:
         async def story() -> None:
             await anyio.sleep(8.0)
-            self.assertLess(self.view.age, LONELY_SECONDS + PROOF_SECONDS)
+            self.assertLess(self.view.age, FALLBACK_SECONDS + PROOF_SECONDS)
 
         self.follow(story, reads=False)
 
--- a/tests/test_soak_configuration.py
+++ b/tests/test_soak_configuration.py
@@ -87,7 +87,7 @@
             found = [Occurrence(at, "late", "a/1"), Occurrence(at + 0.1, "late again", "a/2")]
             write_record(folder, Record(did, found))
             rows = [
-                (at - 1.0, {"event": "role in reading", "role": "is told by its peers"}),
+                (at - 1.0, {"event": "role in reading", "role": "follower"}),
                 (at + 0.1, {"event": "request ended", "request": "a/1", "version": 7}),
                 (at + 0.2, {"event": "request ended", "request": "a/2", "version": 8}),
             ]
