--- a/benchmarks/soak_command.py
+++ b/benchmarks/soak_command.py
@@ -13,6 +13,9 @@
 import anyio
 from loguru import logger
 
+from carawayhub.addresses import Address
+from carawayhub.http import HttpServer, bind
+
 
 class Played(Protocol):
     """What became of one seed.
@@ -57,6 +60,14 @@
     return 1 if failed else 0
 
 
+def serve(tasks: anyio.abc.TaskGroup, app: object) -> str:
+    """Serve a stand-in on a free port until the tasks end; return its address."""
+    sock = bind(Address("127.0.0.1", 0))
+    tasks.start_soon(HttpServer(app, sock).run)
+    host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
 def subnet() -> str:
     """Return loopback addresses of this process alone: programs stand on fixed ports."""
     number = os.getpid()
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -4,6 +4,7 @@
 
 from carawayhub.addresses import Address
 from carawayhub.clock import Clock
+from carawayhub.gateway.freshness import Bounds
 from carawayhub.gateway.loads import Work, work_key
 from carawayhub.gateway.model import (
     CallerLimits,
@@ -19,9 +20,11 @@
     Service,
     Share,
 )
+from carawayhub.gateway.process import GatewayOptions
 from carawayhub.limits.replicarate import ReplicaRates
 
 KEY = "key-of-armor"
+BOUNDS = Bounds(config_apply=2.0, drain=2.0, revoke_after=5.0)
 
 
 def endpoint(
@@ -108,6 +111,25 @@
     return found
 
 
+def entry_options(ip: str, ips: list[str], bounds: Bounds = BOUNDS) -> GatewayOptions:
+    """Return what the entry at ``ip`` is given; the first three of all may live."""
+    return GatewayOptions(
+        callers=Address(ip, 80),
+        seeds=frozenset(ips[:3]),
+        ip=ip,
+        peer_port=7340,
+        content_port=7341,
+        link_rate=0.0,
+        failure_domain=ip.split(".")[1],
+        heartbeat=1.2,
+        bounds=bounds,
+        grace=8.0,
+        retry_ratio=0.2,
+        retry_extra=90.0,
+        retry_window=10.0,
+    )
+
+
 def work(prompt: int = 800, answer: int = 140) -> Work:
     """Return the work of one request."""
     return Work(1, prompt, prompt + answer)
