--- a/tests/test_late_configurations.py
+++ b/tests/test_late_configurations.py
@@ -23,6 +23,9 @@
     MOMENTS = tuple(round(0.2 * at, 1) for at in range(10))
     """Seconds from the failure to the move."""
 
+    LATE_ONCE = (105, 106, 112, 122, 125, 128, 129, 130)
+    """Seeds with which a configuration was late before entries without proofs made their own."""
+
     def check(self, fail, entries: int = 6) -> None:
         """Let something fail, move a route, and see when each undisturbed entry follows."""
         late = {}
@@ -74,6 +77,24 @@
 
         self.check(fail)
 
+    def test_readers_lose_the_store_right_after_both_have_proved(self) -> None:
+        """Guards against readers whose loss of the store shows only with their next proof."""
+        late = {}
+        for seed in self.LATE_ONCE:
+            fleet = StoreFleet(6, seed)
+
+            async def story(fleet: StoreFleet = fleet, seed: int = seed) -> None:
+                for ip in fleet.readers():
+                    fleet.start(fleet.cut_off, ip, 6.0)
+                await anyio.sleep(0.05 * (seed % 8))
+                fleet.move_route()
+                await anyio.sleep(5.0)
+
+            fleet.play(story)
+            if found := fleet.late():
+                late[seed] = max(each.seconds for each in found)
+        self.assertEqual(late, {})
+
     def test_readers_are_cut_off_from_all(self) -> None:
         async def fail(fleet: StoreFleet) -> None:
             for ip in fleet.readers():
