Say in the log who confirmed what a pause had put in doubt

Cause: runs in which a replaced agent ordered after it woke could not be told apart by whether, by whom and with which version its doubt had been ended.

Change: the line 'checked again after a pause' names the peer and its version.

--- a/carawayhub/fleet/pauses.py
+++ b/carawayhub/fleet/pauses.py
@@ -79,20 +79,21 @@
         self._look()
         return frozenset(self._unconfirmed)
 
-    def confirm(self, view: View, count: int) -> None:
+    def confirm(self, view: View, count: int, proof: str = "") -> None:
         """Note that ``view`` was checked.
 
         Args:
             view: What was checked.
             count: The value of ``count`` before the check began. A check that itself was paused
                 half way says nothing of the time after, and is not taken.
+            proof: What it was checked by, for the log.
         """
         self._look()
         if count != self.count or view not in self._unconfirmed:
             return
         self._unconfirmed.discard(view)
         seconds = self._clock.monotonic() - self._noticed_at
-        logger.bind(view=view.value, pauses=count, seconds=round(seconds, 3)).info(
+        logger.bind(view=view.value, pauses=count, seconds=round(seconds, 3), proof=proof).info(
             "checked again after a pause"
         )
 
--- a/carawayhub/process/exchange.py
+++ b/carawayhub/process/exchange.py
@@ -117,8 +117,8 @@
             return
         if reply.sequence:
             count = self._pauses_at_send.get(peer.key, -1)
-            knowledge.confirm_membership(count)
-            knowledge.confirm_configuration(reply.version, count)
+            knowledge.confirm_membership(peer.key, count)
+            knowledge.confirm_configuration(peer.key, reply.version, count)
         self._role.replied(peer, reply, asked_at)
 
     def link_lost(self, peer: Peer, reason: str) -> None:
@@ -162,7 +162,7 @@
             # An agent opens no links. A heartbeat may have lain in the socket for as long as the
             # agent was paused; one that repeats the count of pauses was sent after the reply that
             # told it, so after the pause.
-            knowledge.confirm_configuration(heartbeat.version, heartbeat.echo)
+            knowledge.confirm_configuration(key, heartbeat.version, heartbeat.echo)
         self._role.heard(peer, heartbeat)
 
     def _drop_silent(self) -> None:
--- a/carawayhub/process/knowledge.py
+++ b/carawayhub/process/knowledge.py
@@ -121,20 +121,21 @@
                 await self.confirmed.wait()
         return not self.pauses.check()
 
-    def confirm_configuration(self, version: int, count: int) -> None:
+    def confirm_configuration(self, peer: str, version: int, count: int) -> None:
         """Take a peer's version as a check of the configuration in force.
 
         Args:
+            peer: Who told it.
             version: Version in force at the peer.
             count: Pauses that this process had seen when the exchange began.
         """
         if version <= self.sync.in_force.version:
-            self.pauses.confirm(View.CONFIGURATION, count)
+            self.pauses.confirm(View.CONFIGURATION, count, f"{peer} has version {version}")
             self.confirmed.notify()
 
-    def confirm_membership(self, count: int) -> None:
+    def confirm_membership(self, peer: str, count: int) -> None:
         """Take a peer's answer as a check of the membership."""
-        self.pauses.confirm(View.MEMBERSHIP, count)
+        self.pauses.confirm(View.MEMBERSHIP, count, f"{peer} answers")
         self.confirmed.notify()
 
 
