Let an agent order its ranks only under a lease that most witnesses confirm

What callers saw: a group that may stand still at a step, and maps decided twice, since two agents ordered its ranks: one that was replaced and woke after a short stop, or that was cut off from everybody but the ranks.

Cause: the right to order rested on the absence of a doubt. Stops under a second raise none, and a process that is cut off hears of no newer configuration.

Ruled out: a stop between the last look at the clock and the write (it lets out one order, not one for each rank); a confirmation after the wake (none in the log). A stale peer can confirm, though: shown by a story of its own.

Change: the agent orders while most of up to five witnesses, named by the configuration, said within 3 s of being asked that they name it and have done so for 3.5 s. A successor begins when the lease before it has ended. The decider waits without one and keeps what it said of the group for 5 s.

Why it works: two majorities share a witness, which would have to name both agents within 3 s of each other, one of them for 3.5 s.

Random histories of the lease: 400, none with two holders; a successor that does not wait is found.

--- a/benchmarks/guard_cases.py
+++ b/benchmarks/guard_cases.py
@@ -31,6 +31,7 @@
 CONFIGURATION = "test_promises_config.ConfigurationTest."
 KEYS = "test_promises_keys.SystemKeyTest."
 GROUPS = "test_promises_groups.GroupTest."
+DECIDERS = "test_promises_deciders.CutOffTest."
 
 CASES = (
     GuardCase(
@@ -269,7 +270,13 @@
     ),
     GuardCase(
         "one map in each step",
-        "orders-after-a-pause",
+        "lease-of-a-decider",
+        "an agent orders only while most witnesses confirm it",
+        DECIDERS + "test_agent_that_is_cut_off_from_its_successors_configuration_stops",
+    ),
+    GuardCase(
+        "one map in each step",
+        "lease-of-a-decider+orders-after-a-pause",
         "an agent that was paused gives no order unchecked",
         GROUPS + "test_paused_agent_of_a_replaced_vm_gives_no_order_when_it_wakes",
     ),
--- a/carawayhub/agent/checked_rank.py
+++ b/carawayhub/agent/checked_rank.py
@@ -1,4 +1,4 @@
-"""A rank that gets no orders from an agent that was paused, until it has checked what it knows."""
+"""A rank that gets no orders from an agent that may have been replaced."""
 
 from collections.abc import Awaitable, Callable
 
@@ -50,3 +50,37 @@
     async def read_map(self, wanted: MapId) -> ExpertMap:
         """Return the content of a map; reading changes nothing and is not held back."""
         return await self._port.read_map(wanted)
+
+
+class LeasedRank:
+    """A port that gives no order without a valid lease.
+
+    Args:
+        port: The rank.
+        leased: Whether the lease is valid.
+    """
+
+    __slots__ = ("_leased", "_port")
+
+    def __init__(self, port: RankPort, leased: Callable[[], bool]) -> None:
+        self._port = port
+        self._leased = leased
+
+    @property
+    def rank(self) -> int:
+        """Position of the rank in its group."""
+        return self._port.rank
+
+    async def order(self, order: Order) -> Reply:
+        """Give an order.
+
+        Raises:
+            GroupError: LEASE_LAPSED where this agent may no longer decide.
+        """
+        if not self._leased():
+            raise GroupError(Code.LEASE_LAPSED, f"rank {self.rank}: order withheld")
+        return await self._port.order(order)
+
+    async def read_map(self, wanted: MapId) -> ExpertMap:
+        """Return the content of a map; reading changes nothing and is not held back."""
+        return await self._port.read_map(wanted)
--- a/carawayhub/agent/grouptask.py
+++ b/carawayhub/agent/grouptask.py
@@ -6,8 +6,10 @@
 
 import anyio
 from anyio.abc import TaskGroup
+from loguru import logger
 
-from carawayhub.agent.checked_rank import CheckedRank
+from carawayhub.agent.checked_rank import CheckedRank, LeasedRank
+from carawayhub.agent.leasekeeper import LeaseKeeper
 from carawayhub.agent.rank_client import HttpRank
 from carawayhub.agent.reporter import Reporter
 from carawayhub.clock import Clock
@@ -28,6 +30,7 @@
 CHECK_WAIT = 60.0
 HANDOVER_GRACE = 2.0
 GIVER_HEADER = "carawayhub-giver"
+UNLEASED_REASON = "too few witnesses confirm that its agent decides for it"
 PAUSED_REASON = "its agent was paused and has not checked its configuration since"
 
 
@@ -70,6 +73,7 @@
         seat: Which agent this is.
         paused: Whether a pause of this process put in doubt what it knows.
         checked: Waits some seconds for that doubt to end; returns whether it did.
+        lease: Says whether this agent may order the ranks.
         reporter: Told when the group cannot step, so that entries send it nothing.
         clock: Source of time.
         rng: Source of the decider's number and of jitter.
@@ -82,6 +86,7 @@
         "_checked",
         "_clock",
         "_draining",
+        "_lease",
         "_paused",
         "_plan",
         "_reporter",
@@ -97,6 +102,7 @@
         seat: Seat,
         paused: Callable[[], bool],
         checked: Callable[[float], Awaitable[bool]],
+        lease: LeaseKeeper,
         reporter: Reporter,
         clock: Clock,
         rng: random.Random,
@@ -106,6 +112,7 @@
         self._seat = seat
         self._paused = paused
         self._checked = checked
+        self._lease = lease
         self._reporter = reporter
         self._clock = clock
         self._rng = rng
@@ -119,12 +126,15 @@
     def configured(self, cfg: Configuration) -> None:
         """Begin, change or end the task as a version that came into force says."""
         plan = _plan(cfg, self._seat)
+        self._lease.configured(cfg, None if plan is None else plan.group)
         self._draining = plan is not None and _drains(cfg, plan.group)
         if plan == self._plan:
             return
         before, self._plan = self._plan, plan
         goes_on = before is not None and plan is not None and before.urls == plan.urls
         goes_on = goes_on and self._status is not None and self._status.formed
+        decides_for = "" if plan is None else plan.group.name
+        logger.bind(version=cfg.version, group=decides_for).info("decider begins or ends")
         if self._scope is not None:
             self._scope.cancel()
             self._scope = None
@@ -162,9 +172,13 @@
         self, cfg: Configuration, plan: _Plan, scope: anyio.CancelScope, silent_until: float
     ) -> None:
         group = plan.group
-        clients = rank_clients(plan, self._seat, lambda: not self._paused())
-        ports: list[RankPort] = [CheckedRank(client, self._checked) for client in clients]
-        signals = _Signals(plan, self._reporter, self._checked, lambda: self._draining)
+        clients = rank_clients(plan, self._seat, self._may_send)
+        ports: list[RankPort] = [
+            LeasedRank(CheckedRank(client, self._checked), self._lease.valid) for client in clients
+        ]
+        signals = _Signals(
+            plan, self._reporter, self._checked, self._lease.held, lambda: self._draining
+        )
         decider = GroupDecider(
             group,
             cfg.version,
@@ -188,6 +202,9 @@
                     for client in clients:
                         await client.close()
 
+    def _may_send(self) -> bool:
+        return self._lease.valid() and not self._paused()
+
     async def _follow(self, status: GroupStatus, silent_until: float) -> None:
         """Keep the report in line with the decider's view of the group.
 
@@ -204,22 +221,26 @@
     def _why_out_of_step(self, status: GroupStatus) -> str:
         if status.formed:
             return ""
+        if not self._lease.valid():
+            return UNLEASED_REASON
         return PAUSED_REASON if self._paused() else _why_not_formed(status)
 
 
 class _Signals:
     """What this agent knows of its group; see ``GroupSignals``."""
 
-    __slots__ = ("_checked", "_counters", "_draining", "_plan", "_reporter")
+    __slots__ = ("_checked", "_counters", "_draining", "_held", "_plan", "_reporter")
 
     def __init__(
         self,
         plan: _Plan,
         reporter: Reporter,
         checked: Callable[[float], Awaitable[bool]],
+        held: Callable[[], Awaitable[None]],
         draining: Callable[[], bool],
     ) -> None:
         self._checked = checked
+        self._held = held
         self._draining = draining
         self._plan = plan
         self._reporter = reporter
@@ -246,6 +267,10 @@
             staging_rate=self._plan.options.staging_rate,
         )
 
+    async def permitted(self) -> None:
+        """Return once this agent may give orders."""
+        await self._held()
+
     async def close(self) -> None:
         """Close connections."""
         await self._counters.close()
--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -13,6 +13,7 @@
 from carawayhub.agent.grouptask import GroupTask, Seat
 from carawayhub.agent.homes import Homes
 from carawayhub.agent.keys import KeyKeeper
+from carawayhub.agent.leasekeeper import LeaseKeeper
 from carawayhub.agent.ledger import Ledger
 from carawayhub.agent.messages import Member as Slot
 from carawayhub.agent.reporter import Reporter, is_engine
@@ -20,6 +21,7 @@
 from carawayhub.config.model import Configuration, Endpoint
 from carawayhub.endpoints.upstream import Upstream
 from carawayhub.endpoints.watch import EngineWatch, ServiceWatch
+from carawayhub.groups.lease import Holder
 from carawayhub.http import HttpServer
 from carawayhub.limits.poison import EndsRow
 from carawayhub.output.audit import Subject
@@ -85,10 +87,13 @@
         source = Address.parse(settings.peer_listen).host
         seat = Seat(identity.name, identity.address, source)
         self._follower = GroupFollower(seat, member.calls, self._reporter, tasks)
+        holder = Holder(identity.name, identity.address, identity.vm)
+        self._lease = LeaseKeeper(holder, member.calls, clock, runtime.rng)
         self._group = GroupTask(
             seat,
             member.knowledge.pauses.check,
             member.knowledge.checked,
+            self._lease,
             self._reporter,
             clock,
             runtime.rng,
@@ -105,6 +110,7 @@
             tasks.start_soon(self.runtime.host.watch_stop, self.runtime.stop)
             tasks.start_soon(self._run_member)
             tasks.start_soon(self._keys.run)
+            tasks.start_soon(self._lease.run)
             tasks.start_soon(operators.run)
             await self._stop_in_order()
             tasks.cancel_scope.cancel()
--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -100,6 +100,7 @@
     CHANGE_OVERTAKEN = 5011
     STAGING_FAILED = 5012
     STORE_BUSY = 5013
+    LEASE_LAPSED = 5014
     GROUP_BROKEN = 5020
 
     USAGE = 6001
@@ -394,6 +395,12 @@
     Code.STORE_BUSY: Meaning(
         _NONE, 0, "the weight store is at its rate", "nothing: it is asked again later"
     ),
+    Code.LEASE_LAPSED: Meaning(
+        _NONE,
+        0,
+        "too few witnesses confirm that this agent decides for the group",
+        "look for the witnesses that the log of the agent names",
+    ),
     Code.GROUP_BROKEN: Meaning(
         _NOT_RUN,
         503,
--- a/carawayhub/groups/decider.py
+++ b/carawayhub/groups/decider.py
@@ -44,6 +44,9 @@
 DECIDER_BITS = 62
 STILL_LOOKS = 2
 
+STANDING_KEPT = 5.0
+"""Seconds without a lease for which a group that stepped is still said to step."""
+
 
 class Chooser(Protocol):
     """Decides whether and how to change the map; ``groups.policy.Policy`` is one."""
@@ -70,6 +73,9 @@
     def situation(self) -> Situation:
         """Return load, drain and what else the policy weighs."""
 
+    async def permitted(self) -> None:
+        """Return once this agent may give orders."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeciderOptions:
@@ -152,6 +158,9 @@
                 await self.tend()
             except GroupError as exc:
                 self._fault(exc)
+                if exc.code is Code.LEASE_LAPSED:
+                    await self._until_permitted()
+                    continue
                 fenced = exc.code is Code.CHANGE_OVERTAKEN
                 options = self._options
                 await anyio.sleep(options.stand_down if fenced else options.watch_interval)
@@ -390,6 +399,13 @@
         self.status.digest = current.digest
         self.status.changing = ""
 
+    async def _until_permitted(self) -> None:
+        with anyio.move_on_after(STANDING_KEPT):
+            await self._signals.permitted()
+            return
+        self._not_formed("too few witnesses confirm its decider")
+        await self._signals.permitted()
+
     def _fault(self, exc: GroupError) -> None:
         if exc.code in (Code.GROUP_BROKEN, Code.RANK_UNREACHABLE):
             self._not_formed(str(exc))
--- a/carawayhub/groups/rounds.py
+++ b/carawayhub/groups/rounds.py
@@ -24,20 +24,25 @@
     A rank that is missing from the result may have obeyed or not, or may obey later.
 
     Raises:
-        GroupError: CHANGE_OVERTAKEN where a rank has promised to obey another decider.
+        GroupError: CHANGE_OVERTAKEN where a rank has promised to obey another decider, LEASE_LAPSED
+            where an order was held back since this agent may no longer decide.
     """
     replies: dict[int, Reply] = {}
+    lapsed: list[GroupError] = []
 
     async def one(rank: int, order: Order) -> None:
         try:
             with anyio.move_on_after(timeout):
                 replies[rank] = await ports[rank].order(order)
-        except GroupError:
-            return
+        except GroupError as exc:
+            if exc.code is Code.LEASE_LAPSED:
+                lapsed.append(exc)
 
     async with anyio.create_task_group() as tasks:
         for rank, order in orders.items():
             tasks.start_soon(one, rank, order)
+    if lapsed:
+        raise lapsed[0]
     for rank, reply in replies.items():
         if reply.code is Code.ORDER_FENCED and fenced_is_error:
             raise GroupError(Code.CHANGE_OVERTAKEN, f"rank {rank} obeys {reply.state.promised}")
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -235,6 +235,33 @@
     body: bytes = b""
 
 
+class LeaseRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks a witness whether its configuration names an agent to decide for a lock-step group.
+
+    Attributes:
+        group: Name of the group.
+        endpoint: Name of the endpoint that holds rank 0.
+        agent: ``ip:port`` of the agent that asks.
+        vm: Name of its VM.
+    """
+
+    group: str
+    endpoint: str
+    agent: str
+    vm: str
+
+
+class LeaseReply(msgspec.Struct, frozen=True, kw_only=True):
+    """What a witness answers.
+
+    Attributes:
+        named_seconds: For how long its configuration has named the agent, negative where it does
+            not.
+    """
+
+    named_seconds: float
+
+
 class StandingRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Asks the agent beside rank 0 of a lock-step group whether the group can step.
 
--- a/carawayhub/peers/methods.py
+++ b/carawayhub/peers/methods.py
@@ -16,6 +16,8 @@
     Heartbeat,
     HeartbeatReply,
     Hello,
+    LeaseReply,
+    LeaseRequest,
     RunReply,
     RunRequest,
     StandingReply,
@@ -40,6 +42,7 @@
 LINK = Method(SERVICE + "Link", LinkUp, LinkDown)
 RUN = Method(SERVICE + "Run", RunRequest, RunReply)
 STANDING = Method(SERVICE + "Standing", StandingRequest, StandingReply)
+LEASE = Method(SERVICE + "Lease", LeaseRequest, LeaseReply)
 MANIFEST = Method(SERVICE + "Manifest", ManifestRequest, ManifestReply)
 FILES = Method(SERVICE + "Files", FilesRequest, FilesReply)
 FENCE = Method(SERVICE + "Fence", FenceRequest, FenceReply)
--- a/carawayhub/process/member.py
+++ b/carawayhub/process/member.py
@@ -21,11 +21,12 @@
 )
 from carawayhub.fleet.start import StartReport, Startup
 from carawayhub.fleet.watchers import Candidate
+from carawayhub.groups.lease import Holder, NamedDeciders
 from carawayhub.output.audit import AuditTrail
 from carawayhub.peers.calls import CallClient
 from carawayhub.peers.links import peer_key
-from carawayhub.peers.messages import ProcessRole
-from carawayhub.peers.methods import FILES, MANIFEST
+from carawayhub.peers.messages import LeaseReply, LeaseRequest, ProcessRole
+from carawayhub.peers.methods import FILES, LEASE, MANIFEST
 from carawayhub.peers.proofs import Prover
 from carawayhub.peers.server import PeerServer, UnaryCall
 from carawayhub.peers.signal import Signal
@@ -86,6 +87,7 @@
         self._links: LinkSet | None = None
         self._role: MemberRole | None = None
         self._relink = Signal()
+        self._named = NamedDeciders(clock)
 
     @property
     def configuration(self) -> Configuration | None:
@@ -136,9 +138,14 @@
         self._role = role
         exchange = Exchange(self.identity, self.knowledge, role, self._book, self._clock)
         self._exchange = exchange
+        self.knowledge.in_force.subscribe(self._named.configured)
         self.knowledge.in_force.subscribe(self._configured)
         self._watch_alone_at_first()
-        shared = (UnaryCall(MANIFEST, self._manifest), UnaryCall(FILES, self._files))
+        shared = (
+            UnaryCall(MANIFEST, self._manifest),
+            UnaryCall(FILES, self._files),
+            UnaryCall(LEASE, self._confirm_decider),
+        )
         server = PeerServer(exchange, self.prover, (*shared, *calls))
         await server.start(sock)
         try:
@@ -300,5 +307,9 @@
     async def _manifest(self, sender: str, req: ManifestRequest) -> ManifestReply:
         return self.knowledge.manifest(req)
 
+    async def _confirm_decider(self, sender: str, req: LeaseRequest) -> LeaseReply:
+        asking = Holder(req.endpoint, req.agent, req.vm)
+        return LeaseReply(named_seconds=self._named.seconds(req.group, asking))
+
     async def _files(self, sender: str, req: FilesRequest) -> FilesReply:
         return self.knowledge.sync.files(req)
--- a/tests/group_bench.py
+++ b/tests/group_bench.py
@@ -67,6 +67,9 @@
     def situation(self):
         return Situation()
 
+    async def permitted(self):
+        return None
+
 
 class GroupBench:
     """Three ranks with three experts in one layer and one spare slot each."""
--- a/tests/group_guards.py
+++ b/tests/group_guards.py
@@ -34,6 +34,13 @@
     replace(CheckedNetwork, "__init__", any_write)
 
 
+def lease_of_a_decider(replace: Replace) -> None:
+    """Have an agent order ranks for as long as its own configuration says so."""
+    from carawayhub.agent.leasekeeper import LeaseKeeper
+
+    replace(LeaseKeeper, "valid", lambda self: True)
+
+
 def routing_without_leader(replace: Replace) -> None:
     """Have each endpoint of a group judged by its own agent alone."""
     from carawayhub.routing.candidate import Candidate
@@ -51,6 +58,7 @@
 GUARDS: dict[str, Callable[[Replace], None]] = {
     "votes-of-all-ranks": hasty_verdict,
     "orders-after-a-pause": orders_after_a_pause,
+    "lease-of-a-decider": lease_of_a_decider,
     "leader-of-a-group": routing_without_leader,
     "standing-of-the-group": standing_of_the_group,
 }
--- /dev/null
+++ b/tests/test_groups_lease.py
@@ -0,0 +1,273 @@
+"""Which agent may order the ranks of a lock-step group, and until when."""
+
+import dataclasses
+import random
+import unittest
+
+from benchmarks.fakes import fake_configuration
+from carawayhub.clock import ManualClock
+from carawayhub.config.model import Configuration
+from carawayhub.groups.lease import (
+    LEASE_SECONDS,
+    MOST_WITNESSES,
+    NAMED_SECONDS,
+    NOT_NAMED,
+    Holder,
+    Lease,
+    NamedDeciders,
+    holder,
+    witnesses,
+)
+
+HISTORIES = 400
+STEPS = 250
+LONGEST_STEP = 1.2
+
+
+def group_configuration(endpoints: int = 2, entries: int = 3) -> Configuration:
+    """Return a configuration with one lock-step group over all endpoints."""
+    cfg = fake_configuration(endpoints, entries, {})
+    cfg = dataclasses.replace(
+        cfg,
+        entries={
+            name: dataclasses.replace(node, peer_address=f"10.1.0.{at}:7000")
+            for at, (name, node) in enumerate(cfg.entries.items())
+        },
+        endpoints={
+            name: dataclasses.replace(node, agent=f"10.2.0.{at}:7000")
+            for at, (name, node) in enumerate(cfg.endpoints.items())
+        },
+    )
+    found, *_ = cfg.groups.values()
+    wide = dataclasses.replace(found, name="wide", endpoints=tuple(sorted(cfg.endpoints)), ranks=4)
+    return dataclasses.replace(cfg, groups={"wide": wide})
+
+
+def replaced(cfg: Configuration, vm: str) -> Configuration:
+    """Return a later configuration in which the VM beside rank 0 is another one."""
+    name = cfg.groups["wide"].endpoints[0]
+    moved = dataclasses.replace(cfg.endpoints[name], vm=vm, agent="10.9.9.9:7000")
+    endpoints = {**cfg.endpoints, name: moved}
+    return dataclasses.replace(cfg, version=cfg.version + 1, endpoints=endpoints)
+
+
+class LeaseTest(unittest.TestCase):
+    """What most of three witnesses have to confirm."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.lease = Lease(self.clock, ("a", "b", "c"))
+
+    def confirm(self, *names: str) -> None:
+        """Let witnesses confirm that they have named the agent for long."""
+        for name in names:
+            self.lease.heard(name, self.clock.monotonic(), NAMED_SECONDS)
+
+    def test_one_witness_is_not_enough(self) -> None:
+        """Guards against orders on the word of one peer that is cut off itself."""
+        self.confirm("a")
+        self.assertFalse(self.lease.valid)
+        self.confirm("b")
+        self.assertTrue(self.lease.valid)
+
+    def test_it_ends_by_the_age_of_what_was_asked(self) -> None:
+        """Guards against an answer that lay in the socket while the agent was suspended."""
+        asked_at = self.clock.monotonic()
+        self.clock.advance(LEASE_SECONDS)
+        self.lease.heard("a", asked_at, NAMED_SECONDS)
+        self.lease.heard("b", asked_at, NAMED_SECONDS)
+        self.assertFalse(self.lease.valid)
+
+    def test_it_is_renewed_and_lapses(self) -> None:
+        self.confirm("a", "b")
+        self.clock.advance(LEASE_SECONDS - 0.1)
+        self.confirm("b", "c")
+        self.clock.advance(LEASE_SECONDS - 0.1)
+        self.assertTrue(self.lease.valid)
+        self.clock.advance(0.2)
+        self.assertFalse(self.lease.valid)
+
+    def test_agent_that_was_named_a_moment_ago_waits(self) -> None:
+        """Guards against a successor that begins while the agent before it may still order."""
+        for name in ("a", "b", "c"):
+            self.lease.heard(name, self.clock.monotonic(), NAMED_SECONDS - 0.1)
+        self.assertFalse(self.lease.valid)
+
+    def test_witness_that_names_another_takes_its_word_back(self) -> None:
+        self.confirm("a", "b")
+        self.lease.heard("b", self.clock.monotonic(), NOT_NAMED)
+        self.assertFalse(self.lease.valid)
+
+    def test_words_of_former_witnesses_do_not_count(self) -> None:
+        self.confirm("a", "b")
+        self.lease.change_witnesses(("b", "d", "e"))
+        self.assertFalse(self.lease.valid)
+        self.confirm("a", "d")
+        self.assertTrue(self.lease.valid)
+
+    def test_without_witnesses_it_never_ends(self) -> None:
+        self.assertTrue(Lease(self.clock, ()).valid)
+
+
+class NamedTest(unittest.TestCase):
+    """What a witness says."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.named = NamedDeciders(self.clock)
+        self.cfg = group_configuration()
+        self.first = holder(self.cfg, self.cfg.groups["wide"])
+
+    def test_time_runs_on_through_versions_that_name_the_same_agent(self) -> None:
+        self.named.configured(self.cfg)
+        self.clock.advance(5.0)
+        self.named.configured(dataclasses.replace(self.cfg, version=9))
+        self.assertEqual(self.named.seconds("wide", self.first), 5.0)
+
+    def test_another_agent_counts_from_its_version(self) -> None:
+        self.named.configured(self.cfg)
+        self.clock.advance(5.0)
+        later = replaced(self.cfg, "vm-new")
+        self.named.configured(later)
+        self.clock.advance(1.0)
+        second = holder(later, later.groups["wide"])
+        self.assertEqual(self.named.seconds("wide", second), 1.0)
+        self.assertEqual(self.named.seconds("wide", self.first), NOT_NAMED)
+
+    def test_unknown_groups_and_agents_are_not_named(self) -> None:
+        self.assertEqual(self.named.seconds("wide", self.first), NOT_NAMED)
+        self.named.configured(self.cfg)
+        elsewhere = dataclasses.replace(self.first, vm="vm-old")
+        self.assertEqual(self.named.seconds("wide", elsewhere), NOT_NAMED)
+        self.assertEqual(self.named.seconds("other", self.first), NOT_NAMED)
+
+
+class WitnessesTest(unittest.TestCase):
+    """Who is asked."""
+
+    def test_they_are_few_and_odd_and_leave_the_decider_out(self) -> None:
+        for endpoints, entries in ((2, 1), (2, 2), (2, 7), (4, 40)):
+            cfg = group_configuration(endpoints, entries)
+            group = cfg.groups["wide"]
+            found = witnesses(cfg, group)
+            self.assertEqual(len(found) % 2, 1)
+            self.assertLessEqual(len(found), MOST_WITNESSES)
+            self.assertNotIn(f"agent {group.endpoints[0]}", {each.name for each in found})
+
+    def test_they_are_spread_over_failure_domains(self) -> None:
+        cfg = group_configuration(4, 40)
+        found = witnesses(cfg, cfg.groups["wide"])
+        counts = [
+            sum(each.failure_domain == domain for each in found)
+            for domain in {each.failure_domain for each in found}
+        ]
+        self.assertLessEqual(max(counts) - min(counts), 1)
+
+    def test_group_in_one_failure_domain_needs_no_other(self) -> None:
+        """Guards against a whole group that stops deciding since other domains are cut off."""
+        cfg = group_configuration(1, 6)
+        own = cfg.endpoints[cfg.groups["wide"].endpoints[0]].failure_domain
+        entries = [name for name, node in cfg.entries.items() if node.failure_domain == own]
+        self.assertTrue(entries)
+        found = witnesses(cfg, cfg.groups["wide"])
+        self.assertEqual({each.failure_domain for each in found}, {own})
+
+
+class History:
+    """Witnesses that restart and lag, and two agents that are named in turn.
+
+    Args:
+        seed: Seed of all chance.
+        waits: Whether an agent waits until it has been named for long.
+        count: Number of witnesses.
+    """
+
+    def __init__(self, seed: int, waits: bool = True, count: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock(100.0)
+        first = group_configuration()
+        second = replaced(first, "vm-new")
+        self.versions = [first, second]
+        self.names = [f"w{at}" for at in range(count)]
+        self.version = dict.fromkeys(self.names, 0)
+        self.named = {name: self.started(name) for name in self.names}
+        self.holders = [holder(cfg, cfg.groups["wide"]) for cfg in self.versions]
+        self.leases = [Lease(self.clock, self.names) for _ in self.holders]
+        self.waits = waits
+        self.under_way: list[tuple[int, str, float, float]] = []
+        self.ordered = [0, 0]
+
+    def started(self, name: str) -> NamedDeciders:
+        """Return what a witness knows that has just started, perhaps from a stale source."""
+        named = NamedDeciders(self.clock)
+        named.configured(self.versions[self.version[name]])
+        return named
+
+    def step(self) -> None:
+        """Let one thing happen."""
+        name = self.rng.choice(self.names)
+        match self.rng.choices(("time", "ask", "answer", "learn", "restart"), (6, 9, 9, 1, 1))[0]:
+            case "time":
+                self.clock.advance(self.rng.uniform(0.0, LONGEST_STEP))
+            case "ask":
+                self.ask(self.rng.randrange(2), name)
+            case "answer" if self.under_way:
+                at, name, asked_at, seconds = self.under_way.pop(
+                    self.rng.randrange(len(self.under_way))
+                )
+                self.leases[at].heard(name, asked_at, seconds)
+            case "learn":
+                self.version[name] = 1
+                self.named[name].configured(self.versions[1])
+            case "restart":
+                self.version[name] = self.rng.choice((0, self.version[name]))
+                self.named[name] = self.started(name)
+
+    def ask(self, at: int, name: str) -> None:
+        """Have an agent ask a witness; the answer comes at any later time."""
+        seconds = self.named[name].seconds("wide", self.holders[at])
+        if not self.waits and seconds >= 0:
+            seconds = NAMED_SECONDS
+        self.under_way.append((at, name, self.clock.monotonic(), seconds))
+
+    def both_may_order(self) -> bool:
+        """Play to the end; return whether both agents ever could order at once."""
+        for _ in range(STEPS):
+            self.step()
+            valid = [lease.valid for lease in self.leases]
+            for at, each in enumerate(valid):
+                self.ordered[at] += each
+            if all(valid):
+                return True
+        return False
+
+
+class SearchTest(unittest.TestCase):
+    """Random histories of lost, late and stale answers."""
+
+    def test_no_two_agents_may_order_at_once(self) -> None:
+        """Guards against two deciders, also where witnesses forget what they had told."""
+        ordered = [0, 0]
+        for seed in range(HISTORIES):
+            history = History(seed, count=3 + 2 * (seed % 2))
+            self.assertFalse(history.both_may_order(), f"seed {seed}")
+            ordered = [sum(pair) for pair in zip(ordered, history.ordered, strict=True)]
+        self.assertGreater(min(ordered), 0)
+
+    def test_the_search_finds_a_successor_that_does_not_wait(self) -> None:
+        found = sum(History(seed, waits=False).both_may_order() for seed in range(HISTORIES))
+        self.assertGreater(found, 0)
+
+
+class HolderTest(unittest.TestCase):
+    """Who is named."""
+
+    def test_it_is_the_agent_beside_rank_0(self) -> None:
+        cfg = group_configuration()
+        first = cfg.endpoints[cfg.groups["wide"].endpoints[0]]
+        expected = Holder(first.name, first.agent, first.vm)
+        self.assertEqual(holder(cfg, cfg.groups["wide"]), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
