Judge kept connections by the clock of the process, which counts suspensions

Cause: the age of kept connections and the joining of small parts were read from time.monotonic, which stands still during a suspension and is not the clock that the rest of the entry is driven by.

Change: Upstream takes a clock, keeps no expiry in httpcore, and hands the clock to streamed bodies. An entry draws its incarnation from its own chance.

Figures: a kept connection idle for 15 s by the process's clock is not used (new test; the argument did not exist before).

--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -71,7 +71,7 @@
         )
         homes = Homes(clock, slot, identity.incarnation)
         self._keys = KeyKeeper(homes, self._ledger, member.calls, clock, runtime.rng, runtime.audit)
-        self._upstream = Upstream()
+        self._upstream = Upstream(clock=clock)
         self._gate = Gate(
             clock,
             identity.name,
--- a/carawayhub/endpoints/body.py
+++ b/carawayhub/endpoints/body.py
@@ -6,7 +6,6 @@
 that come further apart than the window are never held back, and neither is the first.
 """
 
-import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
@@ -31,7 +30,7 @@
         self,
         parts: AsyncIterator[bytes],
         join: float,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float],
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
     ) -> None:
         self._parts = parts
--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -6,7 +6,6 @@
 that was used last, whatever the number of open streams.
 """
 
-import time
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -18,6 +17,7 @@
 import httpcore
 
 from carawayhub.addresses import Address
+from carawayhub.clock import Clock, SystemClock
 from carawayhub.codes import Code
 from carawayhub.endpoints.body import StreamBody
 from carawayhub.endpoints.joinedwrites import JoinedNetwork
@@ -114,11 +114,14 @@
         headers: Headers in order.
     """
 
-    __slots__ = ("_response", "_timeouts", "headers", "status")
+    __slots__ = ("_clock", "_response", "_timeouts", "headers", "status")
 
-    def __init__(self, response: httpcore.Response, timeouts: UpstreamTimeouts) -> None:
+    def __init__(
+        self, response: httpcore.Response, timeouts: UpstreamTimeouts, clock: Clock
+    ) -> None:
         self._response = response
         self._timeouts = timeouts
+        self._clock = clock
         self.status = response.status
         self.headers = response.headers
 
@@ -146,7 +149,7 @@
             join: Seconds for which small parts may be gathered, 0 for none.
         """
         self._timeouts.streaming(silence)
-        return StreamBody(self._response.aiter_stream(), join)
+        return StreamBody(self._response.aiter_stream(), join, self._clock.monotonic)
 
 
 class Upstream:
@@ -155,14 +158,20 @@
     Args:
         source: IP number to connect from, empty for any.
         backend: Opens connections; that of ``httpcore`` if None.
+        clock: Source of time; that of the machine if None. It must count suspensions, during which
+            an endpoint closes what lies idle.
     """
 
-    __slots__ = ("_backend", "_idle", "_next_sweep", "_source")
+    __slots__ = ("_backend", "_clock", "_idle", "_next_sweep", "_source")
 
     def __init__(
-        self, source: str = "", backend: httpcore.AsyncNetworkBackend | None = None
+        self,
+        source: str = "",
+        backend: httpcore.AsyncNetworkBackend | None = None,
+        clock: Clock | None = None,
     ) -> None:
         self._source = source
+        self._clock = clock or SystemClock()
         self._backend = backend or httpcore.AnyIOBackend()
         self._idle: dict[str, deque[_Connection]] = {}
         self._next_sweep = 0.0
@@ -177,11 +186,11 @@
         """
         conn = await self._connection(req)
         guard = _SendGuard(req, conn.writes)
-        began_at = time.monotonic()
+        began_at = self._clock.monotonic()
         try:
             response = await conn.handle_async_request(_request(req, guard))
             try:
-                yield UpstreamResponse(response, req.timeouts)
+                yield UpstreamResponse(response, req.timeouts, self._clock)
             finally:
                 with anyio.CancelScope(shield=True):
                     await response.aclose()
@@ -225,7 +234,7 @@
         idle = None if req.fresh else self._idle.get(_address(req))
         while idle:
             conn = idle.pop()
-            if conn.is_available() and not conn.has_expired():
+            if conn.is_available() and not self._is_spent(conn):
                 return conn
             await conn.aclose()
         return _Connection(req, self._source, JoinedNetwork(self._backend))
@@ -236,12 +245,17 @@
             await conn.aclose()
             return
         idle = self._idle.setdefault(_address(req), deque())
-        conn.kept_at = time.monotonic()
+        conn.kept_at = self._clock.monotonic()
         idle.append(conn)
         if len(idle) > MAX_IDLE:
             await idle.popleft().aclose()
         await self._sweep()
 
+    def _is_spent(self, conn: "_Connection") -> bool:
+        """Return whether a kept connection lay idle for long or was closed by the endpoint."""
+        lies_long = self._clock.monotonic() >= conn.kept_at + KEEPALIVE_SECONDS
+        return lies_long or conn.has_expired()
+
     async def _drop_unproven(self, req: UpstreamRequest, since: float) -> None:
         """Close the idle connections to an endpoint that have answered nothing since then.
 
@@ -253,12 +267,12 @@
 
     async def _sweep(self) -> None:
         """Now and then close what lies idle for long, also of endpoints that are gone."""
-        now = time.monotonic()
+        now = self._clock.monotonic()
         if now < self._next_sweep:
             return
         self._next_sweep = now + KEEPALIVE_SECONDS
         for address, idle in list(self._idle.items()):
-            while idle and idle[0].has_expired():
+            while idle and self._is_spent(idle[0]):
                 await idle.popleft().aclose()
             if not idle:
                 del self._idle[address]
@@ -273,13 +287,13 @@
         writes: Opens it, and joins what is written.
 
     Attributes:
-        kept_at: When its newest answer ended, by the clock of ``time.monotonic``.
+        kept_at: When its newest answer ended, by the clock of ``Upstream``.
     """
 
     def __init__(self, req: UpstreamRequest, source: str, writes: JoinedNetwork) -> None:
         super().__init__(
             origin=httpcore.URL(req.url).origin,
-            keepalive_expiry=KEEPALIVE_SECONDS,
+            keepalive_expiry=None,
             local_address=source or None,
             network_backend=writes,
             socket_options=ABORTING_OPTIONS,
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -71,7 +71,7 @@
         self._retries = RetryBudget(clock, rng)
         self._directory = EntryDirectory(clock, rng)
         self._reports = Reports()
-        self._upstream = Upstream(Address.parse(settings.peer_listen).host)
+        self._upstream = Upstream(Address.parse(settings.peer_listen).host, clock=clock)
         metrics = runtime.metrics
         records = PoisonRecords(clock)
         self._poison_news = PoisonNews(records)
--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -44,6 +44,8 @@
 LEAST_INTERVAL = 0.1
 """Seconds between two rounds of datagrams at the least, whatever there is to tell."""
 
+INCARNATION_BITS = 32
+
 SETTLED_SECONDS = 1.0
 """Seconds without a further entry after which all are held to be known: a few rounds of datagrams,
 each of which may name more."""
@@ -99,7 +101,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        self.own = OwnState(place)
+        self.own = OwnState(place, f"{rng.getrandbits(INCARNATION_BITS):08x}")
         self._seeds = seeds - {place.ip}
         self._loads = loads
         self._clock = clock
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -148,7 +148,7 @@
         self._health = Health(clock)
         self._view = FleetView(clock, options.heartbeat)
         self._pools: dict[str, ServicePool] = {}
-        self._upstream = Upstream(options.ip)
+        self._upstream = Upstream(options.ip, clock=clock)
         self._tally = Tally(
             lambda: self._view.unreadable_entries, self._limits_met, self._view_seen
         )
--- a/carawayhub/gateway/telling.py
+++ b/carawayhub/gateway/telling.py
@@ -8,7 +8,6 @@
 finds that out by its silence.
 """
 
-import secrets
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -96,10 +95,11 @@
 
     Args:
         place: Where it is found.
+        incarnation: Names this run, drawn at random.
 
     Attributes:
         place: The same.
-        incarnation: Names this run.
+        incarnation: The same.
         phase: What it says of itself.
         news: Gives what it knows of the published state.
         refusing: Gives the endpoints that have just refused requests of it.
@@ -108,9 +108,9 @@
 
     __slots__ = ("incarnation", "news", "phase", "place", "refusing", "told_refusing")
 
-    def __init__(self, place: OwnPlace) -> None:
+    def __init__(self, place: OwnPlace, incarnation: str) -> None:
         self.place = place
-        self.incarnation = secrets.token_hex(4)
+        self.incarnation = incarnation
         self.phase = Phase.STARTING
         self.news: Callable[[], News] = _no_news
         self.refusing: Callable[[], list[str]] = list
--- a/tests/test_upstream_silence.py
+++ b/tests/test_upstream_silence.py
@@ -5,8 +5,14 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
+from carawayhub.clock import ManualClock
 from carawayhub.codes import Code
-from carawayhub.endpoints.upstream import Upstream, UpstreamRequest, UpstreamTimeouts
+from carawayhub.endpoints.upstream import (
+    KEEPALIVE_SECONDS,
+    Upstream,
+    UpstreamRequest,
+    UpstreamTimeouts,
+)
 from carawayhub.errors import RequestError
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -108,6 +114,22 @@
                 self.assertEqual(len(self.endpoint.open), opened)
                 tasks.cancel_scope.cancel()
 
+    async def test_connection_that_lay_idle_through_a_suspension_is_not_used(self) -> None:
+        """Guards against a request on a connection that the way has forgotten meanwhile."""
+        clock = ManualClock()
+        self.upstream = Upstream(clock=clock)
+        with anyio.fail_after(LIMIT_S):
+            async with self.listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(self.listener.serve, self.endpoint.serve)
+                await self.keep(1)
+                clock.advance(KEEPALIVE_SECONDS - 0.1)
+                await self.ask()
+                self.assertEqual(len(self.endpoint.open), 1)
+                clock.advance(KEEPALIVE_SECONDS)
+                await self.ask()
+                self.assertEqual(len(self.endpoint.open), 2)
+                tasks.cancel_scope.cancel()
+
     async def stall(self) -> None:
         """Send a request whose connection is silent."""
         with self.assertRaises(RequestError) as caught:
