Take no check from a peer that knows less

What callers saw: after a suspension requests and orders by a configuration that was replaced meanwhile, where the first peer heard knows an older one or none.

Cause: a peer's version below the own one ended the doubt after a pause, though it says only that this peer has heard even less: one that has just started, with version 0, confirmed everything.

Evidence: the new test, in which heartbeats with version 0 and 2 end the doubt about version 3; it failed before.

Change: only a peer with the same version in force is a check; a newer one brings the newer configuration, as before.

Found while the order of two deciders was traced.

--- a/carawayhub/agent/checked_rank.py
+++ b/carawayhub/agent/checked_rank.py
@@ -16,7 +16,7 @@
 
     A paused agent wakes in the middle of a function with an order in hand. Its VM may have been
     replaced meanwhile, or its group changed: engines that check no fencing numbers would take the
-    order. It is given only after a peer was heard that knows no newer configuration; a newer one
+    order. It is given only after a peer was heard that has the same configuration; a newer one
     ends the decider, and the order with it. A pause after that is for the port to notice, which
     looks once more as it writes (``HttpRank``). What is in flight when the pause begins is beyond
     both, and is what the ranks' own rules are for.
--- a/carawayhub/process/knowledge.py
+++ b/carawayhub/process/knowledge.py
@@ -124,12 +124,14 @@
     def confirm_configuration(self, peer: str, version: int, count: int) -> None:
         """Take a peer's version as a check of the configuration in force.
 
+        A peer that knows less proves nothing: it has just started, or hears nobody itself.
+
         Args:
             peer: Who told it.
             version: Version in force at the peer.
             count: Pauses that this process had seen when the exchange began.
         """
-        if version <= self.sync.in_force.version:
+        if version == self.sync.in_force.version:
             self.pauses.confirm(View.CONFIGURATION, count, f"{peer} has version {version}")
             self.confirmed.notify()
 
--- a/tests/test_fleet_pauses.py
+++ b/tests/test_fleet_pauses.py
@@ -8,6 +8,7 @@
 
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.clock import ManualClock
+from carawayhub.fleet.manifest import Manifest
 from carawayhub.fleet.pauses import PauseDetector, View
 from carawayhub.output.audit import AuditTrail
 from carawayhub.peers.messages import Heartbeat, Hello, ProcessRole
@@ -103,9 +104,26 @@
 
         run(story)
 
+    def test_peer_that_knows_less_confirms_nothing(self) -> None:
+        """Guards against the word of a peer that has just started, or is cut off as well."""
 
-def heartbeat(sequence: int, echo: int) -> Heartbeat:
-    return Heartbeat(sequence=sequence, version=0, digest="", echo=echo)
+        async def story() -> None:
+            clock = ManualClock()
+            exchange, knowledge = agent(clock)
+            knowledge.sync._history.advance(Manifest.of(3, {}))
+            clock.advance(20)
+            reply = exchange.reply(ENTRY, heartbeat(1, echo=0))
+            for version in (0, 2):
+                exchange.reply(ENTRY, heartbeat(2, reply.pauses, version))
+                self.assertTrue(knowledge.pauses.check())
+            exchange.reply(ENTRY, heartbeat(3, reply.pauses, 3))
+            self.assertFalse(knowledge.pauses.check())
+
+        run(story)
+
+
+def heartbeat(sequence: int, echo: int, version: int = 0) -> Heartbeat:
+    return Heartbeat(sequence=sequence, version=version, digest="", echo=echo)
 
 
 def agent(clock: ManualClock) -> tuple[Exchange, Knowledge]:
