--- a/carawayhub/gateway/answer.py
+++ b/carawayhub/gateway/answer.py
@@ -1,5 +1,6 @@
 """The answer of one request as its caller receives it."""
 
+from carawayhub.clock import Clock
 from carawayhub.constants import CODE_HEADER, JSON_TYPE
 from carawayhub.entry.calls import Send
 from carawayhub.errors import RequestError
@@ -16,17 +17,31 @@
     Args:
         send: The ASGI channel to the caller.
         closing: Whether the connection is to end with this answer.
+        clock: Source of time.
 
     Attributes:
         started: Whether the caller has seen the head; from then on it can only be broken off.
         ended: Whether its end was handed over.
         status: The status sent, 0 before.
+        longest_pause: Seconds between two parts of it, at the most.
     """
 
-    __slots__ = ("_closing", "_send", "ended", "started", "status")
+    __slots__ = (
+        "_clock",
+        "_closing",
+        "_part_at",
+        "_send",
+        "ended",
+        "longest_pause",
+        "started",
+        "status",
+    )
 
-    def __init__(self, send: Send, *, closing: bool) -> None:
+    def __init__(self, send: Send, *, closing: bool, clock: Clock) -> None:
         self._send = send
+        self._clock = clock
+        self._part_at: float | None = None
+        self.longest_pause = 0.0
         self._closing = closing
         self.started = False
         self.ended = False
@@ -41,6 +56,10 @@
 
     async def part(self, data: bytes) -> None:
         """Send a part."""
+        now = self._clock.monotonic()
+        if self._part_at is not None:
+            self.longest_pause = max(self.longest_pause, now - self._part_at)
+        self._part_at = now
         await self._send({"type": "http.response.body", "body": data, "more_body": True})
 
     async def end(self) -> None:
--- a/carawayhub/gateway/app.py
+++ b/carawayhub/gateway/app.py
@@ -73,7 +73,7 @@
 
     async def _serve(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         arrived_at = self._clock.monotonic()
-        answer = CallerAnswer(send, closing=self.closing)
+        answer = CallerAnswer(send, closing=self.closing, clock=self._clock)
         req: CallerRequest | None = None
         call: Admitted | None = None
         code, detail = Code.OK, ""
@@ -165,4 +165,5 @@
             whole=answer.ended,
             returned=call.returned if call else False,
             seconds=round(seconds, 4),
+            longest_pause=round(answer.longest_pause, 4),
         ).info("request ended")
