Ask callers back when a group that stands still is expected, also while others serve

What callers saw: refused twice while one of two groups stood still, though it was back before their time was over.

Cause: the time of an outage was known and used only where no group stands. The other group gets more than it can run meanwhile, and who comes back goes behind all new callers.

Hypothesis: asked back when the group is expected, and let wait for it as long as the caller listens where no further try is left, callers find its free places.

Change: a pool follows outages of some of its groups too. Refusals name the time at which one is expected, if within what the caller has left; who has come back waits for it.

--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -109,6 +109,7 @@
         "_news",
         "_health",
         "_outage",
+        "_partly_out",
         "_placement",
         "_refusals",
         "_spread",
@@ -140,6 +141,7 @@
         self._health = health
         self._refusals = Refusals(clock)
         self._outage = Outage(clock)
+        self._partly_out = Outage(clock)
         self._claims = Claims(clock, rng)
         self._news = news
         self._placement = Placement(loads, health, rng)
@@ -262,7 +264,9 @@
         still = self._view.standing_still(self._name)
         stands = bool(self._endpoints()) or not still
         before = self._outage.left()
-        self._outage.look(Seen(stands, _is_complete(still)))
+        complete = _is_complete(still)
+        self._outage.look(Seen(stands, complete))
+        self._partly_out.look(Seen(not still, complete))
         after = self._outage.left()
         if (before is None) is not (after is None):
             logger.bind(
@@ -287,9 +291,18 @@
         left = max(0.0, call.ends_at - now)
         away = self._outage.left()
         if away is None:
-            away = self._limits.pause(self._endpoints()) or None
+            away = self._limits.pause(self._endpoints()) or self._group_back(left)
         return RequestError(code, self._name, retry_after=self.line.retry_after(left, away))
 
+    def _group_back(self, left: float) -> float | None:
+        """Return when a group that stands still is expected, None where none is in time.
+
+        The others get more than they can run until then. A caller that comes back in that time goes
+        behind all new ones and is refused for good; with the group it finds free places.
+        """
+        back = self._partly_out.left()
+        return back if back is not None and back <= left else None
+
     def _place_now(self, work: Work) -> Place | None:
         return None if len(self.line) else self._free_place(work)
 
@@ -342,7 +355,7 @@
             patience=call.arrived_at + call.route.target - now - self._start_seconds,
             left=call.ends_at - now,
             longest=longest,
-            reopening=self._reopening(away, longest),
+            reopening=self._reopening(call, away, longest),
         )
         limited = self._limits.expected_wait(self._endpoints(), len(self.line))
         if limited > min(longest, max(0.0, wish.patience)):
@@ -368,14 +381,18 @@
             raise self.refusal(call, now, Code.OVERLOADED)
         return turn.place
 
-    def _reopening(self, away: float | None, longest: float) -> float:
+    def _reopening(self, call: Admitted, away: float | None, longest: float) -> float:
         """Return for how long a request waits for endpoints that take none now, 0 for not at all.
 
         While no group stands, as long as its caller listens: what it then gets is sooner than what
-        it would come back for.
+        it would come back for. So does one that has come back, for a group that is expected while
+        its caller listens: it has no further try.
         """
         if away is not None:
             return longest
+        back = self._partly_out.left()
+        if call.returned and back is not None and back <= longest:
+            return longest
         return self._refusals.wait_left() if self._refusals.closed else 0.0
 
     def _leave(self, waiter: Waiter) -> None:
@@ -438,4 +455,11 @@
     left = call.ends_at - now
     if call.route.repeat is not Repeat.STREAM:
         return left
-    return min(left, call.arrived_at + call.route.silence - START_SECONDS - now)
+    return min(left, call.arrived_at + _listens(call) - now)
+
+
+def _listens(call: Admitted) -> float:
+    """Return for how long after its arrival a stream may begin with its caller still there."""
+    if call.route.repeat is not Repeat.STREAM:
+        return 0.0
+    return call.route.silence - START_SECONDS
