Weigh the load of a group by time and not by the number of looks

Cause: the mean of places taken gave each look a quarter of the weight. A calm group is looked at each 0.3 s and not each 0.1 s, so its load showed three times as late, and its first map came that much later.

Change: the mean is formed over 0.35 s, however often the group is looked at.

Ruled out: the time of the change itself (0.51 s before and after). A test of both paces failed to hold before, as the argument did not exist.

--- a/carawayhub/experts/agent.py
+++ b/carawayhub/experts/agent.py
@@ -255,7 +255,7 @@
             return
         await self._know_placement(lead, report)
         growths = await self._growths(lead)
-        best = lead.balancer.decide(lead.placement, growths)
+        best = lead.balancer.decide(lead.placement, growths, self._clock.monotonic())
         self._tally.pressure = lead.balancer.pressure
         if best is not None:
             await self._change(lead, best, report)
--- a/carawayhub/experts/balancer.py
+++ b/carawayhub/experts/balancer.py
@@ -1,5 +1,6 @@
 """Whether a group changes its map now, and to which."""
 
+import math
 from collections.abc import Sequence
 
 from carawayhub.experts.demand import Demand
@@ -37,8 +38,8 @@
 """Power of the pressure by which copies are worth less in a group that is not full: passes are
 short there whatever the skew."""
 
-PRESSURE_WEIGHT = 0.25
-"""Weight of one look in the mean of places taken: at ten looks a second, the last 0.4 s count."""
+PRESSURE_SECONDS = 0.35
+"""Seconds over which the mean of places taken is formed, however often the group is looked at."""
 
 
 class Balancer:
@@ -52,27 +53,29 @@
         pressure: Part of the places that will be taken at the present skew.
     """
 
-    __slots__ = ("_demand", "_places", "_shape", "_skew", "_taken", "pressure")
+    __slots__ = ("_demand", "_noted_at", "_places", "_shape", "_skew", "_taken", "pressure")
 
     def __init__(self, profile: EngineProfile, shape: ExpertShape) -> None:
         self._shape = shape
         self._places = max(1, profile.places)
         self._demand = Demand(shape.layers, shape.experts)
         self._taken = 0.0
+        self._noted_at: float | None = None
         self._skew = 1.0
         self.pressure = 0.0
 
-    def decide(self, current: Placement, growths: Sequence[Growth]) -> Plan | None:
+    def decide(self, current: Placement, growths: Sequence[Growth], now: float) -> Plan | None:
         """Return the change to make, None where none is worth its price.
 
         Args:
             current: The map in force.
             growths: How the counters of the ranks grew since the last look.
+            now: Reading of a clock.
         """
         shares = self._demand.take(growths)
         if shares is None:
             return None
-        self._note_pressure(growths, skew(current, shares))
+        self._note_pressure(growths, skew(current, shares), now)
         if self.pressure < LEAST_PRESSURE:
             return None
         best = plan(current, shares, self._limits(len(current[0])))
@@ -92,7 +95,7 @@
             least_gain=shape.layers / max(1.0, worth),
         )
 
-    def _note_pressure(self, growths: Sequence[Growth], skew_now: float) -> None:
+    def _note_pressure(self, growths: Sequence[Growth], skew_now: float, now: float) -> None:
         """Work out the part of the places that will be taken at the present skew.
 
         Requests stay as long as passes take, and passes grow with the skew. What is measured
@@ -100,12 +103,19 @@
         before it shows in the places.
         """
         taken = sum(each.present for each in growths) / (self._places * len(growths))
-        self._taken += PRESSURE_WEIGHT * (taken - self._taken)
+        weight = self._weight(now)
+        self._taken += weight * (taken - self._taken)
         share = self._shape.share
         stretch = (1.0 - share + share * skew_now) / (1.0 - share + share * self._skew)
-        self._skew += PRESSURE_WEIGHT * (skew_now - self._skew)
+        self._skew += weight * (skew_now - self._skew)
         self.pressure = self._taken * stretch
 
+    def _weight(self, now: float) -> float:
+        """Return the weight of a look by the time since the one before."""
+        before, self._noted_at = self._noted_at, now
+        passed = PRESSURE_SECONDS if before is None else now - before
+        return 1.0 - math.exp(-passed / PRESSURE_SECONDS)
+
 
 def copies_within(seconds: float, shape: ExpertShape) -> int:
     """Return how many experts a rank copies in ``seconds``; one at the least."""
--- a/tests/test_experts_balance.py
+++ b/tests/test_experts_balance.py
@@ -26,6 +26,7 @@
     link_rate=5.5e9,
 )
 PROFILE = replace(engine(), places=5, experts=SHAPE)
+LOOK = 0.1
 LIMITS = CopyLimits(places=5, new_in_set=2, new_in_rank=3, least_gain=0.02)
 FIRST = first_placement(SHAPE.layers, SHAPE.experts, RANKS)
 
@@ -117,10 +118,10 @@
         wanted = ShiftingDemand(random.Random(7))
         balancer = Balancer(PROFILE, SHAPE)
         found = []
-        for _ in range(12):
+        for look in range(12):
             growth = wanted.growth()
             each = Growth(unit=growth.unit, levels=growth.levels, present=present)
-            found.append(balancer.decide(FIRST, [each]) is not None)
+            found.append(balancer.decide(FIRST, [each], LOOK * look) is not None)
         return found
 
     def test_idle_group_is_left_alone(self) -> None:
@@ -129,6 +130,20 @@
     def test_full_group_changes_within_a_second(self) -> None:
         self.assertTrue(any(self.plans(5)[:8]))
 
+    def test_group_that_is_looked_at_seldom_shows_its_load_as_soon(self) -> None:
+        """Guards against a first map that comes late since a calm group is looked at seldom."""
+        pressures = []
+        for every in (1, 3):
+            wanted = ShiftingDemand(random.Random(7))
+            balancer = Balancer(PROFILE, SHAPE)
+            for look in range(0, 13, every):
+                growth = wanted.growth()
+                present = 5 if look else 0
+                each = Growth(unit=growth.unit, levels=growth.levels, present=present)
+                balancer.decide(FIRST, [each], LOOK * look)
+            pressures.append(balancer.pressure)
+        self.assertAlmostEqual(pressures[0], pressures[1], delta=0.05 * pressures[0])
+
     def test_copies_fit_the_time_that_a_change_may_take(self) -> None:
         self.assertEqual(copies_within(0.17, SHAPE), 3)
 
