Change the map of a group from a fifth of its places on

Hypothesis: at a skew over 3 passes are too long from a fifth of the places on.

Change: the least pressure for a change is 0.2, it was 0.35.

Its test fails before.

--- a/carawayhub/experts/agent.py
+++ b/carawayhub/experts/agent.py
@@ -39,8 +39,8 @@
 """Seconds between two looks at the demand of a group that is far from needing a change."""
 
 CALM_PRESSURE = 0.15
-"""Part of the places that must be taken for a group to be looked at often: less than half of what
-makes a change worth its price, so that the first one of a day is not late."""
+"""Part of the places that must be taken for a group to be looked at often: less than what makes a
+change worth its price, so that the first one of a day is not late."""
 
 FOLLOW_SECONDS = 0.8
 """Seconds between two looks of an agent that hears from the one beside rank 0: less than the time
--- a/carawayhub/experts/balancer.py
+++ b/carawayhub/experts/balancer.py
@@ -28,11 +28,9 @@
 """Skew that a change must take away. Samples of a tenth of a second put the skew of a good map
 above its true one by up to twice as much, but the next change can begin at once."""
 
-LEAST_PRESSURE = 0.35
+LEAST_PRESSURE = 0.2
 """Part of the places that must be taken, at the skew that is to come, for a change to be worth
-anything: below it no request waits, and passes are short whatever the map. At 0.6 the first map of
-a day stayed for two seconds of traffic, in which four streams in ten were late (full load, 24
-ranks); at 0.35 one in fifty was, at 0.4% of the worth for the copies of a quiet day."""
+anything: below it no request waits, and passes are short whatever the map."""
 
 PRESSURE_POWER = 2
 """Power of the pressure by which copies are worth less in a group that is not full: passes are
--- a/tests/test_experts_balance.py
+++ b/tests/test_experts_balance.py
@@ -12,7 +12,7 @@
 from carawayhub.experts.demand import Demand
 from carawayhub.experts.model import Growth, first_placement, is_whole
 from carawayhub.experts.planner import CopyLimits, plan
-from carawayhub.gateway.model import ExpertShape
+from carawayhub.gateway.model import EngineProfile, ExpertShape
 from carawayhub.peers import questions
 from tests.gateway_world import engine
 
@@ -114,9 +114,9 @@
 class BalancerTest(unittest.TestCase):
     """Whether a change is worth its price."""
 
-    def plans(self, present: int) -> list[bool]:
+    def plans(self, present: int, profile: EngineProfile = PROFILE) -> list[bool]:
         wanted = ShiftingDemand(random.Random(7))
-        balancer = Balancer(PROFILE, SHAPE)
+        balancer = Balancer(profile, SHAPE)
         found = []
         for look in range(12):
             growth = wanted.growth()
@@ -127,6 +127,10 @@
     def test_idle_group_is_left_alone(self) -> None:
         self.assertFalse(any(self.plans(0)))
 
+    def test_group_with_a_quarter_of_its_places_taken_changes(self) -> None:
+        """Guards against streams that are late by pauses until a group is a third full."""
+        self.assertTrue(any(self.plans(2, replace(PROFILE, places=8))[8:]))
+
     def test_full_group_changes_within_a_second(self) -> None:
         self.assertTrue(any(self.plans(5)[:8]))
 
