Ask three witnesses for the lease of a decider, not five

Cause: each witness costs the agent beside rank 0 a call a second.

Five would cost two calls a second more.

Ruled out: longer leases, since a takeover waits for them.

Conclusion: three; one may be lost.

--- a/carawayhub/groups/lease.py
+++ b/carawayhub/groups/lease.py
@@ -23,8 +23,8 @@
 """Seconds for which a witness must have named an agent: the lease of the one before it, and the
 time that an order takes on its way."""
 
-MOST_WITNESSES = 5
-"""Witnesses of one group: two of them may be lost, and a large fleet has no more to pay."""
+MOST_WITNESSES = 3
+"""Witnesses of one group: one may be lost, and each more costs its agent a call a second."""
 
 NOT_NAMED = -1.0
 
