Count no rank as lost whose order was held back at its write

What callers would see: a group that steps out of routing, since the lease of its agent ended between the look at it and the write of an order.

Cause: the write is withheld as an unreachable rank, which means a lost one.

Change: an order that fails while the lease has ended counts as withheld.

--- a/carawayhub/agent/checked_rank.py
+++ b/carawayhub/agent/checked_rank.py
@@ -78,9 +78,18 @@
             GroupError: LEASE_LAPSED where this agent may no longer decide.
         """
         if not self._leased():
-            raise GroupError(Code.LEASE_LAPSED, f"rank {self.rank}: order withheld")
-        return await self._port.order(order)
+            raise self._lapsed()
+        try:
+            return await self._port.order(order)
+        except GroupError as exc:
+            # An order held back right before its write says nothing of the rank.
+            if self._leased():
+                raise
+            raise self._lapsed() from exc
 
     async def read_map(self, wanted: MapId) -> ExpertMap:
         """Return the content of a map; reading changes nothing and is not held back."""
         return await self._port.read_map(wanted)
+
+    def _lapsed(self) -> GroupError:
+        return GroupError(Code.LEASE_LAPSED, f"rank {self.rank}: order withheld")
--- a/tests/test_groups_agent.py
+++ b/tests/test_groups_agent.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from carawayhub.agent.checked_rank import CheckedRank
+from carawayhub.agent.checked_rank import CheckedRank, LeasedRank
 from carawayhub.agent.grouptask import Seat, led_group
 from carawayhub.codes import Code
 from carawayhub.endpoints.counters import EngineCounters
@@ -16,6 +16,8 @@
 from carawayhub.peers.messages import ServingState
 from carawayhub.standins.options import RankOptions
 from carawayhub.standins.rankgroup import RankGroup
+from carawayhub.standins.ranks import StandInPort
+from tests.group_bench import GroupBench
 from tests.routing_fakes import configuration, report
 
 
@@ -71,6 +73,55 @@
         self.assertEqual(rank.orders, [])
 
 
+class LeasedAgentTest(unittest.IsolatedAsyncioTestCase):
+    """An agent whose lease ends."""
+
+    async def test_no_order_is_given_without_a_lease(self) -> None:
+        rank = OrderedRank()
+        with self.assertRaises(GroupError) as caught:
+            await LeasedRank(rank, lambda: False).order(Read(term=Term(1, 1)))
+        self.assertEqual(caught.exception.code, Code.LEASE_LAPSED)
+        self.assertEqual(rank.orders, [])
+
+    async def test_order_held_back_at_its_write_does_not_make_the_rank_a_lost_one(self) -> None:
+        """Guards against a group out of routing since its agent's lease ended within an order."""
+        leased = [True]
+
+        class Withheld(OrderedRank):
+            async def order(self, order: Order) -> Reply:
+                leased[0] = False
+                raise GroupError(Code.RANK_UNREACHABLE, "order withheld")
+
+        with self.assertRaises(GroupError) as caught:
+            await LeasedRank(Withheld(), lambda: leased[0]).order(Read(term=Term(1, 1)))
+        self.assertEqual(caught.exception.code, Code.LEASE_LAPSED)
+
+    async def test_lost_rank_is_told_of_with_a_lease(self) -> None:
+        class Lost(OrderedRank):
+            async def order(self, order: Order) -> Reply:
+                raise GroupError(Code.RANK_UNREACHABLE, "no answer")
+
+        with self.assertRaises(GroupError) as caught:
+            await LeasedRank(Lost(), lambda: True).order(Read(term=Term(1, 1)))
+        self.assertEqual(caught.exception.code, Code.RANK_UNREACHABLE)
+
+    async def test_group_stays_in_routing_through_a_short_lapse(self) -> None:
+        """Guards against callers refused by a group that steps, for want of a decider."""
+        bench = GroupBench()
+        leased = [True]
+        ports = [LeasedRank(StandInPort(rank), lambda: leased[0]) for rank in bench.ranks]
+        decider = bench.decider(ports=ports)
+        async with bench.stepping(), bench.running(decider):
+            await bench.until_on(bench.FIRST)
+            await bench.until(lambda: decider.status.formed)
+            leased[0] = False
+            await bench.until_steps(200)
+            self.assertTrue(decider.status.formed)
+            leased[0] = True
+            decider.chooser.rows = bench.SECOND
+            await bench.until_on(bench.SECOND)
+
+
 class LedGroupTest(unittest.TestCase):
     """Which agent a configuration names."""
 
