Soak agents that take a group over from each other

Cause: stories play one takeover each; nothing played stops, cuts, restarts and changes of configuration in overlapping series against the lease of a decider.

--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -11,6 +11,7 @@
 from benchmarks.moved_routes import going_back, late
 from benchmarks.soak import Soak
 from benchmarks.soak_callers import Callers
+from benchmarks.soak_deciders import beside_each_other
 from benchmarks.soak_groups import GroupSoak
 
 
@@ -137,6 +138,13 @@
         excused=NOBODY,
         checker=GroupSoak._check,
     ),
+    Promise(
+        name="one decider of a group at a time",
+        seen="numbers of deciders at the ranks",
+        bound="none orders again within 0.3 s of another",
+        excused=NOBODY,
+        checker=beside_each_other,
+    ),
     Promise(
         name="rate limits of replicas",
         seen="arrivals in windows of 4 s",
