--- a/tests/test_promises_deciders.py
+++ b/tests/test_promises_deciders.py
@@ -180,4 +180,5 @@
         links[f"{one.name}.peer"].state.set_fault(SILENCE, other.inner)
 
 
+# The loader would play the story without a shape of its own.
 del CutOffStory, DeciderTestCase
