Make the agent of a replacing VM in one place, and drop a branch nothing reaches

Change: replacement_agent in tests/group_fleet serves both; the last line of _longest_wait in gateway/pool.py stands as it did before. Behaviour and assertions stay as they are.

--- a/benchmarks/soak_deciders.py
+++ b/benchmarks/soak_deciders.py
@@ -27,9 +27,8 @@
 from carawayhub.standins.checker import Evidence, StepSample, check
 from carawayhub.standins.faults import LinkFault
 from carawayhub.standins.fleet import to_json
-from carawayhub.standins.fleetshape import NodePlan
-from tests.group_fleet import lock_step
-from tests.processes import ProcessFleet, ProcessHandle, daemon_handle, process_fleet
+from tests.group_fleet import lock_step, replacement_agent
+from tests.processes import ProcessFleet, ProcessHandle, process_fleet
 
 SETTLE_SECONDS = 5.0
 STRIKE_SECONDS = 30.0
@@ -143,16 +142,7 @@
         return f"127.{self.fleet.plan.subnet}.230.1"
 
     def _other_agent(self) -> ProcessHandle:
-        plan = self.fleet.plan
-        (own,) = (each for each in plan.endpoints if each.name == self._leader)
-        node = NodePlan("replacement", own.node.failure_domain, self._host, self._host)
-        settings = plan.agent_settings(own) | {
-            "vm": "replacement",
-            "peer_listen": f"{self._host}:7000",
-            "peer_address": f"{self._host}:7000",
-            "operator_listen": node.operators,
-        }
-        handle: ProcessHandle = daemon_handle(self.fleet, node, "agent", settings)
+        handle = replacement_agent(self.fleet)
         handle.start()
         return handle
 
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -455,11 +455,4 @@
     left = call.ends_at - now
     if call.route.repeat is not Repeat.STREAM:
         return left
-    return min(left, call.arrived_at + _listens(call) - now)
-
-
-def _listens(call: Admitted) -> float:
-    """Return for how long after its arrival a stream may begin with its caller still there."""
-    if call.route.repeat is not Repeat.STREAM:
-        return 0.0
-    return call.route.silence - START_SECONDS
+    return min(left, call.arrived_at + call.route.silence - START_SECONDS - now)
--- a/tests/group_fleet.py
+++ b/tests/group_fleet.py
@@ -13,7 +13,7 @@
 from carawayhub.standins.faults import RankFault
 from carawayhub.standins.fleet import to_json
 from carawayhub.standins.fleetshape import FleetShape, LockStepShape, NodePlan
-from tests.processes import daemon_handle
+from tests.processes import ProcessFleet, ProcessHandle, daemon_handle
 from tests.stories import FleetTestCase, publish_everywhere, request, until
 
 CHAT = "/v1/chat/completions"
@@ -33,6 +33,22 @@
     )
 
 
+def replacement_agent(fleet: ProcessFleet) -> ProcessHandle:
+    """Return the agent of a VM that may replace that of rank 0; it is not started."""
+    plan = fleet.plan
+    leader = plan.lock_step[0].name
+    (old,) = (each for each in plan.endpoints if each.name == leader)
+    host = f"127.{plan.subnet}.230.1"
+    node = NodePlan("replacement", old.node.failure_domain, host, host)
+    settings = plan.agent_settings(old) | {
+        "vm": "replacement",
+        "peer_listen": f"{host}:7000",
+        "peer_address": f"{host}:7000",
+        "operator_listen": node.operators,
+    }
+    return daemon_handle(fleet, node, "agent", settings)
+
+
 class GroupTestCase(FleetTestCase):
     """What the stories of lock-step groups share."""
 
@@ -168,17 +184,7 @@
     # The agent of a VM that replaces that of rank 0.
 
     def _replacement(self) -> Any:
-        plan = self.fleet.plan
-        (old,) = (each for each in plan.endpoints if each.name == self.leader)
-        host = f"127.{plan.subnet}.230.1"
-        node = NodePlan("replacement", old.node.failure_domain, host, host)
-        settings = plan.agent_settings(old) | {
-            "vm": "replacement",
-            "peer_listen": f"{host}:7000",
-            "peer_address": f"{host}:7000",
-            "operator_listen": node.operators,
-        }
-        return daemon_handle(self.fleet, node, "agent", settings)
+        return replacement_agent(self.fleet)
 
     async def _publish_agent(self, vm: str) -> None:
         change = {"vm": vm, "agent": f"127.{self.fleet.plan.subnet}.230.1:7000"}
