Log and count what replicas ask for in their answers

The adapter now decodes Retry-After of a 503 and Server-Leaving into typed values; a line for each says endpoint, request, seconds and until when, and two counters by service. What cannot be read is logged once for each replica. An answer counts only if it is the replica's own: not from another lifetime, to another request or without marks of a replica. Nothing acts on the values yet.

Server-Leaving is kept from callers, as Server-Limit is: they choose no replica. UnreadableLimit is UnreadableValue now, since it serves both headers.

--- a/carawayhub/gateway/calls.py
+++ b/carawayhub/gateway/calls.py
@@ -111,8 +111,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UnreadableLimit:
-    """A limit in an answer that is not a decimal number.
+class RequestedBackoff:
+    """A time in an answer for which its replica wants no requests from this entry.
+
+    Attributes:
+        seconds: Seconds from the answer on, 0 for none.
+    """
+
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnreadableValue:
+    """A value in an answer that is not a decimal number.
 
     Attributes:
         text: Beginning of the value, for the log.
@@ -135,6 +146,8 @@
         is_stream: Whether the body is a stream of events.
         encoded: Whether the body was encoded in transit.
         limit: The limit in the answer, None if there is none.
+        backoff: The backoff that the answer requests, None if it requests none.
+        leaving: Whether the replica announces that it is leaving.
     """
 
     status: int
@@ -145,7 +158,9 @@
     misdirected: bool
     is_stream: bool
     encoded: bool
-    limit: NamedLimit | UnreadableLimit | None = None
+    limit: NamedLimit | UnreadableValue | None = None
+    backoff: RequestedBackoff | UnreadableValue | None = None
+    leaving: bool = False
 
 
 class CallerWire(Protocol):
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -29,6 +29,7 @@
 from carawayhub.gateway.ports import PublishedState
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
+from carawayhub.gateway.statements import ReplicaStatements
 from carawayhub.gateway.tally import ReplicaLimits, Tally, ViewStatus
 from carawayhub.gateway.telling import OwnAddress
 from carawayhub.gateway.view import FleetView
@@ -127,6 +128,7 @@
         "_read_seeds",
         "_records",
         "_rng",
+        "_statements",
         "_stopping",
         "_tally",
         "_upstream",
@@ -152,7 +154,10 @@
         self._pools: dict[str, ServicePool] = {}
         self._upstream = Upstream(options.ip, clock=clock)
         self._tally = Tally(
-            lambda: self._view.unreadable_entries, self._limits_met, self._view_seen
+            lambda: self._view.unreadable_entries,
+            self._limits_met,
+            self._view_seen,
+            lambda: self._statements.counts,
         )
         self._view.on_table = self._tally.table_applied
         own = OwnAddress(
@@ -164,6 +169,7 @@
         self._records = PoisonRecords(clock)
         self._records.on_ends = self._apply_peer_ends
         self._rates = ReplicaRates(clock, rng, work_key)
+        self._statements = ReplicaStatements(self._rates)
         self._limit_cleanup_at = float("-inf")
         self._gossip = Gossip(
             own, options.seeds, self._loads, self._records, self._rates, clock, rng
@@ -208,7 +214,7 @@
                 entries=self._gossip.settled_entries,
                 load=self._loads.total,
                 endings=Endings(self._upstream, self._records, clock, self._tally.endpoint_ended),
-                rates=self._rates,
+                statements=self._statements,
             )
         )
         admission = AdmissionControl(
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -28,16 +28,14 @@
     AnswerHead,
     CallerWire,
     Dispatch,
-    NamedLimit,
-    UnreadableLimit,
 )
 from carawayhub.gateway.events import EventBuffer
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Work, work_key
 from carawayhub.gateway.model import Endpoint, Repeat
 from carawayhub.gateway.pool import ServicePool, Slot
+from carawayhub.gateway.statements import ReplicaStatements
 from carawayhub.gateway.view import FleetView
-from carawayhub.limits.replicarate import ReplicaRates
 
 OK_STATUS = 200
 SERVER_ERROR = 500
@@ -93,7 +91,7 @@
         entries: Returns the most entries known at one time, 0 before any was received.
         load: Returns the known work at an endpoint.
         endings: Records which requests were running when an endpoint ended.
-        rates: Records the limits that answers state.
+        statements: Evaluates what replicas state in their answers.
     """
 
     clock: Clock
@@ -105,7 +103,7 @@
     entries: Callable[[], int]
     load: Callable[[str], Work]
     endings: Endings
-    rates: ReplicaRates
+    statements: ReplicaStatements
 
 
 class GatewayRelay:
@@ -270,7 +268,7 @@
             head = self._parts.wire.answer(response.status, list(response.headers))
             if head.misdirected:
                 self._parts.view.misdirected(slot.endpoint.id)
-            self._record_limit(progress, slot.endpoint, head, sent_at)
+            self._parts.statements.evaluate(progress.call, slot.endpoint, head, sent_at)
             self._check_answer(progress, head)
             if head.is_stream and head.status == OK_STATUS:
                 await self._relay_stream(progress, pool, slot, sent_at, head, response)
@@ -279,22 +277,6 @@
             if response.framed:
                 self._parts.endings.answered(progress.call.fingerprint)
 
-    def _record_limit(
-        self, progress: _Progress, endpoint: Endpoint, head: AnswerHead, sent_at: float
-    ) -> None:
-        """Record the limit in an answer if this endpoint sent the answer for this request."""
-        if head.request_id not in (b"", progress.call.req.id) or head.misdirected:
-            return
-        if not head.sealed and not head.not_run:
-            return
-        match head.limit:
-            case NamedLimit(per_second=per_second):
-                self._parts.rates.record_limit(endpoint.id, per_second, sent_at)
-            case UnreadableLimit(text=text):
-                self._parts.rates.record_unreadable(endpoint.id, text)
-            case None:
-                self._parts.rates.record_limit(endpoint.id, None, sent_at)
-
     def _check_answer(self, progress: _Progress, head: AnswerHead) -> None:
         """Raise if an answer must not reach the caller.
 
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from carawayhub.codes import Code
+from carawayhub.gateway.statements import StatementCounts
 from carawayhub.output.metrics import Recorder, summary_lines
 
 
@@ -46,6 +47,7 @@
         unreadable_entries: Returns the number of malformed endpoint registrations so far.
         replica_limits: Returns the rate limits of replicas.
         view_status: Returns the status of the view of the published state.
+        statement_counts: Returns how often replicas stated something about themselves.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         "_ends",
         "_table_delays",
         "_replica_limits",
+        "_statement_counts",
         "_times",
         "_unreadable_entries",
         "_view_status",
@@ -63,10 +66,12 @@
         unreadable_entries: Callable[[], int] = lambda: 0,
         replica_limits: Callable[[], ReplicaLimits] = ReplicaLimits,
         view_status: Callable[[], ViewStatus] = ViewStatus,
+        statement_counts: Callable[[], StatementCounts] = StatementCounts,
     ) -> None:
         self._unreadable_entries = unreadable_entries
         self._replica_limits = replica_limits
         self._view_status = view_status
+        self._statement_counts = statement_counts
         self._table_delays = Recorder()
         self._ends: Counter[tuple[str, str, Code, int]] = Counter()
         self._times: dict[str, Recorder] = {}
@@ -115,6 +120,7 @@
             lines.append(f'carawayhub_gateway_replica_limit{{replica="{key}"}} {per_second}')
         lines.append("# TYPE carawayhub_gateway_held_back_total counter")
         lines.append(f"carawayhub_gateway_held_back_total {met.held_back}")
+        lines += self._statement_lines()
         lines += self._view_lines()
         lines.append("# TYPE carawayhub_gateway_milliseconds summary")
         for route, recorder in sorted(self._times.items()):
@@ -122,6 +128,18 @@
             lines += summary_lines("carawayhub_gateway_milliseconds", labels, recorder)
         return "\n".join(lines) + "\n"
 
+    def _statement_lines(self) -> list[str]:
+        counts = self._statement_counts()
+        lines = []
+        for name, by_service in (
+            ("carawayhub_gateway_requested_backoffs_total", counts.backoffs),
+            ("carawayhub_gateway_announced_leavings_total", counts.leavings),
+        ):
+            lines.append(f"# TYPE {name} counter")
+            for service, count in sorted(by_service.items()):
+                lines.append(f'{name}{{service="{service}"}} {count}')
+        return lines
+
     def _view_lines(self) -> list[str]:
         seen = self._view_status()
         name = "carawayhub_gateway_configuration_late_milliseconds"
--- a/carawayhub/platform/headers.py
+++ b/carawayhub/platform/headers.py
@@ -12,7 +12,8 @@
     Dispatch,
     Headers,
     NamedLimit,
-    UnreadableLimit,
+    RequestedBackoff,
+    UnreadableValue,
 )
 
 REQUEST_ID = b"carawayhub-request-id"
@@ -25,11 +26,14 @@
 NOT_RUN = b"carawayhub-not-executed"
 LAST_EVENT_ID = b"last-event-id"
 LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
 MS_PER_SECOND = 1000.0
 MIN_DEADLINE_MS = 1
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 LEAST_URGENT = 9
 
 _FLEET_ONLY_HEADERS = frozenset({DEADLINE, EXPECT_INSTANCE, ORGANISATION, URGENCY, LAST_EVENT_ID})
@@ -38,8 +42,8 @@
 _NOT_FORWARDED = (
     HOP_BY_HOP_HEADERS | _FLEET_ONLY_HEADERS | {b"content-length", b"expect", AUTHORIZATION}
 )
-_NOT_RETURNED = HOP_BY_HOP_HEADERS | {b"proxy-connection", LIMIT}
-"""Callers cannot act on the limit of one replica, since it covers the requests of all callers."""
+_NOT_RETURNED = HOP_BY_HOP_HEADERS | {b"proxy-connection", LIMIT, LEAVING}
+"""Callers cannot act on the limit or the leaving of one replica: the entry chooses the replica."""
 
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 MAX_LOGGED_BYTES = 40
@@ -112,18 +116,41 @@
             misdirected=status == MISDIRECTED_STATUS,
             is_stream=found.get(b"content-type", b"").startswith(STREAM_TYPE),
             encoded=b"content-encoding" in found,
-            limit=_limit([value for name, value in headers if name.lower() == LIMIT]),
+            limit=_limit(_values(headers, LIMIT)),
+            backoff=_backoff(status, _values(headers, RETRY_AFTER)),
+            leaving=found.get(LEAVING, b"").strip() == b"1",
         )
 
 
-def _limit(values: list[bytes]) -> NamedLimit | UnreadableLimit | None:
+def _values(headers: Headers, header: bytes) -> list[bytes]:
+    return [value for name, value in headers if name.lower() == header]
+
+
+def _limit(values: list[bytes]) -> NamedLimit | UnreadableValue | None:
     """Return the limit in an answer; of several values, the lowest that can be parsed."""
     if not values:
         return None
-    found = [float(value) for value in values if _DECIMAL.fullmatch(value)]
-    if not found:
-        return UnreadableLimit(values[0][:MAX_LOGGED_BYTES].decode("latin-1"))
-    return NamedLimit(min(found))
+    found = _decimals(values)
+    return NamedLimit(min(found)) if found else _unreadable(values)
+
+
+def _backoff(status: int, values: list[bytes]) -> RequestedBackoff | UnreadableValue | None:
+    """Return the backoff that an answer requests; of several values, the longest one.
+
+    Only 503 speaks of the replica: ``Retry-After`` beside another status is for the caller.
+    """
+    if status != UNAVAILABLE_STATUS or not values:
+        return None
+    found = _decimals(values)
+    return RequestedBackoff(max(found)) if found else _unreadable(values)
+
+
+def _decimals(values: list[bytes]) -> list[float]:
+    return [float(value) for value in values if _DECIMAL.fullmatch(value)]
+
+
+def _unreadable(values: list[bytes]) -> UnreadableValue:
+    return UnreadableValue(values[0][:MAX_LOGGED_BYTES].decode("latin-1"))
 
 
 def _connection_headers(headers: Headers) -> frozenset[bytes]:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -20,6 +20,7 @@
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
+from carawayhub.gateway.statements import ReplicaStatements
 from carawayhub.gateway.tally import Tally
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import HttpServer, bind
@@ -120,7 +121,7 @@
             endings=Endings(
                 upstream, PoisonRecords(self.clock), self.clock, self.tally.endpoint_ended
             ),
-            rates=rates(self.clock),
+            statements=ReplicaStatements(rates(self.clock)),
         )
         desk = AdmissionControl(self.view, self.clock, rng, 5.0)
         app = GatewayApp(
--- a/tests/test_platform_metrics.py
+++ b/tests/test_platform_metrics.py
@@ -2,6 +2,7 @@
 
 import tomllib
 import unittest
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,7 @@
 from carawayhub.experts.planner import Plan
 from carawayhub.experts.switch import ChangeOutcome
 from carawayhub.experts.tally import GroupTally
+from carawayhub.gateway.statements import StatementCounts
 from carawayhub.gateway.tally import Tally, ViewStatus
 from carawayhub.platform.probes import METRICS_PATH, METRICS_PORT, metrics_app, probe_app
 
@@ -83,6 +85,13 @@
         ):
             self.assertIn(line, text)
 
+    def test_entry_tells_what_replicas_stated(self) -> None:
+        counts = StatementCounts(Counter(llm=3), Counter(plain=1))
+        tally = Tally(statement_counts=lambda: counts)
+        text = get(probe_app(lambda: True, list, tally.page), METRICS_PATH)[1].splitlines()
+        self.assertIn('carawayhub_gateway_requested_backoffs_total{service="llm"} 3', text)
+        self.assertIn('carawayhub_gateway_announced_leavings_total{service="plain"} 1', text)
+
     def test_other_paths_are_not_found(self) -> None:
         self.assertEqual(get(metrics_app(str), "/v1/ready")[0], 404)
 
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -16,7 +16,7 @@
 from benchmarks.rate_limit import History, Kind, Policy, drawn, play
 from benchmarks.request_fleet import RequestFleet
 from carawayhub.clock import ManualClock
-from carawayhub.gateway.calls import NamedLimit, UnreadableLimit
+from carawayhub.gateway.calls import NamedLimit, UnreadableValue
 from carawayhub.gateway.hello import Hello, News, Phase
 from carawayhub.gateway.peers import MISSING_TTL_SECONDS, Peers
 from carawayhub.limits.replicarate import (
@@ -121,7 +121,7 @@
 class Wire(unittest.TestCase):
     """Parsing of the header."""
 
-    def read(self, *values: bytes) -> NamedLimit | UnreadableLimit | None:
+    def read(self, *values: bytes) -> NamedLimit | UnreadableValue | None:
         headers = [(b"Server-Limit", value) for value in values]
         return PlatformWire().answer(200, headers).limit
 
@@ -146,7 +146,7 @@
             long,
         ):
             with self.subTest(value=value[:20]):
-                self.assertIsInstance(self.read(value), UnreadableLimit)
+                self.assertIsInstance(self.read(value), UnreadableValue)
         self.assertLessEqual(len(self.read(long).text), 40)
 
     def test_the_least_of_several_holds(self) -> None:
