Add failing tests of replicas that request a backoff or announce leaving

Stand-in replicas of the virtual fleet turn requests away with Retry-After and announce their leaving in each answer, and note what reaches them by run of an entry.

--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -18,6 +18,7 @@
 import httpcore
 
 from benchmarks.named_limits import NamedLimits
+from benchmarks.stated import Stated, StatedArrival
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.addresses import Address
 from carawayhub.constants import CODE_HEADER
@@ -49,9 +50,10 @@
 DATAGRAM_SECONDS = 0.002
 CONNECT_SECONDS = 0.001
 DOMAINS = 5
-NOT_RUN = (
-    b"HTTP/1.1 503 Service Unavailable\r\ncarawayhub-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\ncarawayhub-not-executed: 1\r\n%scontent-length: 0\r\n\r\n"
 )
+NOT_RUN = REFUSAL % b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,9 +108,10 @@
 class Line(httpcore.AsyncNetworkStream):
     """A connection of an entry to a replica."""
 
-    def __init__(self, replica: "Replica", entry: str) -> None:
+    def __init__(self, replica: "Replica", entry: str, run: str) -> None:
         self.replica = replica
         self.entry = entry
+        self.run = run
         self.is_cut = False
         self._written = b""
         self._unread: deque[bytes] = deque()
@@ -206,7 +209,7 @@
 
     def take(self, line: Line, head: bytes, body: bytes) -> None:
         """Take a whole request."""
-        self.fleet.note_sent(self, line.entry, body)
+        self.fleet.note_sent(self, line, body)
         if self._stands_still():
             self.fleet.wasted += 1
             if self.fleet.stalls:
@@ -215,6 +218,9 @@
                 line.send(NOT_RUN)
             return
         found = re.search(rb"carawayhub-request-id: (\S+)", head, re.IGNORECASE)
+        if self.fleet.stated.turns_away(self.id, self.fleet.rng):
+            line.send(REFUSAL % self._stated_lines(line, refusal=True))
+            return
         self.fleet.start(self._serve, line, found.group(1) if found else b"", body)
 
     async def _refuse_late(self, line: Line) -> None:
@@ -235,7 +241,7 @@
         line.send(
             b"HTTP/1.1 200 OK\r\ncarawayhub-request-id: %s\r\ncarawayhub-response-seal: s\r\n%s"
             b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-            % (request, self._limit_line(line.entry))
+            % (request, self._limit_line(line.entry) + self._stated_lines(line))
         )
         await anyio.sleep(self.fleet.first_seconds)
         for number in range(1, self.fleet.events + 1):
@@ -254,9 +260,13 @@
         del self.running[line]
         line.send(
             b"HTTP/1.1 200 OK\r\ncarawayhub-request-id: %s\r\ncarawayhub-response-seal: s\r\n%s"
-            b"content-length: 1\r\n\r\nx" % (request, self._limit_line(line.entry))
+            b"content-length: 1\r\n\r\nx"
+            % (request, self._limit_line(line.entry) + self._stated_lines(line))
         )
 
+    def _stated_lines(self, line: Line, *, refusal: bool = False) -> bytes:
+        return self.fleet.stated.headers(self.id, line.run, _now(), refusal=refusal)
+
     def _limit_line(self, entry: str) -> bytes:
         """Return the header that names its rate limit, nothing where it has none."""
         limit = self.fleet.limits.answered(self.id, _now(), self.fleet.rng)
@@ -303,9 +313,10 @@
 class _Net(httpcore.AsyncNetworkBackend):
     """The way from one entry to the replicas."""
 
-    def __init__(self, fleet: "RequestFleet", entry: str) -> None:
+    def __init__(self, fleet: "RequestFleet", entry: str, run: str) -> None:
         self._fleet = fleet
         self._entry = entry
+        self._run = run
 
     async def connect_tcp(
         self,
@@ -319,7 +330,7 @@
         replica = self._fleet.by_host[host]
         if not replica.listens:
             raise httpcore.ConnectError("refused") from ConnectionRefusedError()
-        line = Line(replica, self._entry)
+        line = Line(replica, self._entry, self._run)
         replica.lines[line] = None
         return line
 
@@ -432,6 +443,9 @@
         ends: When replicas ended, by each content that they were running.
         told: What callers got.
         limits: Rate limits that replicas name, and to whom they named them.
+        stated: Backoffs and leavings that replicas state, and what reached them.
+        starts: Starts of entries so far.
+        asked_at: When each content was last asked for.
     """
 
     entries: int = 7
@@ -454,6 +468,9 @@
     ends: dict[bytes, list[float]] = field(default_factory=dict)
     told: list[Told] = field(default_factory=list)
     limits: NamedLimits = field(default_factory=NamedLimits)
+    stated: Stated = field(default_factory=Stated)
+    starts: int = 0
+    asked_at: dict[bytes, float] = field(default_factory=dict)
     rng: random.Random = field(default_factory=random.Random)
     closed_until: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
     stalled_until: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
@@ -499,7 +516,8 @@
         process = GatewayProcess(
             options, _State(), PlatformWire(), LoopClock(), rng, lambda: options.seeds
         )
-        process._upstream._backend = _Net(self, ip)
+        self.starts += 1
+        process._upstream._backend = _Net(self, ip, f"{ip}/{self.starts}")
         listed = [EndpointPublished(each.endpoint()) for each in self.by_host.values()]
         table_published = TablePublished(table(1, self._route()))
         process._view.replace(Published(revision=1, changes=(table_published, *listed)))
@@ -567,12 +585,14 @@
         for each in self.live.values():
             each.process._view.extend(Published(revision=self.revision, changes=changes))
 
-    def note_sent(self, replica: Replica, entry: str, content: bytes) -> None:
+    def note_sent(self, replica: Replica, line: Line, content: bytes) -> None:
         """Note that a request reached a replica."""
         now = _now()
-        live = self.live.get(entry)
+        live = self.live.get(line.entry)
         in_touch = live is not None and now >= live.disturbed_until
-        self.sent.append(Sent(now, entry, in_touch, content, replica.id))
+        self.sent.append(Sent(now, line.entry, in_touch, content, replica.id))
+        asked_at = self.asked_at.get(content, now)
+        self.stated.arrivals.append(StatedArrival(now, line.run, replica.id, asked_at))
 
     def note_ended(self, replica: Replica) -> None:
         """Note that a replica ended, and break its group."""
@@ -623,6 +643,7 @@
         """
         told = Told(content, _now())
         self.told.append(told)
+        self.asked_at[content] = told.asked_at
         up = sorted(name for name, each in self.live.items() if each.tasks is not None)
         if not up:
             return told
--- a/tests/test_replica_backoff.py
+++ b/tests/test_replica_backoff.py
@@ -1,10 +1,102 @@
 """Replicas that request a backoff with ``Retry-After``, and replicas that announce leaving."""
 
 import unittest
+from collections.abc import Awaitable, Callable
 
+import anyio
+from loguru import logger
+
+from benchmarks.request_fleet import RequestFleet
 from carawayhub.gateway.calls import RequestedBackoff, UnreadableValue
 from carawayhub.platform.headers import PlatformWire
 
+STREAM_EVENTS = 25
+AT_ONCE_SECONDS = 0.1
+
+
+def setUpModule() -> None:
+    logger.disable("carawayhub")
+
+
+def tearDownModule() -> None:
+    logger.enable("carawayhub")
+
+
+def play(
+    fleet: RequestFleet,
+    rate: float,
+    seconds: float,
+    during: Callable[[], Awaitable[None]] | None = None,
+) -> RequestFleet:
+    """Send ``rate`` requests per second for some seconds, and run ``during`` beside them."""
+
+    async def story() -> None:
+        if during is not None:
+            fleet.start(during)
+        for at in range(round(rate * seconds)):
+            fleet.start(fleet.ask, b"ask %d" % at)
+            await anyio.sleep(1.0 / rate)
+        await anyio.sleep(2.0)
+
+    fleet.play(story)
+    return fleet
+
+
+def replica_ids(count: int) -> list[str]:
+    """Return the ids of the first lifetimes of some replicas."""
+    return [f"i-{at}-0" for at in range(count)]
+
+
+class Backoff(unittest.TestCase):
+    """Some replicas turn everything away and ask each entry to leave them alone for 3 s."""
+
+    def turning_away(self, count: int, *, plain: bool = False, **options: object) -> RequestFleet:
+        fleet = RequestFleet(entries=7, ranks=12, events=STREAM_EVENTS, plain=plain, **options)
+        fleet.stated.turning_away = dict.fromkeys(replica_ids(count), 1.0)
+        return fleet
+
+    def test_replica_that_requested_a_backoff_gets_no_requests_meanwhile(self) -> None:
+        """Guards against a fixed time of the entry's own in place of the one that was stated."""
+        fleet = play(self.turning_away(4), rate=14.0, seconds=10.0)
+        self.assertGreater(len(fleet.stated.backoffs), 20)
+        self.assertEqual(fleet.stated.broken_backoffs(), [])
+
+    def test_replica_of_a_plain_service_that_requested_one_gets_no_requests_meanwhile(self) -> None:
+        """Guards against sending on to plain services, which may be full for milliseconds only."""
+        fleet = play(self.turning_away(4, plain=True), rate=70.0, seconds=10.0)
+        self.assertGreater(len(fleet.stated.backoffs), 20)
+        self.assertEqual(fleet.stated.broken_backoffs(), [])
+
+    def test_callers_are_served_by_the_other_replicas(self) -> None:
+        """Guards against taking a third of the replicas that refuse for a service that is closed.
+
+        Callers waited for 1.3 s and were refused, while eight of twelve replicas had free slots.
+        """
+        fleet = play(self.turning_away(4), rate=14.0, seconds=10.0)
+        refused = [each for each in fleet.told if each.status == 503]
+        self.assertEqual([each for each in refused if each.seconds > AT_ONCE_SECONDS], [])
+        self.assertLess(len(refused), 0.1 * len(fleet.told))
+
+
+class Leaving(unittest.TestCase):
+    """Some replicas announce their leaving in answers, and the store lists them as ready."""
+
+    def leaving(self, *, plain: bool) -> RequestFleet:
+        fleet = RequestFleet(entries=7, ranks=12, events=STREAM_EVENTS, plain=plain)
+        fleet.stated.leaving = set(replica_ids(3))
+        play(fleet, rate=14.0, seconds=10.0)
+        self.assertGreater(len(fleet.stated.told_leaving), 7)
+        self.assertTrue(all(each.served for each in fleet.told))
+        return fleet
+
+    def test_rank_that_announced_its_leaving_gets_no_requests_later_on(self) -> None:
+        """Guards against trusting the store's list alone, which an outage may keep outdated."""
+        self.assertEqual(self.leaving(plain=False).stated.late_at_leaving(), [])
+
+    def test_plain_replica_that_announced_its_leaving_gets_no_requests_later_on(self) -> None:
+        """Guards against the same at plain services."""
+        self.assertEqual(self.leaving(plain=True).stated.late_at_leaving(), [])
+
 
 class Wire(unittest.TestCase):
     """Parsing of the headers."""
