Send nothing to replicas that announced their leaving

A replica that leaves says so in all its answers, and entries went by the store's list alone, which is outdated while the store is silent, and never has the leaving of replicas that do not report it.

Cause: Server-Leaving was not read. It is the class of the backoff: a replica's own word was passed over for a time or list of ours. The view now takes a lifetime that announced its leaving out of service: it is offered no more when an endpoint is chosen and refused right before the first byte. A new list, a lapsed entry that returns, a configuration or a success bring it back as little as for a misdirected one; another lifetime has another id and is used. It is remembered for an hour once it is not listed any more. A stream that runs there goes on.

--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -170,7 +170,7 @@
         self._records = PoisonRecords(clock)
         self._records.on_ends = self._apply_peer_ends
         self._rates = ReplicaRates(clock, rng, work_key)
-        self._statements = ReplicaStatements(self._rates)
+        self._statements = ReplicaStatements(self._rates, self._view)
         self._limit_cleanup_at = float("-inf")
         self._gossip = Gossip(
             own, options.seeds, self._loads, self._records, self._rates, clock, rng
--- a/carawayhub/gateway/statements.py
+++ b/carawayhub/gateway/statements.py
@@ -20,6 +20,7 @@
 )
 from carawayhub.gateway.model import Endpoint
 from carawayhub.gateway.pool import ServicePool
+from carawayhub.gateway.view import FleetView
 from carawayhub.limits.replicarate import ReplicaRates
 
 MAX_UNREADABLE_LOGGED = 256
@@ -46,16 +47,17 @@
 
     Args:
         rates: Rate limits that replicas state.
+        view: Known state of the fleet.
 
     Attributes:
         counts: Statements received so far.
     """
 
-    __slots__ = ("_leaving", "_rates", "_unreadable", "counts")
+    __slots__ = ("_rates", "_unreadable", "_view", "counts")
 
-    def __init__(self, rates: ReplicaRates) -> None:
+    def __init__(self, rates: ReplicaRates, view: FleetView) -> None:
         self._rates = rates
-        self._leaving: set[str] = set()
+        self._view = view
         self._unreadable: set[str] = set()
         self.counts = StatementCounts()
 
@@ -80,7 +82,7 @@
             return
         self._record_limit(endpoint, head, sent_at)
         self._record_backoff(call, pool, endpoint, head)
-        if head.leaving and endpoint.id not in self._leaving:
+        if head.leaving:
             self._record_leaving(call, endpoint)
 
     def _record_limit(self, endpoint: Endpoint, head: AnswerHead, sent_at: float) -> None:
@@ -118,7 +120,8 @@
         )
 
     def _record_leaving(self, call: Admitted, endpoint: Endpoint) -> None:
-        self._leaving.add(endpoint.id)
+        if not self._view.record_leaving(endpoint.id):
+            return
         self.counts.leavings[call.service] += 1
         logger.bind(
             request=call.req.id.decode("latin-1"),
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -41,6 +41,10 @@
 unavailable for the pause between two calls plus the duration of the failed one, which is the rest.
 """
 
+LEAVING_MEMORY_SECONDS = 3600.0
+"""Time for which a replica that announced its leaving is remembered once it is not listed. Its
+registration may lapse and return while the store is away."""
+
 
 class FleetView:
     """The published state as known to this process.
@@ -70,6 +74,7 @@
         "_misdirected",
         "_heartbeat",
         "_lapsed",
+        "_leaving_since",
         "_former_lifetime_updates",
         "_group_status",
         "_unavailable",
@@ -95,6 +100,7 @@
         self._unavailable: dict[str, tuple[Endpoint, ...]] = {}
         self._lapsed: dict[str, float] = {}
         self._misdirected: set[str] = set()
+        self._leaving_since: dict[str, float] = {}
         self._superseded: frozenset[str] = frozenset()
         self.confirmed_at = float("-inf")
         self._awaited: dict[int, float] = {}
@@ -189,9 +195,9 @@
     def endpoint(self, endpoint_id: str) -> Endpoint | None:
         """Return an endpoint, None if it may not get requests."""
         found = self._endpoints.get(endpoint_id)
-        if found is None or found.state is not EndpointState.READY or self._has_lapsed(endpoint_id):
+        if found is None or self._has_lapsed(endpoint_id):
             return None
-        return None if endpoint_id in self._superseded else found
+        return found if self._may_get_requests(found) else None
 
     def endpoint_of(self, replica: str) -> Endpoint | None:
         """Return the current run of a replica, None if it may not get requests."""
@@ -240,6 +246,24 @@
             self._misdirected.add(endpoint_id)
             self._rebuild()
 
+    def record_leaving(self, endpoint_id: str) -> bool:
+        """Record that a replica announced its leaving; return whether that is new.
+
+        It gets no requests from then on, whatever the store lists. Only another lifetime of the
+        replica, which has another endpoint id, is used again.
+        """
+        if endpoint_id in self._leaving_since:
+            return False
+        now = self._clock.monotonic()
+        self._leaving_since = {
+            name: since
+            for name, since in self._leaving_since.items()
+            if name in self._endpoints or now - since < LEAVING_MEMORY_SECONDS
+        }
+        self._leaving_since[endpoint_id] = now
+        self._rebuild()
+        return True
+
     def _has_lapsed(self, endpoint_id: str) -> bool:
         until = self._lapsed.get(endpoint_id)
         return until is not None and until <= self._clock.monotonic()
@@ -384,12 +408,18 @@
         self._superseded = superseded(filter(self._is_service_configured, self._endpoints.values()))
         self._group_status.update(self._endpoints.values())
         for each in self._endpoints.values():
-            if each.state is EndpointState.READY and each.id not in self._superseded:
+            if self._may_get_requests(each):
                 names = found if self._group_status.is_available(each) else unavailable
                 names.setdefault(each.service, []).append(each)
         self._by_service = {name: tuple(each) for name, each in found.items()}
         self._unavailable = {name: tuple(each) for name, each in unavailable.items()}
 
+    def _may_get_requests(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is in service, apart from its group and its heartbeats."""
+        if endpoint.state is not EndpointState.READY:
+            return False
+        return endpoint.id not in self._superseded and endpoint.id not in self._leaving_since
+
     def _log_unreadable(self, published: Published) -> None:
         for problem in published.unreadable:
             logger.bind(problem=problem).error(
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -121,7 +121,7 @@
             endings=Endings(
                 upstream, PoisonRecords(self.clock), self.clock, self.tally.endpoint_ended
             ),
-            statements=ReplicaStatements(rates(self.clock)),
+            statements=ReplicaStatements(rates(self.clock), self.view),
         )
         desk = AdmissionControl(self.view, self.clock, rng, 5.0)
         app = GatewayApp(
