Test each way of sending against backoffs and leavings

New requests, second attempts, resumed streams, requests that had spent their attempts, waiting ones, one whose connection is being opened, the last resort; what must not end a backoff (a success of an earlier stream, news of a peer, a new list, a new configuration) and what must (another lifetime); answers that are not the replica's own; times that cannot be read. Plain services and streams alike.

--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -103,10 +103,10 @@
     return head + extra + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
-def refused() -> bytes:
+def refused(extra: bytes = b"") -> bytes:
     """Return the answer of an endpoint that is full."""
     head = b"HTTP/1.1 503 Service Unavailable\r\nCarawayhub-Not-Executed: 1\r\n"
-    return head + b"Content-Length: 0\r\n\r\n"
+    return head + extra + b"Content-Length: 0\r\n\r\n"
 
 
 def stream_head(taken: Taken) -> bytes:
--- a/tests/test_replica_backoff.py
+++ b/tests/test_replica_backoff.py
@@ -1,6 +1,8 @@
 """Replicas that request a backoff with ``Retry-After``, and replicas that announce leaving."""
 
+import time
 import unittest
+import unittest.mock
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -8,7 +10,21 @@
 
 from benchmarks.request_fleet import RequestFleet
 from carawayhub.gateway.calls import RequestedBackoff, UnreadableValue
+from carawayhub.gateway.model import Repeat
+from carawayhub.gateway.ports import Published
+from carawayhub.gateway.relay import GatewayRelay
 from carawayhub.platform.headers import PlatformWire
+from tests.entry_harness import CallerReply, EntryHarness, answers
+from tests.scripted_endpoint import (
+    SEAL,
+    ClosedError,
+    Script,
+    chunk,
+    event,
+    refused,
+    stream_head,
+    whole,
+)
 
 STREAM_EVENTS = 25
 AT_ONCE_SECONDS = 0.1
@@ -47,6 +63,22 @@
     return [f"i-{at}-0" for at in range(count)]
 
 
+def turns_away(seconds: bytes) -> Script:
+    """Return the script of an endpoint that turns everything away and requests a backoff."""
+
+    async def script(stream, taken) -> None:
+        await stream.send(refused(b"Retry-After: %s\r\n" % seconds))
+
+    return script
+
+
+def retry_after(reply: CallerReply) -> float:
+    """Return the seconds after which a caller is asked back."""
+    lines = reply.head.lower().split(b"\r\n")
+    (found,) = [line for line in lines if line.startswith(b"retry-after:")]
+    return float(found.partition(b":")[2])
+
+
 class Backoff(unittest.TestCase):
     """Some replicas turn everything away and ask each entry to leave them alone for 3 s."""
 
@@ -98,6 +130,192 @@
         self.assertEqual(self.leaving(plain=True).stated.late_at_leaving(), [])
 
 
+class OneEntry(unittest.TestCase):
+    """Each way in which an entry sends requests, and what must not end a backoff or a leaving."""
+
+    def harness(self, *scripts: Script, **options: object) -> EntryHarness:
+        return EntryHarness(list(scripts), **options)
+
+    def test_new_request_is_refused_at_once_rather_than_sent_as_a_last_resort(self) -> None:
+        """Guards against a request that waits, or is sent, while no replica wants any."""
+        for options in ({}, {"repeat": Repeat.ONCE}, {"repeat": Repeat.IDEMPOTENT}):
+
+            async def scenario(harness: EntryHarness) -> None:
+                for _ in range(3):
+                    reply = await harness.ask()
+                    self.assertEqual(reply.status, 503)
+                    self.assertLess(reply.seconds, 0.2)
+                    self.assertLessEqual(retry_after(reply), 1.0)
+                self.assertEqual(len(harness.taken()), 1)
+
+            with self.subTest(**options):
+                self.harness(turns_away(b"30"), **options).run(scenario)
+
+    def test_second_attempt_goes_to_a_replica_without_a_backoff(self) -> None:
+        async def fails(stream, taken) -> None:
+            await stream.send(whole(taken, b"no", "500 Internal Server Error"))
+
+        async def scenario(harness: EntryHarness) -> None:
+            while not harness.endpoints[0].taken:
+                await harness.ask()
+            for _ in range(6):
+                await harness.ask()
+            self.assertEqual(len(harness.endpoints[0].taken), 1)
+            self.assertGreater(len(harness.endpoints[2].taken), 3)
+
+        self.harness(turns_away(b"30"), fails, answers, repeat=Repeat.IDEMPOTENT).run(scenario)
+
+    def test_broken_stream_is_not_resumed_at_a_replica_with_a_backoff(self) -> None:
+        async def breaks(stream, taken) -> None:
+            await stream.send(stream_head(taken) + chunk(event(1)))
+            await anyio.sleep(0.05)
+            raise ClosedError
+
+        async def scenario(harness: EntryHarness) -> None:
+            harness.pool.record_backoff("i-0", 30.0)
+            reply = await harness.ask()
+            self.assertFalse(reply.whole)
+            self.assertEqual(harness.endpoints[0].taken, [])
+
+        self.harness(answers, breaks).run(scenario)
+
+    def test_refused_request_does_not_wait_to_be_sent_to_the_same_replicas(self) -> None:
+        """Guards against the incident: requests that had spent their attempts waited for 1.3 s."""
+
+        async def scenario(harness: EntryHarness) -> None:
+            reply = await harness.ask()
+            self.assertEqual(reply.status, 503)
+            self.assertLess(reply.seconds, 0.2)
+            self.assertEqual(len(harness.taken()), 2)
+
+        self.harness(turns_away(b"3"), turns_away(b"4"), turns_away(b"5")).run(scenario)
+
+    def test_request_waits_for_a_backoff_that_ends_in_time(self) -> None:
+        until = [0.0]
+
+        async def short(stream, taken) -> None:
+            if time.monotonic() < until[0]:
+                await stream.send(refused(b"Retry-After: 0.2\r\n"))
+                return
+            await stream.send(stream_head(taken) + chunk(event(1)) + chunk(b""))
+
+        async def scenario(harness: EntryHarness) -> None:
+            until[0] = time.monotonic() + 0.15
+            reply = await harness.ask()
+            self.assertEqual(reply.status, 200)
+            self.assertLess(reply.seconds, 0.6)
+            self.assertEqual(len(harness.taken()), 2)
+
+        self.harness(short, target=1.0).run(scenario)
+
+    def test_connection_being_opened_when_the_backoff_arrives_carries_no_request(self) -> None:
+        """Guards against requests that were assigned to a replica just before it asked for one."""
+
+        async def scenario(harness: EntryHarness) -> None:
+            claim = harness.relay._claim_send
+
+            def claim_late(progress, pool, endpoint_id) -> bool:
+                pool.record_backoff(endpoint_id, 30.0)
+                return claim(progress, pool, endpoint_id)
+
+            with unittest.mock.patch.object(GatewayRelay, "_claim_send", staticmethod(claim_late)):
+                reply = await harness.ask()
+            self.assertEqual(reply.status, 503)
+            self.assertEqual(harness.taken(), [])
+
+        self.harness(answers, repeat=Repeat.ONCE).run(scenario)
+
+    def test_nothing_but_time_ends_a_backoff(self) -> None:
+        """A success of an earlier stream, news of a peer, a new list, a new configuration."""
+        streams = [0]
+
+        async def one_stream(stream, taken) -> None:
+            streams[0] += 1
+            if streams[0] > 1:
+                await stream.send(refused(b"Retry-After: 30\r\n"))
+                return
+            await stream.send(stream_head(taken) + chunk(event(1)))
+            await anyio.sleep(0.4)
+            await stream.send(chunk(event(2)) + chunk(b""))
+
+        async def scenario(harness: EntryHarness) -> None:
+            replies = []
+
+            async def ask() -> None:
+                replies.append(await harness.ask())
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await anyio.sleep(0.1)
+                tasks.start_soon(ask)
+            self.assertEqual(sorted(each.status for each in replies), [200, 503])
+            harness.health.peer_refused(["i-0"])
+            harness.health.clear_refusals(["i-0"])
+            harness.publish(version=2)
+            self.assertEqual((await harness.ask()).status, 503)
+            self.assertEqual(streams[0], 2)
+
+        self.harness(one_stream).run(scenario)
+
+    def test_another_lifetime_of_the_replica_is_used_at_once(self) -> None:
+        async def scenario(harness: EntryHarness) -> None:
+            harness.pool.record_backoff("i-0", 30.0)
+            harness.view.record_leaving("i-0")
+            self.assertEqual((await harness.ask()).status, 503)
+            harness.publish(version=2, born=5)
+            self.assertEqual((await harness.ask()).status, 200)
+
+        self.harness(answers, repeat=Repeat.ONCE).run(scenario)
+
+    def test_leaving_holds_against_new_lists(self) -> None:
+        """Guards against a store that lists a replica as ready which has announced its leaving."""
+
+        async def leaves(stream, taken) -> None:
+            await stream.send(whole(taken, extra=SEAL + b"Server-Leaving: 1\r\n"))
+
+        async def scenario(harness: EntryHarness) -> None:
+            self.assertEqual((await harness.ask()).status, 200)
+            harness.publish(version=2)
+            self.assertEqual((await harness.ask()).status, 503)
+            harness.view.replace(Published(revision=8, changes=()))
+            harness.publish(version=3)
+            self.assertEqual((await harness.ask()).status, 503)
+            self.assertEqual(len(harness.taken()), 1)
+
+        self.harness(leaves, repeat=Repeat.ONCE).run(scenario)
+
+    def test_answers_that_are_not_the_replicas_own_state_nothing(self) -> None:
+        """Guards against a process at a reused address that takes a replica out of service."""
+        stated = b"Retry-After: 30\r\nServer-Leaving: 1\r\n"
+        for answer in (
+            b"HTTP/1.1 421 Misdirected Request\r\n" + stated + b"Content-Length: 0\r\n\r\n",
+            b"HTTP/1.1 503 Service Unavailable\r\n" + stated + b"Content-Length: 0\r\n\r\n",
+            b"HTTP/1.1 503 Service Unavailable\r\nCarawayhub-Not-Executed: 1\r\n"
+            b"Carawayhub-Request-Id: other\r\n" + stated + b"Content-Length: 0\r\n\r\n",
+        ):
+
+            async def strange(stream, taken, answer=answer) -> None:
+                await stream.send(answer)
+
+            async def scenario(harness: EntryHarness) -> None:
+                await harness.ask()
+                self.assertTrue(harness.pool.is_accepting("i-0"))
+                self.assertTrue(harness.view.record_leaving("i-0"))
+
+            with self.subTest(answer=answer):
+                self.harness(strange, repeat=Repeat.ONCE).run(scenario)
+
+    def test_zero_and_unreadable_times_change_nothing(self) -> None:
+        for value in (b"0", b"-3", b"soon", b"Thu, 03 Dec 2026 21:00:00 GMT"):
+
+            async def scenario(harness: EntryHarness) -> None:
+                await harness.ask()
+                self.assertTrue(harness.pool.is_accepting("i-0"))
+
+            with self.subTest(value=value):
+                self.harness(turns_away(value), repeat=Repeat.ONCE).run(scenario)
+
+
 class Wire(unittest.TestCase):
     """Parsing of the headers."""
 
