Tell peers which replicas asked for a backoff; peers prefer others

The entries now name such replicas in their datagrams, and a peer counts them as three quarters loaded: it goes elsewhere while there is room and uses their free slots before a request waits.

--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -88,6 +88,7 @@
             entry's clock, at which that was last proved to be current.
         on_refusing: Called with the endpoints that refuse requests of a peer.
         on_slow: Called with the endpoints that agents reported to a peer as slow ranks.
+        on_backing_off: Called with the endpoints that requested a backoff of a peer.
     """
 
     __slots__ = (
@@ -103,6 +104,7 @@
         "_reported_at",
         "_urgent",
         "_wake",
+        "on_backing_off",
         "on_loads",
         "on_news",
         "on_refusing",
@@ -139,6 +141,7 @@
         self.on_news = _ignore_news
         self.on_refusing: Callable[[list[str]], None] = _ignore_endpoints
         self.on_slow: Callable[[list[str]], None] = _ignore_endpoints
+        self.on_backing_off: Callable[[list[str]], None] = _ignore_endpoints
 
     @property
     def phase(self) -> Phase:
@@ -303,10 +306,13 @@
         self._reported_at[reporter] = self._clock.monotonic()
         self.own.told_refusing[reporter] = report.refusing
         self.own.told_slow[reporter] = report.slow
+        self.own.told_backing_off[reporter] = report.backing_off
         if report.refusing:
             self.on_refusing(report.refusing)
         if report.slow:
             self.on_slow(report.slow)
+        if report.backing_off:
+            self.on_backing_off(report.backing_off)
 
     def _apply_rates(
         self, reporter: str, rows: Sequence[RateRow], received: ReceivedDatagram
@@ -364,6 +370,7 @@
         self._reported_at.pop(reporter, None)
         self.own.told_refusing.pop(reporter, None)
         self.own.told_slow.pop(reporter, None)
+        self.own.told_backing_off.pop(reporter, None)
 
     async def send_rounds(self, send: Send) -> None:
         """Send rounds of datagrams to receivers and seeds until cancelled.
--- a/carawayhub/gateway/health.py
+++ b/carawayhub/gateway/health.py
@@ -44,6 +44,10 @@
 PEER_SLOW_SECONDS = 1.0
 """The same for a rank that an agent reported to a peer, from each message that lists it."""
 
+PEER_BACKOFF_SECONDS = 1.0
+"""Time for which an endpoint that requested a backoff of a peer counts as loaded, from each message
+that lists it."""
+
 
 @dataclass(slots=True)
 class _Record:
@@ -56,6 +60,7 @@
     refused_locally_until: float = field(default=-math.inf)
     slow_until: float = field(default=-math.inf)
     reported_slow_until: float = field(default=-math.inf)
+    backs_off_peer_until: float = field(default=-math.inf)
 
 
 class Health:
@@ -150,6 +155,17 @@
         record = self._records.get(endpoint_id)
         return record is not None and record.slow_until > self._clock.monotonic()
 
+    def peer_backing_off(self, endpoint_ids: Iterable[str]) -> None:
+        """Record endpoints that requested a backoff of a peer."""
+        until = self._clock.monotonic() + PEER_BACKOFF_SECONDS
+        for each in endpoint_ids:
+            self._record(each).backs_off_peer_until = until
+
+    def backs_off_peer(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint recently requested a backoff of a peer."""
+        record = self._records.get(endpoint_id)
+        return record is not None and record.backs_off_peer_until > self._clock.monotonic()
+
     def all_available(self) -> bool:
         """Return whether no endpoint refuses, is avoided or is slow, so none need be checked."""
         return self._clock.monotonic() >= self._blocked_until
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -69,6 +69,7 @@
         refusing: Endpoints that recently refused its requests.
         rates: Replicas that report a rate limit, and its own requests to them.
         slow: Endpoints that agents reported to it as slow ranks.
+        backing_off: Endpoints that requested a backoff of it.
     """
 
     ip: str
@@ -84,6 +85,7 @@
     refusing: list[str] = []
     rates: list[RateRow] = []
     slow: list[str] = []
+    backing_off: list[str] = []
 
 
 class MemberRow(msgspec.Struct, array_like=True):
@@ -106,6 +108,7 @@
         refusing: Endpoints that recently refused their requests.
         rates: Replicas that report a rate limit, and their requests to them.
         slow: Endpoints that agents reported to them as slow ranks.
+        backing_off: Endpoints that requested a backoff of them.
     """
 
     members: list[MemberRow] | None
@@ -113,6 +116,7 @@
     refusing: list[str]
     rates: list[RateRow] = []
     slow: list[str] = []
+    backing_off: list[str] = []
 
 
 NO_DIGEST = msgspec.Raw(msgspec.msgpack.encode(None))
--- a/carawayhub/gateway/placement.py
+++ b/carawayhub/gateway/placement.py
@@ -18,6 +18,10 @@
 """Added relative load of an endpoint that fails every request. It is rarely selected, but still
 gets some requests while the others are busy, which shows when it has recovered."""
 
+PEER_BACKOFF_LOAD = 0.75
+"""Minimum relative load with which an endpoint counts that requested a backoff of a peer. It runs
+little and would look least loaded; but its free slots are used before a request has to wait."""
+
 
 @dataclass(frozen=True, slots=True)
 class Selection:
@@ -99,6 +103,8 @@
         if kv_tokens:
             full = max(full, (total.tokens + work.tokens) / kv_tokens)
         full *= 1.0 + ERROR_PENALTY * self._health.errors(endpoint.id)
+        if self._health.backs_off_peer(endpoint.id):
+            full = max(full, PEER_BACKOFF_LOAD)
         seconds = self._health.seconds(endpoint.id)
         if usual and seconds:
             full *= min(MAX_SLOWNESS, max(MIN_SLOWNESS, seconds / usual))
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -201,6 +201,8 @@
         self._gossip.on_refusing = self._health.peer_refused
         self._gossip.own.slow = self._health.reported_slow
         self._gossip.on_slow = self._health.peer_reported_slow
+        self._gossip.own.backing_off = self._backing_off
+        self._gossip.on_backing_off = self._health.peer_backing_off
         self._handing.on_slow_ranks = self._report_slow
         self._directory = EntryDirectory(self._gossip, str(options.callers), rng)
         self._stopping = anyio.Event()
@@ -360,6 +362,9 @@
         known = filter(None, (self._view.endpoint_of(each) for each in replicas))
         self._health.report_slow(each.id for each in known)
 
+    def _backing_off(self) -> list[str]:
+        return [each for pool in self._pools.values() for each in pool.backing_off()]
+
     def _own_news(self) -> News:
         view = self._view
         return News(view.revision, view.age, view.grace, view.unanswered_seconds == 0.0)
--- a/carawayhub/gateway/telling.py
+++ b/carawayhub/gateway/telling.py
@@ -57,7 +57,7 @@
 """Send times kept for matching acknowledgements by peers; this covers several seconds."""
 
 MAX_ENDPOINTS = 64
-"""Refusing or slow endpoints listed in one datagram, which take about a kilobyte."""
+"""Endpoints in one list of a datagram, which take about a kilobyte."""
 
 MAX_WORK_ROWS = 4_000
 """Endpoints whose work is listed in one datagram, at about eleven bytes per row. If there are more,
@@ -108,15 +108,19 @@
         told_refusing: Endpoints that refused requests of other entries, by reporter.
         slow: Returns the endpoints that agents recently reported to this entry as slow ranks.
         told_slow: Endpoints that agents reported to other entries, by reporter.
+        backing_off: Returns the endpoints that requested a backoff of this entry.
+        told_backing_off: Endpoints that requested a backoff of other entries, by reporter.
     """
 
     __slots__ = (
         "address",
+        "backing_off",
         "incarnation",
         "news",
         "phase",
         "refusing",
         "slow",
+        "told_backing_off",
         "told_refusing",
         "told_slow",
     )
@@ -130,6 +134,8 @@
         self.told_refusing: dict[str, list[str]] = {}
         self.slow: Callable[[], list[str]] = list
         self.told_slow: dict[str, list[str]] = {}
+        self.backing_off: Callable[[], list[str]] = list
+        self.told_backing_off: dict[str, list[str]] = {}
 
     def row(self) -> MemberRow:
         """Return the row that a delegate sends about this entry."""
@@ -285,6 +291,7 @@
                 refusing=self._refusing(reporters),
                 rates=self._rates.rows(reporters),
                 slow=self._slow(reporters),
+                backing_off=self._backing_off(reporters),
             )
         )
         hello = self._hello([])
@@ -298,12 +305,20 @@
         member_rows = self._members_if_due(VIA_DELEGATE, [each.row() for each in self._peers.all()])
         refusing = self._refusing(self._own.told_refusing)
         slow = self._slow(self._own.told_slow)
+        backing_off = self._backing_off(self._own.told_backing_off)
         datagrams = {}
         for each in self._peers.in_own_domain():
             works = self._rows(self._loads.excluding(each.ip))
             rates = self._rates.rows_without(each.ip)
             digest = _raw(
-                Digest(members=member_rows, works=works, refusing=refusing, rates=rates, slow=slow)
+                Digest(
+                    members=member_rows,
+                    works=works,
+                    refusing=refusing,
+                    rates=rates,
+                    slow=slow,
+                    backing_off=backing_off,
+                )
             )
             datagrams[each.ip] = self._datagram(each.ip, hello, digest)
         return datagrams
@@ -324,6 +339,9 @@
     def _slow(self, reporters: Iterable[str]) -> list[str]:
         return _union(self._own.slow(), self._own.told_slow, reporters)
 
+    def _backing_off(self, reporters: Iterable[str]) -> list[str]:
+        return _union(self._own.backing_off(), self._own.told_backing_off, reporters)
+
     def _datagram(
         self,
         ip: str,
@@ -366,6 +384,7 @@
             news=own.news(),
             refusing=own.refusing()[:MAX_ENDPOINTS],
             slow=own.slow()[:MAX_ENDPOINTS],
+            backing_off=own.backing_off()[:MAX_ENDPOINTS],
             works=works,
             rates=self._rates.rows(),
         )
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -119,6 +119,19 @@
 
         self.run_entries(scenario)
 
+    def test_endpoints_that_requested_a_backoff_of_one_entry_are_known_to_all(self) -> None:
+        """Without sharing, each entry sends a first request to each replica that is empty so."""
+
+        async def scenario() -> None:
+            first, second, third = self.entries
+            received: dict[Gossip, list[str]] = {second: [], third: []}
+            for each, names in received.items():
+                each.on_backing_off = names.extend
+            first.own.backing_off = lambda: ["i-7"]
+            await self.until(lambda: all("i-7" in names for names in received.values()))
+
+        self.run_entries(scenario)
+
     def test_silent_entry_is_dropped_with_its_loads(self) -> None:
         """The requests of a crashed entry have ended; counting them would leave slots unused."""
 
