Ask callers back at once while other replicas have free slots

Callers saw: a request whose two attempts met replicas that then asked for a backoff is refused within milliseconds, and its caller is told to come back after up to three tenths of its time (2.4 s), though other replicas are free.

--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -51,6 +51,9 @@
 callers did after a power loss."""
 
 
+FREE_SLOT_RETRY_SECONDS = 0.03
+"""Retry time of a refused caller while slots are free: it reconnects, and can still be in time."""
+
 BACKOFF_MARGIN_SECONDS = 0.25
 """Seconds after the end of a backoff within which waiting requests are served."""
 
@@ -364,10 +367,22 @@
         away = self._outage.left()
         if away is None:
             away = self._backoff_left()
+        if away is None and self._has_room_beside_backoffs():
+            return RequestError(code, self._name, retry_after=FREE_SLOT_RETRY_SECONDS)
         if away is None:
             away = self._limits.mean_interval(self._accepting()) or self._group_recovery(left)
         return RequestError(code, self._name, retry_after=self.queue.retry_after(left, away))
 
+    def _has_room_beside_backoffs(self) -> bool:
+        """Return whether endpoints without a backoff would serve a returned request at once.
+
+        A request whose attempts all met endpoints that then requested a backoff may be sent to no
+        other endpoint, but the next request of its caller may.
+        """
+        if not self._backoffs.any_active or self._refusals.closed or len(self.queue):
+            return False
+        return self._free_slots() >= self._expected_arrivals() + 1.0
+
     def _group_recovery(self, left: float) -> float | None:
         """Return the expected seconds until a stalled group recovers, None if not within ``left``.
 
--- a/tests/test_replica_backoff.py
+++ b/tests/test_replica_backoff.py
@@ -187,6 +187,7 @@
             self.assertEqual(reply.status, 503)
             self.assertLess(reply.seconds, 0.2)
             self.assertEqual(len(harness.taken()), 2)
+            self.assertLess(retry_after(reply), 0.1, "the third replica has free slots")
 
         self.harness(turns_away(b"3"), turns_away(b"4"), turns_away(b"5")).run(scenario)
 
