Learn from ends at other entries that replicas end by themselves

Cause: an entry raises the number of ends it takes for proof by the share of its own requests that met one, and adds thirty answers to that share, as two or three observations prove nothing. One of seven entries sees three requests a second, so the first suspects are judged by the prior. The records of ends are those of all entries: of the requests that met an end, the share that met another one before an answer says the same, seven times as soon. Suspects are left out, so a request that does end replicas raises nothing.

--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -40,6 +40,9 @@
 PRIOR_ANSWERS = 30.0
 """Answers added to those that an entry observed, since two or three observations prove nothing."""
 
+PRIOR_ANSWERED_REQUESTS = 4.0
+"""Requests answered after a first end that are added to those in the records, which may be few."""
+
 RATE_HALF_LIFE_SECONDS = 20.0
 """Half-life of a request's weight in the share of requests whose endpoint ended: long enough to
 cover some dozens of requests at an entry of a large fleet, short compared with incidents of a
@@ -141,18 +144,9 @@
         self._ended += 1.0
 
     def ends_needed(self) -> int:
-        """Return the number of ends after which a request is considered their cause.
-
-        The threshold rises if replicas end every second for other reasons and callers retry until
-        they are served: with a fixed threshold of three ends, 3 of 400 such requests were rejected
-        permanently.
-        """
+        """Return the number of ends after which a request is considered their cause."""
         self._decay()
-        share = self._ended / (self._answered + self._ended + PRIOR_ANSWERS)
-        if share <= 0.0:
-            return POISON_THRESHOLD
-        needed = math.ceil(math.log(FALSE_POSITIVE_PROBABILITY) / math.log(share))
-        return min(MAX_POISON_THRESHOLD, max(POISON_THRESHOLD, needed))
+        return _ends_needed(self._ended / (self._answered + self._ended + PRIOR_ANSWERS))
 
     def _decay(self) -> None:
         now = self._clock.monotonic()
@@ -311,8 +305,8 @@
 
     def _update_poison(self) -> None:
         """Recompute which requests are rejected."""
-        needed = self._rate.ends_needed()
         attributable = self._attributable_ends()
+        needed = max(self._rate.ends_needed(), _ends_needed(self._repeated_share()))
         found = frozenset(
             name
             for name, count in attributable.items()
@@ -328,6 +322,20 @@
             ).warning("request ends the endpoints that run it; rejecting it from now on")
             self.on_poison(name)
 
+    def _repeated_share(self) -> float:
+        """Return the share of requests with an end that met another one when they were retried.
+
+        The others were answered then. While replicas end by themselves, this shows within seconds:
+        the records are those of all entries, and each entry alone sees too few requests. Requests
+        that may be poison are left out.
+        """
+        oldest = self._clock.monotonic() - RATE_HALF_LIFE_SECONDS
+        recent = Counter(
+            len(each.ends) for each in self._by_fingerprint.values() if each.changed_at >= oldest
+        )
+        again, answered = recent[POISON_THRESHOLD - 1], recent[0]
+        return again / (again + answered + PRIOR_ANSWERED_REQUESTS)
+
     def _attributable_ends(self) -> dict[bytes, int]:
         """Return how many ends count against each request that has enough of them.
 
@@ -344,6 +352,18 @@
         return {name: _unshared_ends(ends, requests_at_end) for name, ends in suspects.items()}
 
 
+def _ends_needed(share: float) -> int:
+    """Return the ends after which a request is poison if a share of requests meets one by chance.
+
+    If replicas end every second for other reasons and callers retry until they are served, a fixed
+    threshold of three ends rejects 3 of 400 such requests permanently.
+    """
+    if share <= 0.0:
+        return POISON_THRESHOLD
+    needed = math.ceil(math.log(FALSE_POSITIVE_PROBABILITY) / math.log(share))
+    return min(MAX_POISON_THRESHOLD, max(POISON_THRESHOLD, needed))
+
+
 def _unshared_ends(ends: frozenset[int], requests_at_end: Counter[tuple[int, int]]) -> int:
     """Return the number of ends that no other request with at least as many ends shares.
 
--- a/tests/test_requests_that_end_replicas.py
+++ b/tests/test_requests_that_end_replicas.py
@@ -233,7 +233,14 @@
 
         Of 400 requests some meet three ends by chance; three of them were refused for good.
         """
-        fleet = RequestFleet(groups=4, ranks=3, events=30)
+        self.play_ends(seed=1)
+
+    def test_ends_at_other_entries_show_that_replicas_end_of_themselves(self) -> None:
+        """Guards against refusals before an entry has seen enough ends by itself."""
+        self.play_ends(seed=9)
+
+    def play_ends(self, seed: int) -> None:
+        fleet = RequestFleet(groups=4, ranks=3, events=30, seed=seed)
 
         async def end_replicas() -> None:
             while True:
