Do not take a few refusing engines for a closed service

Cause: the class of the incident again, a conclusion of ours in place of what is known. A rank that refuses beside others that run requests, here or at a peer, refuses for itself: it counts as a failure in its average, as any other does, and the service is not closed. While no rank is known to run a request, as when groups form, three refusals close it as before. A caller that was refused while slots are free and no engine is suspected is asked back at once.

--- a/carawayhub/gateway/backoff.py
+++ b/carawayhub/gateway/backoff.py
@@ -41,12 +41,6 @@
         self._ends_at[endpoint_id] = ends_at
         self._update()
 
-    @property
-    def any_active(self) -> bool:
-        """Whether some endpoint wants no requests now."""
-        self._drop_ended()
-        return bool(self._ends_at)
-
     def active_ids(self) -> list[str]:
         """Return the endpoints that want no requests now."""
         self._drop_ended()
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -54,6 +54,9 @@
 FREE_SLOT_RETRY_SECONDS = 0.03
 """Retry time of a refused caller while slots are free: it reconnects, and can still be in time."""
 
+REJECTED_CODES = frozenset({Code.ENDPOINT_REFUSED, Code.ENDPOINT_LEAVING})
+"""Failures of attempts that an endpoint refused, or would have refused, without running them."""
+
 BACKOFF_MARGIN_SECONDS = 0.25
 """Seconds after the end of a backoff within which waiting requests are served."""
 
@@ -274,19 +277,33 @@
         """Record that an endpoint refused a request without running it.
 
         Ignored for plain services: they refuse while their queue is full, which lasts a few
-        milliseconds. Only a refusal by an engine predicts the outcome of the next request. One
-        that requested a backoff speaks for itself alone, not for the engines of its service.
+        milliseconds. Only a refusal by an engine predicts the outcome of the next request. It
+        speaks for that engine alone if it requested a backoff, or while others run requests.
         """
         if not self._kv_tokens():
             return
         self._health.refused(slot.endpoint.id)
         if self._backoffs.active(slot.endpoint.id):
             return
+        if self._do_others_run():
+            self._health.answered(slot.endpoint.id, 0.0, ok=False)
+            return
         if self._refusals.refused():
             logger.bind(service=self._name, endpoint=slot.endpoint.id).warning(
                 "engines refuse all requests; sending only occasional probes"
             )
 
+    def _do_others_run(self) -> bool:
+        """Return whether engines that refuse nothing are known to run requests.
+
+        Requests count once their prompt is processed: an engine may still refuse the others.
+        """
+        for each in self._accepting():
+            work = self._loads.total(each.id)
+            if work.requests and not work.reading and not self._health.refusing(each.id):
+                return True
+        return False
+
     def record_first_event(self, slot: Slot, seconds: float) -> None:
         """Record the first event of a request, ``seconds`` after it was sent."""
         weight = FIRST_EVENT_WEIGHT if self._first_event_seconds else 1.0
@@ -367,19 +384,19 @@
         away = self._outage.left()
         if away is None:
             away = self._backoff_left()
-        if away is None and self._has_room_beside_backoffs():
+        if away is None and code in REJECTED_CODES and self._has_room():
             return RequestError(code, self._name, retry_after=FREE_SLOT_RETRY_SECONDS)
         if away is None:
             away = self._limits.mean_interval(self._accepting()) or self._group_recovery(left)
         return RequestError(code, self._name, retry_after=self.queue.retry_after(left, away))
 
-    def _has_room_beside_backoffs(self) -> bool:
-        """Return whether endpoints without a backoff would serve a returned request at once.
+    def _has_room(self) -> bool:
+        """Return whether a returned request would be served at once.
 
-        A request whose attempts all met endpoints that then requested a backoff may be sent to no
-        other endpoint, but the next request of its caller may.
+        A request that was refused as often as it may be sent may go to no other endpoint, but the
+        next request of its caller may.
         """
-        if not self._backoffs.any_active or self._refusals.closed or len(self.queue):
+        if self._refusals.suspected or len(self.queue):
             return False
         return self._free_slots() >= self._expected_arrivals() + 1.0
 
--- a/carawayhub/gateway/refusals.py
+++ b/carawayhub/gateway/refusals.py
@@ -41,6 +41,11 @@
         """Whether the engines are considered to refuse all requests."""
         return self._count >= CLOSED_AFTER_REFUSALS
 
+    @property
+    def suspected(self) -> bool:
+        """Whether an engine refused a request since one was last seen to run requests."""
+        return self._count > 0
+
     def refused(self) -> bool:
         """Record a refusal; return whether it closes the engines."""
         now = self._clock.monotonic()
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -33,7 +33,7 @@
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Work, work_key
 from carawayhub.gateway.model import Endpoint, Repeat
-from carawayhub.gateway.pool import ServicePool, Slot
+from carawayhub.gateway.pool import REJECTED_CODES, ServicePool, Slot
 from carawayhub.gateway.statements import ReplicaStatements
 from carawayhub.gateway.view import FleetView
 
@@ -51,9 +51,6 @@
 _UNREACHABLE_CODES = frozenset({Code.CONNECT_FAILED, Code.ANSWER_STALLED})
 """Failures of the endpoint or of the path to it, as opposed to failures of one answer."""
 
-_REJECTED_CODES = frozenset({Code.ENDPOINT_REFUSED, Code.ENDPOINT_LEAVING})
-"""Failures of attempts that an endpoint refused, or would have refused, without running them."""
-
 
 @dataclass(slots=True)
 class _Progress:
@@ -177,7 +174,7 @@
         A request that was sent to its maximum number of endpoints returns to one of these.
         """
         last = progress.last
-        if last is None or last.code not in _REJECTED_CODES or progress.may_have_run:
+        if last is None or last.code not in REJECTED_CODES or progress.may_have_run:
             return None
         if not self._may_resend(progress):
             return None
--- a/tests/test_replica_backoff.py
+++ b/tests/test_replica_backoff.py
@@ -110,6 +110,19 @@
         self.assertLess(len(refused), 0.1 * len(fleet.told))
 
 
+class Unstated(unittest.TestCase):
+    """Some replicas turn everything away and do not say for how long."""
+
+    def test_engines_that_refuse_beside_others_that_run_close_no_service(self) -> None:
+        """Guards against callers that wait for the few replicas which refused them."""
+        fleet = RequestFleet(entries=7, ranks=12, events=STREAM_EVENTS)
+        fleet.stated.seconds = None
+        fleet.stated.turning_away = dict.fromkeys(replica_ids(4), 1.0)
+        play(fleet, rate=14.0, seconds=10.0)
+        refused = [each for each in fleet.told if each.status == 503]
+        self.assertEqual([each for each in refused if each.seconds > AT_ONCE_SECONDS], [])
+
+
 class Leaving(unittest.TestCase):
     """Some replicas announce their leaving in answers, and the store lists them as ready."""
 
