Check backoffs and leavings in the soak and in histories of virtual time

The stand-in replicas of the soak turn requests away with Retry-After and announce their leaving, at times beside a silent store, restarts, freezes and cut links; two new promises are judged from what reaches replicas, by entry. The proxy now connects with the client's own address, so that a replica sees which entry a request comes from.

The choice among some endpoints only no longer discards the kept list of accepting ones, which made the count of free slots start anew.

--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -145,6 +145,22 @@
         excused=NOBODY,
         checker=beside_each_other,
     ),
+    Promise(
+        name="backoff that a replica requests",
+        seen="arrivals at replicas by entry",
+        bound="two, from half a second after the refusal to the end of its time",
+        excused="entries that restarted or froze, and disturbed links",
+        checker=Soak._check_backoffs,
+        variants=("ignores-backoff",),
+    ),
+    Promise(
+        name="replica that announces its leaving gets nothing new",
+        seen="arrivals at replicas by entry, time of the caller's request",
+        bound="2 s after the entry passed such an answer on",
+        excused="entries that restarted or froze",
+        checker=Soak._check_announced,
+        variants=("ignores-announced",),
+    ),
     Promise(
         name="rate limits of replicas",
         seen="arrivals in windows of 4 s",
--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -18,7 +18,6 @@
 import httpcore
 
 from benchmarks.named_limits import NamedLimits
-from benchmarks.stated import Stated, StatedArrival
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.addresses import Address
 from carawayhub.constants import CODE_HEADER
@@ -34,6 +33,7 @@
 from carawayhub.gateway.process import GatewayProcess
 from carawayhub.limits.fingerprint import fingerprint
 from carawayhub.platform.headers import PlatformWire
+from carawayhub.standins.stated import Stated, StatedArrival
 from tests.gateway_world import KEY, endpoint, entry_options, route, table
 from tests.scripted_endpoint import chunk, event
 
@@ -265,7 +265,8 @@
         )
 
     def _stated_lines(self, line: Line, *, refusal: bool = False) -> bytes:
-        return self.fleet.stated.headers(self.id, line.run, _now(), refusal=refusal)
+        stated = self.fleet.stated.headers(self.id, line.run, _now(), refusal=refusal)
+        return b"".join(b"%s: %s\r\n" % each for each in stated)
 
     def _limit_line(self, entry: str) -> bytes:
         """Return the header that names its rate limit, nothing where it has none."""
@@ -470,7 +471,7 @@
     limits: NamedLimits = field(default_factory=NamedLimits)
     stated: Stated = field(default_factory=Stated)
     starts: int = 0
-    asked_at: dict[bytes, float] = field(default_factory=dict)
+    asked_at: dict[str, float] = field(default_factory=dict)
     rng: random.Random = field(default_factory=random.Random)
     closed_until: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
     stalled_until: defaultdict[int, float] = field(default_factory=lambda: defaultdict(float))
@@ -591,8 +592,8 @@
         live = self.live.get(line.entry)
         in_touch = live is not None and now >= live.disturbed_until
         self.sent.append(Sent(now, line.entry, in_touch, content, replica.id))
-        asked_at = self.asked_at.get(content, now)
-        self.stated.arrivals.append(StatedArrival(now, line.run, replica.id, asked_at))
+        arrival = StatedArrival(now, line.run, replica.id, content.decode())
+        self.stated.arrivals.append(arrival)
 
     def note_ended(self, replica: Replica) -> None:
         """Note that a replica ended, and break its group."""
@@ -643,7 +644,7 @@
         """
         told = Told(content, _now())
         self.told.append(told)
-        self.asked_at[content] = told.asked_at
+        self.asked_at[content.decode()] = told.asked_at
         up = sorted(name for name, each in self.live.items() if each.tasks is not None)
         if not up:
             return told
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -44,6 +44,7 @@
 SERVED_LEAST = 0.95
 REVOKE_SECONDS = 5.0
 DRAIN_SECONDS = 2.0
+MAX_STATED_SECONDS = 3.0
 SLACK = 0.5
 """Seconds that a bound is exceeded by before it counts: one machine runs all of it."""
 
@@ -80,6 +81,7 @@
     paused: set[str] = field(default_factory=set)
     drained: dict[str, float] = field(default_factory=dict)
     blind: list[tuple[float, float]] = field(default_factory=list)
+    disturbed: list[tuple[str, float, float]] = field(default_factory=list)
     revoked: dict[str, float] = field(default_factory=dict)
     keys: list[str] = field(default_factory=lambda: ["k1", "k2", "k3", "k4"])
     version: int = 0
@@ -111,6 +113,7 @@
                     began = self.clock.monotonic()
                     for number in range(CALLERS):
                         tasks.start_soon(callers.ask_on, number)
+                    tasks.start_soon(self._state, began + FAULT_SECONDS)
                     await self._strike(began + FAULT_SECONDS)
                     self.disturbed_until = self.clock.monotonic() + CALM_SECONDS / 2
                     await anyio.sleep(CALM_SECONDS)
@@ -187,9 +190,11 @@
     async def _kill(self) -> None:
         entry = self._running()
         if entry is not None:
+            began = self.clock.monotonic()
             entry.kill()
             await anyio.sleep(self.rng.uniform(0.1, 1.0))
             entry.start()
+            self._note_disturbed(entry.name, began)
 
     async def _stop(self) -> None:
         entry = self._running()
@@ -203,6 +208,7 @@
         if status and not unborn:
             self.problems.append(f"planned stop of {entry.name} ended with {status}")
         entry.start()
+        self._note_disturbed(entry.name, began)
         await anyio.sleep(1.0)
         self.paused.discard(entry.name)
 
@@ -211,9 +217,11 @@
         if entry is None:
             return
         self.paused.add(entry.name)
+        began = self.clock.monotonic()
         entry.pause()
         await self._blinded(self.rng.uniform(0.3, 7.0))
         entry.resume()
+        self._note_disturbed(entry.name, began)
         self.paused.discard(entry.name)
 
     async def _store_down(self) -> None:
@@ -222,10 +230,50 @@
         self.store.down = False
 
     async def _fault(self, fault: LinkFault, seconds: float) -> None:
-        state = self.proxy.links[self.rng.choice(list(self.proxy.links))].state
+        name = self.rng.choice(list(self.proxy.links))
+        state, began = self.proxy.links[name].state, self.clock.monotonic()
         state.set_fault(fault)
         await self._blinded(self.rng.uniform(0.3, seconds))
         state.clear()
+        self._note_disturbed(name, began)
+
+    def _note_disturbed(self, name: str, began: float) -> None:
+        """Note that an entry did not run, or that a link was disturbed, until now."""
+        self.disturbed.append((name, began, self.clock.monotonic()))
+
+    def _is_disturbed(self, names: set[str], since: float, until: float) -> bool:
+        return any(
+            name in names and began <= until and ended >= since - SLACK
+            for name, began, ended in self.disturbed
+        )
+
+    async def _state(self, until: float) -> None:
+        """Let replicas turn requests away with a backoff, or announce their leaving."""
+        rng = random.Random(f"{self.seed}/stated")
+        async with anyio.create_task_group() as tasks:
+            while self.clock.monotonic() < until - MAX_STATED_SECONDS:
+                act = rng.choice((self._turn_away, self._turn_away, self._announce))
+                self.struck[act.__name__.strip("_")] += 1
+                tasks.start_soon(act, rng)
+                await anyio.sleep(rng.uniform(0.3, 1.5))
+
+    async def _turn_away(self, rng: random.Random) -> None:
+        replica = self.replicas[f"replica-{rng.randrange(6)}"]
+        instance = replica.instance
+        replica.stated.seconds = rng.choice((0.7, 1.0, 2.0, 3.0))
+        replica.stated.turning_away[instance] = rng.choice((0.3, 1.0))
+        await anyio.sleep(rng.uniform(0.3, MAX_STATED_SECONDS))
+        replica.stated.turning_away.pop(instance, None)
+
+    async def _announce(self, rng: random.Random) -> None:
+        """Let a replica announce its leaving before it registers it, if it ever does."""
+        name = f"replica-{rng.randrange(4)}"
+        old = self.replicas[name].instance
+        self.replicas[name].stated.leaving.add(old)
+        await anyio.sleep(rng.uniform(2.5, 5.0))
+        if self.replicas[name].instance == old:
+            self.store.remove(f"servers/{old}")
+            self._renew(name)
 
     async def _blinded(self, seconds: float) -> None:
         """Wait while entries may not hear of changes, for which no bound in time holds then."""
@@ -311,6 +359,8 @@
             if since is not None and asked.sent_at > since + REVOKE_SECONDS:
                 late = asked.sent_at - since
                 self.problems.append(f"{run.request}: key was revoked {late:.1f} s before")
+        self._check_backoffs()
+        self._check_announced()
         late_asks = [
             a for a in self.asks if a.sent_at > self.disturbed_until and a.key in self.keys
         ]
@@ -318,6 +368,30 @@
         if len(late_asks) < CALLERS or served < SERVED_LEAST * (len(late_asks) - CALLERS):
             self.problems.append(f"recovery: {served} of {len(late_asks)} served")
 
+    def _check_backoffs(self) -> None:
+        """Look whether replicas got requests of entries that they had asked for a backoff."""
+        for name, replica in self.replicas.items():
+            for each in replica.stated.broken_backoffs():
+                until = each.at + each.seconds
+                if not self._is_disturbed({each.entry, name}, each.at, until):
+                    self.problems.append(
+                        f"{name}: asked {each.entry} for {each.seconds} s without requests, "
+                        f"{len(each.broken_by(replica.stated.arrivals))} came"
+                    )
+
+    def _check_announced(self) -> None:
+        """Look whether replicas got requests of entries to which they announced their leaving."""
+        asked_at = {ask.request: ask.sent_at for ask in self.asks}
+        for replica in self.replicas.values():
+            for each in replica.stated.late_at_leaving(asked_at):
+                told = replica.stated.told_leaving[each.entry, each.replica]
+                if not self._is_disturbed({each.entry}, told, each.at):
+                    late = asked_at[each.request] - told
+                    self.problems.append(
+                        f"{each.request}: {each.entry} knew for {late:.1f} s that "
+                        f"{each.replica} was leaving"
+                    )
+
     def line(self) -> str:
         """Return the outcome in one line."""
         statuses = dict(sorted(Counter(ask.status for ask in self.asks).items()))
--- a/carawayhub/gateway/backoff.py
+++ b/carawayhub/gateway/backoff.py
@@ -63,7 +63,8 @@
 
     def left(self, endpoints: Sequence[Endpoint]) -> float | None:
         """Return the seconds until the first backoff ends, None if some endpoint has none."""
-        if not endpoints or self.accepting(endpoints):
+        self._drop_ended()
+        if not endpoints or any(each.id not in self._ends_at for each in endpoints):
             return None
         return min(self._ends_at[each.id] for each in endpoints) - self._clock.monotonic()
 
--- a/carawayhub/gateway/health.py
+++ b/carawayhub/gateway/health.py
@@ -164,7 +164,9 @@
     def backs_off_peer(self, endpoint_id: str) -> bool:
         """Return whether an endpoint recently requested a backoff of a peer."""
         record = self._records.get(endpoint_id)
-        return record is not None and record.backs_off_peer_until > self._clock.monotonic()
+        if record is None or math.isinf(record.backs_off_peer_until):
+            return False
+        return record.backs_off_peer_until > self._clock.monotonic()
 
     def all_available(self) -> bool:
         """Return whether no endpoint refuses, is avoided or is slow, so none need be checked."""
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -608,7 +608,8 @@
 
     def _accepting(self, only: Set[str] | None = None) -> Sequence[Endpoint]:
         """Return the endpoints that have not requested a backoff."""
-        return self._backoffs.accepting(self._endpoints(only))
+        found = self._backoffs.accepting(self._endpoints())
+        return found if only is None else tuple(each for each in found if each.id in only)
 
     def _kv_tokens(self) -> int:
         table = self._view.table
--- a/carawayhub/platform/standins.py
+++ b/carawayhub/platform/standins.py
@@ -1,6 +1,7 @@
 """Simulated platform store and replicas, for tests with the real programs."""
 
 import base64
+import random
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,6 +22,7 @@
     REQUEST_ID,
     SEAL,
 )
+from carawayhub.standins.stated import Stated, StatedArrival
 
 MAX_HISTORY_EVENTS = 200
 """Most changes that the store keeps for watches."""
@@ -123,6 +125,8 @@
         runs: Executed requests, over all incarnations.
         busy: Number of requests running now.
         misdirected: Rejected requests for another incarnation, counted by request id.
+        stated: Backoffs and leavings that it states, and requests that reached it.
+        rng: Draws which requests it turns away.
     """
 
     instance: str
@@ -132,6 +136,8 @@
     runs: list[RecordedRun] = field(default_factory=list)
     busy: int = 0
     misdirected: Counter[str] = field(default_factory=Counter)
+    stated: Stated = field(default_factory=Stated)
+    rng: random.Random = field(default_factory=random.Random)
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
         """Answer a request."""
@@ -143,15 +149,22 @@
             self.misdirected[request] += 1
             await _answer(send, 421, {})
             return
+        entry, now = scope["client"][0], SystemClock().monotonic()
+        self.stated.arrivals.append(StatedArrival(now, entry, self.instance, request))
+        if self.stated.turns_away(self.instance, self.rng):
+            refusal = self.stated.headers(self.instance, entry, now, refusal=True)
+            await _answer(send, 503, {}, [(NOT_RUN, b"1"), *refusal])
+            return
+        stated = self.stated.headers(self.instance, entry, now)
         if self.busy >= self.places or DEADLINE not in headers:
-            await _answer(send, 503, {}, [(NOT_RUN, b"1")])
+            await _answer(send, 503, {}, [(NOT_RUN, b"1"), *stated])
             return
         self.busy += 1
         organisation = headers.get(ORGANISATION, b"").decode()
         self.runs.append(
             RecordedRun(request, self.instance, organisation, SystemClock().monotonic())
         )
-        sealed = [(REQUEST_ID, request.encode()), (SEAL, self.instance.encode())]
+        sealed = [(REQUEST_ID, request.encode()), (SEAL, self.instance.encode()), *stated]
         try:
             if "/stream/" in scope["path"]:
                 await self._stream(headers, send, sealed)
--- a/carawayhub/standins/link.py
+++ b/carawayhub/standins/link.py
@@ -127,7 +127,7 @@
                 return
             while self.state.fault_of(source).silent_to_target:
                 await self.state.changed.wait()
-            target = await self._connect()
+            target = await self._connect(source)
             if target is None:
                 set_reset_on_close(client)
                 self._target_is_down = True
@@ -148,10 +148,11 @@
         await stream.aclose()
         return True
 
-    async def _connect(self) -> SocketStream | None:
+    async def _connect(self, source: str = "") -> SocketStream | None:
+        """Connect to the target, which sees the client's own address."""
         host, _, port = self.target.rpartition(":")
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                return await anyio.connect_tcp(host, int(port))
+                return await anyio.connect_tcp(host, int(port), local_host=source or None)
         except (OSError, TimeoutError):
             return None
--- a/benchmarks/stated.py
+++ b/carawayhub/standins/stated.py
@@ -1,7 +1,7 @@
 """Backoffs and leavings that stand-in replicas state, and whether entries keep to them."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 KNOWN_SECONDS = 0.5
@@ -19,13 +19,13 @@
         at: When.
         entry: Run of the entry that sent it; another one after a restart.
         replica: Id of the lifetime that it reached.
-        asked_at: When its caller sent it.
+        request: Names the request.
     """
 
     at: float
     entry: str
     replica: str
-    asked_at: float
+    request: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,26 +73,33 @@
         part = self.turning_away.get(replica, 0.0)
         return part > 0.0 and rng.random() < part
 
-    def headers(self, replica: str, entry: str, now: float, *, refusal: bool) -> bytes:
-        """Return the header lines of an answer, and note to whom they are stated."""
-        lines = b""
+    def headers(
+        self, replica: str, entry: str, now: float, *, refusal: bool = False
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer, and note to whom they are stated."""
+        found = []
         if refusal and self.seconds is not None:
             self.backoffs.append(StatedBackoff(now, entry, replica, self.seconds))
-            lines += f"retry-after: {self.seconds:g}\r\n".encode()
+            found.append((b"retry-after", f"{self.seconds:g}".encode()))
         if replica in self.leaving:
             self.told_leaving.setdefault((entry, replica), now)
-            lines += b"server-leaving: 1\r\n"
-        return lines
+            found.append((b"server-leaving", b"1"))
+        return found
 
     def broken_backoffs(self) -> list[StatedBackoff]:
         """Return the backoffs in which more arrived than is allowed."""
         return [each for each in self.backoffs if each.broken_by(self.arrivals)]
 
-    def late_at_leaving(self) -> list[StatedArrival]:
-        """Return the requests that were sent too late to a replica known to leave."""
+    def late_at_leaving(self, asked_at: Mapping[str, float]) -> list[StatedArrival]:
+        """Return the arrivals at replicas that their entry knew to leave for too long.
+
+        Args:
+            asked_at: When callers sent their requests.
+        """
         found = []
         for each in self.arrivals:
             told = self.told_leaving.get((each.entry, each.replica))
-            if told is not None and each.asked_at > told + DRAIN_SECONDS:
+            asked = asked_at.get(each.request)
+            if told is not None and asked is not None and asked > told + DRAIN_SECONDS:
                 found.append(each)
         return found
--- a/tests/broken_entries.py
+++ b/tests/broken_entries.py
@@ -14,6 +14,7 @@
 from carawayhub.gateway.admission import AdmissionControl
 from carawayhub.gateway.follower import Follower
 from carawayhub.gateway.model import EndpointState, Repeat
+from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.view import FleetView
 from carawayhub.platform import published
 from carawayhub.platform.__main__ import main
@@ -115,6 +116,18 @@
     FleetView._apply_endpoint = take_ready  # type: ignore[method-assign]
 
 
+def _ignores_backoff() -> None:
+    """Take no notice of backoffs that replicas request."""
+    ServicePool.record_backoff = (  # type: ignore[method-assign]
+        lambda self, endpoint_id, seconds: None
+    )
+
+
+def _ignores_announced() -> None:
+    """Take no notice of replicas that announce their leaving in answers."""
+    FleetView.record_leaving = lambda self, endpoint_id: False  # type: ignore[method-assign]
+
+
 _WAITING: dict[int, list[tuple[float, Any]]] = {}
 
 VARIANTS: dict[str, Callable[[], None]] = {
@@ -124,6 +137,8 @@
     "old-keys": _old_keys,
     "runs-twice": _runs_twice,
     "uses-leaving": _uses_leaving,
+    "ignores-backoff": _ignores_backoff,
+    "ignores-announced": _ignores_announced,
 }
 
 
--- a/tests/test_replica_backoff.py
+++ b/tests/test_replica_backoff.py
@@ -14,6 +14,7 @@
 from carawayhub.gateway.ports import Published
 from carawayhub.gateway.relay import GatewayRelay
 from carawayhub.platform.headers import PlatformWire
+from carawayhub.standins.stated import StatedArrival
 from tests.entry_harness import CallerReply, EntryHarness, answers
 from tests.scripted_endpoint import (
     SEAL,
@@ -126,21 +127,53 @@
 class Leaving(unittest.TestCase):
     """Some replicas announce their leaving in answers, and the store lists them as ready."""
 
-    def leaving(self, *, plain: bool) -> RequestFleet:
+    def late_arrivals(self, *, plain: bool) -> list[StatedArrival]:
         fleet = RequestFleet(entries=7, ranks=12, events=STREAM_EVENTS, plain=plain)
         fleet.stated.leaving = set(replica_ids(3))
         play(fleet, rate=14.0, seconds=10.0)
         self.assertGreater(len(fleet.stated.told_leaving), 7)
         self.assertTrue(all(each.served for each in fleet.told))
-        return fleet
+        return fleet.stated.late_at_leaving(fleet.asked_at)
 
     def test_rank_that_announced_its_leaving_gets_no_requests_later_on(self) -> None:
         """Guards against trusting the store's list alone, which an outage may keep outdated."""
-        self.assertEqual(self.leaving(plain=False).stated.late_at_leaving(), [])
+        self.assertEqual(self.late_arrivals(plain=False), [])
 
     def test_plain_replica_that_announced_its_leaving_gets_no_requests_later_on(self) -> None:
         """Guards against the same at plain services."""
-        self.assertEqual(self.leaving(plain=True).stated.late_at_leaving(), [])
+        self.assertEqual(self.late_arrivals(plain=True), [])
+
+
+class Histories(unittest.TestCase):
+    """Replicas that turn away and leave at random, entries that restart or are cut off."""
+
+    def history(self, seed: int, *, plain: bool) -> RequestFleet:
+        fleet = RequestFleet(entries=5, ranks=10, seed=seed, lost=0.03, plain=plain)
+        stated = fleet.stated
+
+        async def troubles() -> None:
+            while True:
+                replica = f"i-{fleet.rng.randrange(10)}-0"
+                stated.seconds = fleet.rng.choice((None, 0.2, 1.0, 3.0))
+                stated.turning_away[replica] = fleet.rng.choice((0.0, 0.2, 1.0))
+                if fleet.rng.random() < 0.2 and len(stated.leaving) < 5:
+                    stated.leaving.add(replica)
+                if fleet.rng.random() < 0.2:
+                    fleet.restart_entry(fleet.rng.choice(fleet.ips))
+                if fleet.rng.random() < 0.2:
+                    fleet.start(fleet.cut_entry, fleet.rng.choice(fleet.ips), 1.0)
+                await anyio.sleep(fleet.rng.uniform(0.1, 0.8))
+
+        return play(fleet, rate=50.0, seconds=10.0, during=troubles)
+
+    def test_no_entry_breaks_a_backoff_or_uses_a_replica_that_left(self) -> None:
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                fleet = self.history(seed, plain=seed % 2 == 0)
+                self.assertGreater(len(fleet.stated.backoffs), 10)
+                self.assertEqual(fleet.stated.broken_backoffs(), [])
+                self.assertEqual(fleet.stated.late_at_leaving(fleet.asked_at), [])
+                self.assertGreater(sum(each.served for each in fleet.told), 0.5 * len(fleet.told))
 
 
 class OneEntry(unittest.TestCase):
