Move slots within group limits and outages out of the pool

No decision changes: the tests of the pool, backoffs, relay, group load, limits and returned callers pass as before.

--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-from collections import Counter
 from collections.abc import Callable, Sequence, Set
 from dataclasses import dataclass
 
@@ -14,17 +13,16 @@
 from carawayhub.errors import RequestError
 from carawayhub.gateway.backoff import Backoffs
 from carawayhub.gateway.calls import Admitted
-from carawayhub.gateway.freeslots import FreeSlots
-from carawayhub.gateway.grouplimits import GroupLimits, GroupShape, group_shapes
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.line import RequestQueue, Requirements, Waiter
 from carawayhub.gateway.loads import Loads, Work, work_key
-from carawayhub.gateway.model import Endpoint, Repeat, RouteTable
-from carawayhub.gateway.outage import Outage, OutageState
+from carawayhub.gateway.model import Endpoint, Repeat
 from carawayhub.gateway.placement import Placement, Selection
 from carawayhub.gateway.refusals import Refusals
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.servicelimits import ServiceLimits
+from carawayhub.gateway.serviceoutages import ServiceOutages
+from carawayhub.gateway.serviceslots import ServiceSlots
 from carawayhub.gateway.view import FleetView
 from carawayhub.limits.claims import Claims
 from carawayhub.limits.replicarate import ReplicaRates
@@ -50,7 +48,6 @@
 would disconnect just before the first event, after the engine has processed the prompt, as 130
 callers did after a power loss."""
 
-
 FREE_SLOT_RETRY_SECONDS = 0.03
 """Retry time of a refused caller while slots are free: it reconnects, and can still be in time."""
 
@@ -116,21 +113,17 @@
         "_claims",
         "_clock",
         "_first_event_seconds",
-        "_group_limits",
-        "_group_shapes",
         "_fleet_delay",
         "_health",
         "_limits",
         "_loads",
         "_name",
-        "_outage",
-        "_partial_outage",
         "_pending",
         "_placement",
         "_propagation_delay",
+        "_outages",
         "_refusals",
-        "_shapes_from",
-        "_slot_counts",
+        "_slots",
         "_view",
         "backoff_rejections",
         "queue",
@@ -159,15 +152,19 @@
         self._refusals = Refusals(clock)
         self._backoffs = Backoffs(clock)
         self.backoff_rejections = 0
-        self._outage = Outage(clock)
-        self._partial_outage = Outage(clock)
+        self._outages = ServiceOutages(name, view, clock)
         self._claims = Claims(clock, rng)
         self._propagation_delay = propagation_delay
         self._placement = Placement(loads, health, rng)
-        self._slot_counts = FreeSlots(loads)
-        self._group_limits = GroupLimits(clock)
-        self._group_shapes: dict[str, GroupShape] = {}
-        self._shapes_from: tuple[RouteTable | None, Sequence[Endpoint]] = (None, ())
+        self._slots = ServiceSlots(
+            name,
+            clock,
+            loads,
+            lambda: view.table,
+            self._accepting,
+            self._counted_endpoints,
+            self._fleet_rate,
+        )
         self._fleet_delay = fleet_delay
         self._first_event_seconds = 0.0
         self._pending: dict[int, tuple[_PendingSlot, Work]] = {}
@@ -233,7 +230,7 @@
     def _retry_wait(self, call: Admitted, now: float, only: Set[str] | None) -> float:
         """Return the seconds that a refused request waits for its endpoints, 0 for no wait."""
         longest = _longest_wait(call, now)
-        away = self._outage.left()
+        away = self._outages.left()
         if away is not None:
             return longest if away <= longest else 0.0
         backoff = self._backoff_left(only)
@@ -259,7 +256,7 @@
         return call.arrived_at + call.route.target - now - self._first_event_seconds
 
     def _may_recover(self, only: Set[str] | None) -> bool:
-        return bool(self._endpoints(only)) or self._outage.left() is not None
+        return bool(self._endpoints(only)) or self._outages.left() is not None
 
     def record_backoff(self, endpoint_id: str, seconds: float) -> None:
         """Record that an endpoint wants no requests of this entry for so many seconds."""
@@ -319,19 +316,7 @@
 
     def record_pause(self, slot: Slot, seconds: float) -> None:
         """Record the time between two events of a stream."""
-        membership = slot.endpoint.membership
-        if membership is None:
-            return
-        group = membership.group
-        self._group_limits.record_pause(group, seconds, lambda: self._usual_pass_seconds(group))
-
-    def _usual_pass_seconds(self, group: str) -> float:
-        """Return the seconds of a pass by the profile, 0 if the group has no streams."""
-        shape = self._shapes().get(group)
-        if shape is None:
-            return 0.0
-        requests = self._slot_counts.group_requests(self._counted_endpoints(), group)
-        return shape.pass_seconds(max(1, requests))
+        self._slots.record_pause(slot.endpoint, seconds)
 
     def release(self, slot: Slot, *, ran: bool = True) -> None:
         """Release a slot and serve the queue.
@@ -351,22 +336,7 @@
 
     def update_outages(self) -> None:
         """Update the outages from the availability of the service's groups."""
-        stalled = self._view.standing_still(self._name)
-        available = bool(self._endpoints()) or not stalled
-        before = self._outage.left()
-        forming = _is_about_to_form(stalled)
-        self._outage.update(OutageState(available, forming))
-        self._partial_outage.update(OutageState(not stalled, forming))
-        after = self._outage.left()
-        if (before is None) is not (after is None):
-            logger.bind(
-                service=self._name,
-                expected=None if after is None else round(after, 2),
-                usual=None if self._outage.usual is None else round(self._outage.usual, 2),
-                standing_still=len(stalled),
-            ).warning(
-                "no group is available" if after is not None else "a group is available again"
-            )
+        self._outages.update()
 
     def serve_queue(self) -> None:
         """Assign free slots to queued requests in queue order."""
@@ -381,13 +351,15 @@
     def rejection(self, call: Admitted, now: float, code: Code) -> RequestError:
         """Return the error for a request that is not run now, with its retry time."""
         left = max(0.0, call.ends_at - now)
-        away = self._outage.left()
+        away = self._outages.left()
         if away is None:
             away = self._backoff_left()
         if away is None and code in REJECTED_CODES and self._has_room():
             return RequestError(code, self._name, retry_after=FREE_SLOT_RETRY_SECONDS)
         if away is None:
-            away = self._limits.mean_interval(self._accepting()) or self._group_recovery(left)
+            away = self._limits.mean_interval(self._accepting()) or self._outages.group_recovery(
+                left
+            )
         return RequestError(code, self._name, retry_after=self.queue.retry_after(left, away))
 
     def _has_room(self) -> bool:
@@ -398,17 +370,7 @@
         """
         if self._refusals.suspected or len(self.queue):
             return False
-        return self._free_slots() >= self._expected_arrivals() + 1.0
-
-    def _group_recovery(self, left: float) -> float | None:
-        """Return the expected seconds until a stalled group recovers, None if not within ``left``.
-
-        Until then the other groups get more requests than they can run. A caller that retries
-        earlier is queued behind all new ones and finally refused; once the group is available, it
-        finds free slots.
-        """
-        recovery = self._partial_outage.left()
-        return recovery if recovery is not None and recovery <= left else None
+        return self._slots.free() >= self._expected_arrivals() + 1.0
 
     def _acquire_now(self, work: Work, *, returned: bool) -> Slot | None:
         return None if len(self.queue) else self._acquire_free(work, returned=returned)
@@ -427,17 +389,9 @@
         if not self._kv_tokens():
             return True
         return self._claims.may_acquire(
-            self._free_slots(), self._expected_arrivals(), self._propagation_delay(), returned
+            self._slots.free(), self._expected_arrivals(), self._propagation_delay(), returned
         )
 
-    def _free_slots(self) -> int:
-        """Return the known number of free slots."""
-        return self._slot_counts.count_free(self._counted_endpoints(), self._limits_of_groups())
-
-    def _limits_of_groups(self) -> dict[str, int]:
-        """Return the maximum number of requests in flight at each group that has a limit."""
-        return self._group_limits.limits(self._shapes(), self._fleet_rate())
-
     def _fleet_rate(self) -> float:
         """Return the requests per second for the service at all entries."""
         delay = self._propagation_delay()
@@ -447,34 +401,6 @@
     def _counted_endpoints(self) -> Sequence[Endpoint]:
         return self._limits.counted_endpoints(self._accepting())
 
-    def _shapes(self) -> dict[str, GroupShape]:
-        """Return the shapes of the groups whose ranks serve requests, by name."""
-        table, endpoints = self._view.table, self._accepting()
-        if self._shapes_from[0] is not table or self._shapes_from[1] is not endpoints:
-            self._shapes_from = table, endpoints
-            self._group_shapes = {} if table is None else group_shapes(table, self._name, endpoints)
-        return self._group_shapes
-
-    def _below_limit(self, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
-        """Return the endpoints whose groups are below their limits, or all if there are none."""
-        limits = self._limits_of_groups()
-        if not limits:
-            return endpoints
-        counted = self._counted_endpoints()
-        full = {
-            group
-            for group, limit in limits.items()
-            if self._slot_counts.group_requests(counted, group) >= limit
-        }
-        if not full:
-            return endpoints
-        left = [
-            each
-            for each in endpoints
-            if each.membership is None or each.membership.group not in full
-        ]
-        return left or endpoints
-
     def _expected_arrivals(self) -> float:
         """Return the requests that arrive at all entries within one propagation delay."""
         return self.retries.rate() * self._fleet_delay()
@@ -484,7 +410,7 @@
     ) -> Selection | None:
         if not self._refusals.may_send():
             return None
-        endpoints = self._below_limit(self._accepting(only))
+        endpoints = self._slots.below_limits(self._accepting(only))
         arrivals = self._expected_arrivals()
         sample = max(MIN_SAMPLE_SIZE, math.ceil(SAMPLE_RATIO * len(endpoints) / max(1.0, arrivals)))
         tokens = self._kv_tokens()
@@ -496,7 +422,7 @@
 
     async def _wait(self, call: Admitted, now: float) -> Slot:
         self.update_outages()
-        away = self._outage.left()
+        away = self._outages.left()
         longest = _longest_wait(call, now)
         if not self._endpoints() and (away is None or away > longest):
             self._log_no_endpoint(call, away, longest)
@@ -549,8 +475,7 @@
         backoff = self._backoff_left()
         if backoff is not None:
             return backoff + BACKOFF_MARGIN_SECONDS
-        recovery = self._partial_outage.left()
-        if call.returned and recovery is not None and recovery <= longest:
+        if call.returned and self._outages.group_recovery(longest) is not None:
             return longest
         return self._refusals.wait_left() if self._refusals.closed else 0.0
 
@@ -569,8 +494,8 @@
             expected=round(
                 self.queue.expected_wait(requirements.rank, returned=requirements.returned), 3
             ),
-            free=self._free_slots(),
-            group_limits=self._limits_of_groups(),
+            free=self._slots.free(),
+            group_limits=self._slots.group_limits(),
             limited_pause=round(self._limits.mean_interval(self._endpoints()), 3),
             patience=round(requirements.patience, 3),
             returned=requirements.returned,
@@ -617,21 +542,6 @@
         return service.engine.kv_tokens if service is not None and service.engine else 0
 
 
-def _is_about_to_form(stalled: Sequence[Endpoint]) -> bool:
-    """Return whether some unavailable group has all its ranks and is about to form.
-
-    Only ranks that report their group as not formed are counted: the registration of an ended rank
-    remains for some seconds with its old content.
-    """
-    memberships = [
-        each.membership
-        for each in stalled
-        if each.membership is not None and not each.membership.formed
-    ]
-    ranks = Counter((membership.group, membership.size) for membership in memberships)
-    return any(size and count >= size for (_, size), count in ranks.items())
-
-
 def _longest_wait(call: Admitted, now: float) -> float:
     """Return the seconds that a request may wait before its caller gives up or is about to."""
     left = call.ends_at - now
