Hold removed replicas for a peer's outage only if the store was away here too

Ruled out: late news (known everywhere in 0.2 s).

An entry now follows such a word only if its own view lacked a proof for more than a heartbeat, now or within the grace. In an outage of the store all lack one, and lapsed entries are held as before; a test of each. The first fails before: the removed replica is still served.

--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -371,7 +371,7 @@
 
     def _apply_news(self, news: News, proved_at: float) -> None:
         if news.grace > 0:
-            self._view.distrust_removals(news.grace)
+            self._view.adopt_distrust(news.grace)
         self._follower.note_revision(news.revision)
         self._view.confirm_revision(news.revision, proved_at)
 
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -80,6 +80,7 @@
         "_unavailable",
         "_superseded",
         "_removals_trusted_from",
+        "_unproved_until",
         "_unreadable",
         "confirmed_at",
         "on_table",
@@ -106,6 +107,7 @@
         self._awaited: dict[int, float] = {}
         self._failing_since: float | None = None
         self._removals_trusted_from = float("-inf")
+        self._unproved_until = float("-inf")
         self.table: RouteTable | None = None
         self.revision = 0
         self.unreadable_entries = 0
@@ -149,6 +151,18 @@
             self._removals_trusted_from, self._clock.monotonic() + seconds
         )
 
+    def adopt_distrust(self, seconds: float) -> None:
+        """Assume with a peer that removed entries have only lapsed, unless the store was not away.
+
+        A peer that was cut off takes that for an outage of the store. If this view was proved to
+        be the newest all the while, the store was there, and entries are removed because their
+        replicas left.
+        """
+        now = self._clock.monotonic()
+        is_proved = self.age <= LAPSE_HEARTBEATS * self._heartbeat
+        if not is_proved or now - self._unproved_until <= LAPSE_GRACE_SECONDS:
+            self.distrust_removals(seconds)
+
     def confirm_revision(self, revision: int, proved_at: float) -> None:
         """Record a proof that ``revision`` was the newest at ``proved_at``.
 
@@ -163,6 +177,8 @@
 
     def confirm(self, sent_at: float) -> None:
         """Record that a call sent at ``sent_at`` proved this view to be the newest."""
+        if sent_at - self.confirmed_at > LAPSE_HEARTBEATS * self._heartbeat:
+            self._unproved_until = self._clock.monotonic()
         self.confirmed_at = max(self.confirmed_at, sent_at)
 
     def replace(self, published: Published, source: Source = Source.LISTING) -> None:
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 import anyio
 
@@ -16,6 +17,7 @@
     Follower,
 )
 from carawayhub.gateway.freshness import Bounds, read_times
+from carawayhub.gateway.hello import News
 from carawayhub.gateway.model import EndpointState
 from carawayhub.gateway.ports import (
     EndpointPublished,
@@ -24,8 +26,10 @@
     Published,
     TablePublished,
 )
+from carawayhub.gateway.process import GatewayProcess
 from carawayhub.gateway.view import LAPSE_GRACE_SECONDS, FleetView
-from tests.gateway_world import endpoint, table
+from carawayhub.platform.headers import PlatformWire
+from tests.gateway_world import endpoint, entry_options, table
 
 HEARTBEAT = 1.2
 TIMES = read_times(Bounds(config_apply=2.0, drain=2.0, revoke_after=5.0))
@@ -97,6 +101,40 @@
         self.assertEqual(self.serving(), {"i-2"})
         self.assertIsNone(self.view.endpoint("i-1"))
 
+    def hear_that_store_was_away(self, seconds: float) -> None:
+        """Hear of a peer that the store did not answer for a while."""
+
+        async def hear() -> None:
+            options = entry_options("127.0.0.1", ["127.0.0.1"])
+            state, rng = unittest.mock.Mock(), random.Random(1)
+            process = GatewayProcess(options, state, PlatformWire(), self.clock, rng, frozenset)
+            process._view = self.view
+            process._apply_news(News(5, 0.0, seconds), float("-inf"))
+
+        anyio.run(hear)
+
+    def test_removal_counts_while_only_a_peer_was_cut_off(self) -> None:
+        """Guards against holding a replica that left because another entry had lost the store.
+
+        That entry takes its own partition for an outage, in which entries lapse, and says so.
+        """
+        for _ in range(20):
+            self.clock.advance(0.5)
+            self.view.confirm(self.clock.monotonic() - 0.2)
+        self.hear_that_store_was_away(LAPSE_GRACE_SECONDS)
+        self.view.extend(published(6, EndpointRemoved("i-1")))
+        self.assertEqual(self.serving(), {"i-2"})
+
+    def test_removal_is_held_while_the_store_was_away_for_all(self) -> None:
+        """An entry that has no proof of its own either goes by what a peer says of the outage."""
+        self.view.confirm(self.clock.monotonic())
+        self.clock.advance(4.0)
+        self.hear_that_store_was_away(LAPSE_GRACE_SECONDS)
+        self.view.confirm(self.clock.monotonic())
+        self.hear_that_store_was_away(LAPSE_GRACE_SECONDS)
+        self.view.extend(published(6, EndpointRemoved("i-1")))
+        self.assertEqual(self.serving(), {"i-1", "i-2"})
+
     def test_successor_at_an_address_ends_the_one_before(self) -> None:
         """A replica crashes and another one starts at its address.
 
