Log the era that the store states, listings that are not applied and each proof

The logs could not tell a store whose revisions went back from one that dropped its history: a listing that was older than the view was passed over without a line, and neither proofs nor failed watches named a revision. No logic changes.

--- a/carawayhub/gateway/follower.py
+++ b/carawayhub/gateway/follower.py
@@ -271,6 +271,10 @@
             # The listing must not undo changes that were applied while it was in progress.
             if published.revision >= self._view.revision:
                 self._view.replace(published)
+            else:
+                logger.bind(revision=published.revision, known=self._view.revision).warning(
+                    "listing is older than this view and is not applied"
+                )
             self._view.confirm(sent_at)
             self.on_grown()
             return
@@ -415,6 +419,7 @@
             self.note_revision(revision)
             self._view.confirm_revision(revision, sent_at)
             self._proved_at = sent_at
+            logger.bind(revision=revision, known=self._view.revision).info("revision proved")
             self._turn_delay = self._rng.uniform(MIN_TURN_DELAY_SECONDS, MAX_TURN_DELAY_SECONDS)
             if await self._reaches(revision):
                 self.on_grown()
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -8,6 +8,7 @@
 import anyio
 import httpcore
 import msgspec
+from loguru import logger
 
 from carawayhub.addresses import Address
 from carawayhub.codes import Code
@@ -25,6 +26,7 @@
 ANSWER_MARGIN_SECONDS = 1.0
 """Time limit of a call beyond its wait; a live store answers within milliseconds."""
 MS_PER_SECOND = 1000
+ERA_HEADER = b"store-era"
 KEY_AFTER_CONFIG = "op/~"
 """A key that sorts after the configuration: a listing from it is empty but has the revision."""
 
@@ -76,7 +78,7 @@
         mirror: Copy of the content read so far.
     """
 
-    __slots__ = ("_pool", "_url", "mirror")
+    __slots__ = ("_era", "_pool", "_url", "mirror")
 
     def __init__(
         self,
@@ -85,6 +87,7 @@
         backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
         self.mirror = StoreMirror()
+        self._era = ""
         self._url = f"http://{address}"
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=4,
@@ -150,12 +153,24 @@
                 response = await self._pool.request("GET", url)
         except (httpcore.NetworkError, httpcore.ProtocolError, OSError, TimeoutError) as exc:
             raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{path}: {exc!r}") from exc
+        self._note_era(response, path)
         if response.status == GONE_STATUS:
             raise _HistoryGoneError(Code.PLATFORM_MALFORMED, path)
         if response.status != OK_STATUS:
             raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{path}: status {response.status}")
         return decode_answer(response.content, kind)
 
+    def _note_era(self, response: httpcore.Response, path: str) -> None:
+        """Log a change of the era that the store states in its answers."""
+        era = next((value for name, value in response.headers if name.lower() == ERA_HEADER), b"")
+        stated = era.decode("latin-1")
+        if stated == self._era:
+            return
+        logger.bind(before=self._era, now=stated, call=path, revision=self.mirror.revision).warning(
+            "the store states another era"
+        )
+        self._era = stated
+
 
 class _HistoryGoneError(PlatformError):
     """The store no longer has the history after the requested revision."""
