--- a/benchmarks/group_load.py
+++ b/benchmarks/group_load.py
@@ -43,6 +43,7 @@
 from carawayhub.gateway.pool import ServicePool, Slot
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
 from carawayhub.gateway.retryshare import RetryShare
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.view import FleetView
 
 SERVICE = "llm"
@@ -246,7 +247,11 @@
         endpoints = [
             EndpointPublished(_endpoint(rank, self.load)) for rank in range(self.load.ranks)
         ]
-        view.replace(Published(revision=1, changes=(TablePublished(_table(self.load)), *endpoints)))
+        view.replace(
+            Published(
+                revision=Revision(0, 1), changes=(TablePublished(_table(self.load)), *endpoints)
+            )
+        )
         retries = RetryShare(self.clock, 0.2, 94.0, 10.0)
         spread = NEWS_SECONDS * self.load.entries
         return ServicePool(
--- a/benchmarks/limit_cost.py
+++ b/benchmarks/limit_cost.py
@@ -23,6 +23,7 @@
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
 from carawayhub.gateway.retryshare import RetryShare
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.servicelimits import ServiceLimits
 from carawayhub.gateway.view import FleetView
 from carawayhub.limits.replicarate import RateRow, ReplicaRates
@@ -111,7 +112,7 @@
             EndpointPublished(endpoint(each, address=f"10.{at // 250}.{at % 250}.1:80"))
             for at, each in enumerate(self.ids)
         ]
-        view.replace(Published(revision=1, changes=(TablePublished(table()), *listed)))
+        view.replace(Published(revision=Revision(0, 1), changes=(TablePublished(table()), *listed)))
         return view
 
     def name_limits(self) -> None:
--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -31,6 +31,7 @@
     TablePublished,
 )
 from carawayhub.gateway.process import GatewayProcess
+from carawayhub.gateway.revision import Eras, Revision
 from carawayhub.limits.fingerprint import fingerprint
 from carawayhub.platform.headers import PlatformWire
 from carawayhub.standins.stated import Stated, StatedArrival
@@ -194,7 +195,7 @@
             address=str(self.address),
             service="plain" if self.fleet.plain else "llm",
             places=self.fleet.places,
-            registered=self.lifetime + 1,
+            registered=Revision(0, self.lifetime + 1),
             membership=None if self.fleet.plain else self._seat(),
         )
 
@@ -342,9 +343,9 @@
 class _Mirror:
     """Published content that nobody hands on."""
 
-    revision = 0
+    revision = Revision()
 
-    def encode_after(self, revision: int) -> bytes | None:
+    def encode_after(self, revision: Revision) -> bytes | None:
         """Return nothing."""
         return None
 
@@ -357,18 +358,19 @@
     """A store that nobody asks: what is published reaches the entries' views directly."""
 
     mirror = _Mirror()
+    eras = Eras()
 
     async def snapshot(self) -> Published:
         """Return nothing."""
-        return Published(revision=0, changes=())
+        return Published(revision=Revision(0, 0), changes=())
 
-    async def changes(self, after: int, wait: float) -> Published | None:
+    async def changes(self, after: Revision, wait: float) -> Published | None:
         """Return nothing."""
         return None
 
-    async def revision(self) -> int:
+    async def revision(self) -> Revision:
         """Return the first revision."""
-        return 0
+        return Revision()
 
     async def check_reachable(self) -> None:
         """Do nothing."""
@@ -521,7 +523,9 @@
         process._upstream._backend = _Net(self, ip, f"{ip}/{self.starts}")
         listed = [EndpointPublished(each.endpoint()) for each in self.by_host.values()]
         table_published = TablePublished(table(1, self._route()))
-        process._view.replace(Published(revision=1, changes=(table_published, *listed)))
+        process._view.replace(
+            Published(revision=Revision(0, 1), changes=(table_published, *listed))
+        )
         process._gossip.set_phase(Phase.READY)
         entry = self.live[ip] = _Entry(process, _now() + IN_TOUCH)
 
@@ -584,7 +588,9 @@
         """Let all entries know of changes."""
         self.revision += 1
         for each in self.live.values():
-            each.process._view.extend(Published(revision=self.revision, changes=changes))
+            each.process._view.extend(
+                Published(revision=Revision(0, self.revision), changes=changes)
+            )
 
     def note_sent(self, replica: Replica, line: Line, content: bytes) -> None:
         """Note that a request reached a replica."""
--- a/carawayhub/gateway/follower.py
+++ b/carawayhub/gateway/follower.py
@@ -11,6 +11,7 @@
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.freshness import ReadTimes
 from carawayhub.gateway.ports import ForwardedContent, Published, PublishedState, Source
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.view import FleetView
 
 WATCH_TIMEOUT_SECONDS = 25.0
@@ -33,6 +34,11 @@
 of a fleet start within 0.3 s of each other and need the same time to be up. A peer that is
 reached knows the state at once."""
 
+SEED_PEER_WAIT_SECONDS = 0.15
+"""Longest time for which a starting seed does. It reads the state for the others if all start at
+one moment; if it starts alone, its peers answer within this time, and may know of a configuration
+that the store has lost."""
+
 PEER_POLL_SECONDS = 0.03
 """Seconds between two polls for such a peer."""
 
@@ -89,7 +95,7 @@
     FOLLOWER = "follower"
 
 
-async def _no_changes(revision: int) -> ForwardedContent | None:
+async def _no_changes(revision: Revision) -> ForwardedContent | None:
     return None
 
 
@@ -118,6 +124,8 @@
         fetch_changes: Returns what peers know after a revision, None if no peer knows more.
         first: Whether this entry reads the store at its start without waiting for peers.
         propagation_seconds: Returns the seconds that an update takes to reach all entries.
+        lists_first: Returns whether this entry lists the state of a new era without waiting for
+            peers.
 
     Attributes:
         on_grown: Called when this entry has read something new for its peers.
@@ -128,6 +136,8 @@
         "_fetch_changes",
         "_clock",
         "_first",
+        "_listing",
+        "_lists_first",
         "_batch_seconds",
         "_view_changed",
         "_fallback_age",
@@ -157,9 +167,10 @@
         rng: random.Random,
         times: ReadTimes,
         reads: Callable[[], bool] = lambda: True,
-        fetch_changes: Callable[[int], Awaitable[ForwardedContent | None]] = _no_changes,
+        fetch_changes: Callable[[Revision], Awaitable[ForwardedContent | None]] = _no_changes,
         first: bool = True,
         propagation_seconds: Callable[[], float] = lambda: 0.0,
+        lists_first: Callable[[], bool] = lambda: True,
     ) -> None:
         self._state = state
         self._view = view
@@ -168,26 +179,29 @@
         self._reads = reads
         self._fetch_changes = fetch_changes
         self._first = first
+        self._lists_first = lists_first
         self._propagation_seconds = propagation_seconds
         self._fallback_age = times.fallback_after + rng.uniform(0.0, times.fallback_spread)
         self._proof_age = times.proof_after
-        self._proved_revision = 0
+        self._proved_revision = Revision()
         self._proved_at = float("-inf")
         self._turn_delay = rng.uniform(MIN_TURN_DELAY_SECONDS, MAX_TURN_DELAY_SECONDS)
         self._peer_update_at = float("-inf")
         self._role = Role.FOLLOWER
         self.on_grown: Callable[[], None] = _do_nothing
-        self._newest_revision = 0
+        self._newest_revision = Revision()
         self._view_changed = anyio.Event()
         self._revision_missing = anyio.Event()
         self._watch_scope = anyio.CancelScope()
         self._watching = False
+        self._listing = anyio.Lock()
         self._batch_seconds = MIN_BATCH_SECONDS
         self._batch_ended_at = float("-inf")
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        if self._first or not await self._start_from_peers():
+        wait = SEED_PEER_WAIT_SECONDS if self._first else PEER_WAIT_SECONDS
+        if not await self._get_from_peers(wait):
             await self._read_all()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch)
@@ -195,14 +209,20 @@
             tasks.start_soon(self._prove)
             tasks.start_soon(self._touch)
 
-    def note_revision(self, revision: int) -> None:
-        """Record that a revision exists."""
+    def note_revision(self, revision: Revision) -> None:
+        """Record that a revision of the believed era exists."""
+        if revision.era != self._newest_revision.era:
+            self._newest_revision = revision
         self._newest_revision = max(self._newest_revision, revision)
         if self._is_behind():
             self._revision_missing.set()
 
     def _is_behind(self) -> bool:
-        return self._newest_revision > self._view.revision
+        return self._is_in_other_era() or self._newest_revision > self._view.revision
+
+    def _is_in_other_era(self) -> bool:
+        """Return whether the view is of an era that is over."""
+        return self._view.revision.era != self._state.eras.known
 
     def _update_role(self) -> Role:
         role = self._current_role()
@@ -225,19 +245,28 @@
         usual = self._proof_age + MAX_TURN_DELAY_SECONDS + self._propagation_seconds()
         return max(self._fallback_age, usual)
 
-    async def _start_from_peers(self) -> bool:
-        """Get the published state from a peer at the start; return whether a peer sent it.
+    async def _get_from_peers(self, wait: float) -> bool:
+        """Get the complete published state from a peer; return whether a peer sent it.
 
-        Guards against a burst of load on the store: all VMs lose power and start at one moment, and
-        each of 98 entries lists the complete published state.
+        Guards against a burst of load on the store: all VMs lose power and start at one moment, or
+        the store returns in another era, and each of 98 entries lists the published state.
+
+        Args:
+            wait: Longest time in seconds to wait for a peer that knows it.
         """
-        until = self._clock.monotonic() + PEER_WAIT_SECONDS
+        known = self._view.revision
+        until = self._clock.monotonic() + wait
         while self._clock.monotonic() < until:
-            if await self._apply_from_peers():
+            if await self._apply_from_peers() or self._view.revision != known:
                 return True
             await anyio.sleep(PEER_POLL_SECONDS)
         return False
 
+    async def _enter_known_era(self) -> None:
+        """Get the state of the era that is believed, while the view is of another one."""
+        if self._lists_first() or not await self._get_from_peers(PEER_WAIT_SECONDS):
+            await self._read_all()
+
     async def _apply_from_peers(self) -> bool:
         """Apply what a peer knows beyond this view; return whether there was anything new."""
         update = await self._fetch_changes(self._view.revision)
@@ -248,9 +277,9 @@
         else:
             self._view.extend(update.published, Source.PEER)
         self._peer_update_at = self._clock.monotonic()
-        logger.bind(revision=self._view.revision, whole=update.whole).info(
-            "received an update from a peer"
-        )
+        logger.bind(
+            revision=self._view.revision.number, era=self._view.revision.era, whole=update.whole
+        ).info("received an update from a peer")
         self._notify_view_changed()
         return True
 
@@ -259,6 +288,14 @@
         self._view_changed = anyio.Event()
 
     async def _read_all(self) -> None:
+        """Read the complete state, unless it is applied meanwhile by another task."""
+        known = self._view.revision
+        async with self._listing:
+            if self._view.revision == known:
+                await self._list_until_applied()
+
+    async def _list_until_applied(self) -> None:
+        known = self._view.revision
         delay = MIN_RETRY_SECONDS
         while True:
             sent_at = self._clock.monotonic()
@@ -266,16 +303,19 @@
                 published = await self._state.snapshot()
             except PlatformError as exc:
                 delay = await self._back_off(exc, "snapshot", delay, sent_at)
+                if self._view.revision != known or await self._apply_from_peers():
+                    return
                 continue
             self._view.record_store_answer()
+            if published.revision.era != self._state.eras.known:
+                # A peer reported the next era while this one was being listed.
+                continue
             # The listing must not undo changes that were applied while it was in progress.
-            if published.revision >= self._view.revision:
+            is_same_era = published.revision.era == self._view.revision.era
+            if not is_same_era or published.revision >= self._view.revision:
                 self._view.replace(published)
-            else:
-                logger.bind(revision=published.revision, known=self._view.revision).warning(
-                    "listing is older than this view and is not applied"
-                )
             self._view.confirm(sent_at)
+            self._notify_view_changed()
             self.on_grown()
             return
 
@@ -301,6 +341,9 @@
         Returns:
             The delay after the next failure.
         """
+        if self._is_in_other_era():
+            await self._enter_known_era()
+            return MIN_RETRY_SECONDS
         try:
             published = await self._watch_once(wait)
         except PlatformError as exc:
@@ -351,6 +394,9 @@
         Returns:
             The delay after the next failure.
         """
+        if self._is_in_other_era():
+            await self._enter_known_era()
+            return MIN_RETRY_SECONDS
         if self._update_role() is Role.FOLLOWER:
             await self._wait_for_batch()
             if not self._is_behind() or await self._apply_from_peers():
@@ -365,9 +411,9 @@
         # The store is authoritative: a peer that reported a later revision was wrong.
         self._newest_revision = self._view.revision
         if self._view.revision < self._proved_revision:
-            logger.bind(revision=self._proved_revision, known=self._view.revision).warning(
-                "the store does not return the missing changes; reading the complete state"
-            )
+            logger.bind(
+                revision=self._proved_revision.number, known=self._view.revision.number
+            ).warning("the store does not return the missing changes; reading the complete state")
             await self._read_all()
         if self._view.revision > known:
             return MIN_RETRY_SECONDS
@@ -392,9 +438,11 @@
     async def _apply(self, published: Published | None, source: Source) -> None:
         self._view.record_store_answer()
         if published is None:
-            logger.info(
-                "the store has dropped the history since this revision; reading the complete state"
-            )
+            logger.bind(
+                revision=self._view.revision.number,
+                era=self._view.revision.era,
+                known_era=self._state.eras.known,
+            ).info("the store does not have the history since this revision; reading everything")
             await self._read_all()
         else:
             self._view.extend(published, source)
@@ -419,14 +467,16 @@
             self.note_revision(revision)
             self._view.confirm_revision(revision, sent_at)
             self._proved_at = sent_at
-            logger.bind(revision=revision, known=self._view.revision).info("revision proved")
+            logger.bind(
+                revision=revision.number, era=revision.era, known=self._view.revision.number
+            ).info("revision proved")
             self._turn_delay = self._rng.uniform(MIN_TURN_DELAY_SECONDS, MAX_TURN_DELAY_SECONDS)
             if await self._reaches(revision):
                 self.on_grown()
             else:
-                logger.bind(revision=revision, known=self._view.revision).warning(
-                    "changes known to the store were not delivered in time"
-                )
+                logger.bind(
+                    revision=revision.number, era=revision.era, known=self._view.revision.number
+                ).warning("changes known to the store were not delivered in time")
 
     async def _wait_until_proof_is_due(self) -> None:
         """Wait until the newest proof, by any entry, is too old."""
@@ -460,7 +510,7 @@
             self._view.record_store_answer()
             await anyio.sleep(TOUCH_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2))
 
-    async def _reaches(self, revision: int) -> bool:
+    async def _reaches(self, revision: Revision) -> bool:
         """Return whether the view reaches ``revision`` within ``CATCH_UP_SECONDS``."""
         with anyio.move_on_after(CATCH_UP_SECONDS):
             while self._view.revision < revision:
--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -27,6 +27,7 @@
 from carawayhub.gateway.loads import Loads, Work
 from carawayhub.gateway.peers import Peers
 from carawayhub.gateway.retryshare import DEFAULT_SHARE
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.telling import (
     GOSSIP_INTERVAL_SECONDS,
     VIA_DELEGATE,
@@ -84,8 +85,9 @@
     Attributes:
         own: State that this entry announces.
         on_loads: Called after each applied datagram with a new hello.
-        on_news: Called with what a peer knows of the published state, and with the time, by this
-            entry's clock, at which that was last proved to be current.
+        on_news: Called with what a peer knows of the published state, with the time, by this
+            entry's clock, at which that was last proved to be current, and with the peer's IP
+            address.
         on_refusing: Called with the endpoints that refuse requests of a peer.
         on_slow: Called with the endpoints that agents reported to a peer as slow ranks.
         on_backing_off: Called with the endpoints that requested a backoff of a peer.
@@ -202,9 +204,13 @@
         fits = self.phase in (Phase.STARTING, Phase.READY) and self.own.news().reads
         return fits and self.own.address.ip in self._peers.readers(own_fits=True)
 
-    def peers_ahead_of(self, revision: int) -> list[str]:
-        """Return the peers with a newer revision, those in this failure domain first."""
-        found = self._peers.ahead_of(revision)
+    def is_domain_delegate(self) -> bool:
+        """Return whether this entry is the first one of its failure domain."""
+        return self._builder.delegate() == self.own.address.ip
+
+    def peers_ahead_of(self, revision: Revision, era: int) -> list[str]:
+        """Return the peers with a newer revision of an era, those in this failure domain first."""
+        found = self._peers.ahead_of(revision, era)
         self._rng.shuffle(found)
         found.sort(key=lambda each: each.failure_domain != self.own.address.failure_domain)
         return [each.ip for each in found]
@@ -342,7 +348,8 @@
         )
         sent_at = self._answered_at(received)
         if sent_at is not None:
-            self.on_news(received.hello.news, sent_at - received.hello.news.age)
+            hello = received.hello
+            self.on_news(hello.news, sent_at - hello.news.age, hello.ip)
 
     def _add_unknown_seeds(self, ips: list[str]) -> None:
         """Add the entries that a peer knows and this one does not to the seeds."""
@@ -444,7 +451,7 @@
     return
 
 
-def _ignore_news(news: News, proved_at: float) -> None:
+def _ignore_news(news: News, proved_at: float, peer: str) -> None:
     return
 
 
--- a/carawayhub/gateway/handing.py
+++ b/carawayhub/gateway/handing.py
@@ -13,7 +13,8 @@
 
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.gossip import Gossip
-from carawayhub.gateway.ports import ForwardedContent, Mirror
+from carawayhub.gateway.ports import ForwardedContent, PublishedState
+from carawayhub.gateway.revision import Revision
 from carawayhub.peers.pace import LinkPacer
 from carawayhub.peers.questions import Answer, Question, QuestionLink
 
@@ -34,7 +35,7 @@
     Args:
         ip: IP address of this VM.
         port: Port that all entries use for this exchange.
-        mirror: Local copy of the published state.
+        state: The published state, with the local copy that is forwarded.
         gossip: Provides the peers with a newer revision.
         pace: Spreads answers over time.
 
@@ -42,10 +43,13 @@
         on_slow_ranks: Called with the replicas that an agent reports as slow ranks.
     """
 
-    __slots__ = ("_gossip", "_link", "_mirror", "on_slow_ranks")
+    __slots__ = ("_eras", "_gossip", "_link", "_mirror", "on_slow_ranks")
 
-    def __init__(self, ip: str, port: int, mirror: Mirror, gossip: Gossip, pace: LinkPacer) -> None:
-        self._mirror = mirror
+    def __init__(
+        self, ip: str, port: int, state: PublishedState, gossip: Gossip, pace: LinkPacer
+    ) -> None:
+        self._mirror = state.mirror
+        self._eras = state.eras
         self._gossip = gossip
         self._link = QuestionLink(ip, port, self.answer, pace)
         self.on_slow_ranks: Callable[[list[str]], None] = _ignore_slow_ranks
@@ -54,9 +58,9 @@
         """Answer peers until cancelled."""
         await self._link.run()
 
-    async def fetch_after(self, revision: int) -> ForwardedContent | None:
+    async def fetch_after(self, revision: Revision) -> ForwardedContent | None:
         """Return the content after a revision from a peer, None if no peer can provide it."""
-        for ip in self._gossip.peers_ahead_of(revision)[:MAX_PEERS_ASKED]:
+        for ip in self._gossip.peers_ahead_of(revision, self._eras.known)[:MAX_PEERS_ASKED]:
             answer = await self._link.ask(ip, PUBLISHED, msgspec.msgpack.encode(revision))
             if answer is None or not answer.ok:
                 continue
@@ -84,7 +88,9 @@
                     self.on_slow_ranks(replicas[:MAX_SLOW_RANKS])
                     content = b""
                 case _:
-                    revision = msgspec.msgpack.decode(question.content, type=int)
+                    asked = msgspec.msgpack.decode(question.content, type=Revision | int)
+                    # Entries of a former build ask with a number alone.
+                    revision = Revision(0, asked) if isinstance(asked, int) else asked
                     content = self._mirror.encode_after(revision)
         except msgspec.DecodeError as exc:
             logger.bind(peer=ip, error=str(exc)).warning(
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from carawayhub.gateway.revision import Revision
 from carawayhub.limits.poison import EndsRow
 from carawayhub.limits.replicarate import RateRow
 
@@ -39,17 +40,24 @@
     """What an entry knows of the published state.
 
     Attributes:
-        revision: Revision up to which everything is known.
+        revision: Number of the revision up to which everything is known.
         age: Seconds between the last proof that this revision was the newest and the writing of
             the datagram.
         grace: Seconds for which removed registrations are assumed to have merely expired.
         reads: Whether the sender can read the published state.
+        era: Era of that revision.
     """
 
     revision: int
     age: float
     grace: float
     reads: bool = True
+    era: int = 0
+
+    @property
+    def position(self) -> Revision:
+        """Revision up to which everything is known."""
+        return Revision(self.era, self.revision)
 
 
 class Hello(msgspec.Struct, array_like=True, kw_only=True):
@@ -173,7 +181,7 @@
         callers: ``ip:port`` at which it accepts callers.
         failure_domain: Its failure domain.
         expires_at: Time at which it is removed without another datagram or report.
-        revision: Published revision that it knows, 0 if it is only known from reports.
+        revision: Published revision that it knows, the first one if it is only known from reports.
         reads: Whether it can read the published state.
         heard_at: Time at which its last datagram was received.
         reported_until: Time until which a delegate's report of it is valid.
@@ -186,7 +194,7 @@
     callers: str
     failure_domain: str
     expires_at: float
-    revision: int
+    revision: Revision
     reads: bool
     heard_at: float
     reported_until: float = float("-inf")
--- a/carawayhub/gateway/model.py
+++ b/carawayhub/gateway/model.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from carawayhub.addresses import Address
+from carawayhub.gateway.revision import Revision
 
 MIN_STREAM_TIMEOUT_SECONDS = 2.0
 STREAM_TIMEOUT_TARGETS = 4.0
@@ -303,7 +304,7 @@
     places: int
     state: EndpointState
     membership: GroupMembership | None = None
-    registered: int = 0
+    registered: Revision = Revision()
 
 
 def superseded(endpoints: Iterable[Endpoint]) -> frozenset[str]:
@@ -314,10 +315,10 @@
     of all registrations may be outdated, and a request routed to two of them has used up its
     attempts.
     """
-    newest: dict[Address, int] = {}
+    newest: dict[Address, Revision] = {}
     listed = tuple(endpoints)
     for each in listed:
-        newest[each.address] = max(each.registered, newest.get(each.address, 0))
+        newest[each.address] = max(each.registered, newest.get(each.address, Revision()))
     return frozenset(each.id for each in listed if each.registered < newest[each.address])
 
 
--- a/carawayhub/gateway/peers.py
+++ b/carawayhub/gateway/peers.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from carawayhub.gateway.hello import Hello, MemberRow, PeerEntry, Phase
+from carawayhub.gateway.revision import Revision
 
 READER_COUNT = 2
 """Number of entries, in different failure domains, that read the published state for all. With only
@@ -90,7 +91,7 @@
                 hello.callers,
                 hello.failure_domain,
                 until,
-                hello.news.revision,
+                hello.news.position,
                 hello.news.reads,
                 now,
             ),
@@ -122,7 +123,7 @@
 
     def _reported_entry(self, row: MemberRow, now: float) -> PeerEntry:
         known = self._by_ip.get(row.ip)
-        number, revision, heard_at = 0, 0, float("-inf")
+        number, revision, heard_at = 0, Revision(), float("-inf")
         until = now + REPORTED_PEER_TTL_SECONDS
         if known is not None and known.incarnation == row.incarnation:
             number, revision, heard_at = known.number, known.revision, known.heard_at
@@ -191,9 +192,13 @@
             each for each in self._by_ip.values() if each.phase is phase and each.expires_at > now
         ]
 
-    def ahead_of(self, revision: int) -> list[PeerEntry]:
-        """Return the peers with a newer revision."""
-        return [each for each in self._by_ip.values() if each.revision > revision]
+    def ahead_of(self, revision: Revision, era: int) -> list[PeerEntry]:
+        """Return the peers with a newer revision of an era."""
+        return [
+            each
+            for each in self._by_ip.values()
+            if each.revision.era == era and each.revision > revision
+        ]
 
     def readers(self, own_fits: bool) -> frozenset[str]:
         """Return the entries that read the published state for all.
--- a/carawayhub/gateway/ports.py
+++ b/carawayhub/gateway/ports.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from carawayhub.gateway.model import Endpoint, RouteTable
+from carawayhub.gateway.revision import Eras, Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +49,7 @@
 
     replica: str
     problem: str
-    revision: int
+    revision: Revision
 
 
 Change = TablePublished | EndpointPublished | EndpointRemoved | EndpointUnreadable
@@ -64,7 +65,7 @@
         unreadable: Configurations that couldn't be decoded; the last valid one stays active.
     """
 
-    revision: int
+    revision: Revision
     changes: tuple[Change, ...]
     unreadable: tuple[str, ...] = ()
 
@@ -98,9 +99,9 @@
         revision: Revision up to which the copy is complete.
     """
 
-    revision: int
+    revision: Revision
 
-    def encode_after(self, revision: int) -> bytes | None:
+    def encode_after(self, revision: Revision) -> bytes | None:
         """Return the encoded content after a revision, None if there is none or it is too large."""
 
     def take(self, data: bytes) -> ForwardedContent | None:
@@ -118,6 +119,10 @@
     def mirror(self) -> Mirror:
         """Local copy of what has been read so far."""
 
+    @property
+    def eras(self) -> Eras:
+        """Which era of the state is believed; content of others is not returned."""
+
     async def snapshot(self) -> Published:
         """Return everything that is published.
 
@@ -125,7 +130,7 @@
             PlatformError: PLATFORM_UNREACHABLE.
         """
 
-    async def changes(self, after: int, wait: float) -> Published | None:
+    async def changes(self, after: Revision, wait: float) -> Published | None:
         """Return the changes after a revision, waiting for one if there are none yet.
 
         Args:
@@ -133,13 +138,14 @@
             wait: Maximum time in seconds to wait for a change.
 
         Returns:
-            The changes, or None if the history no longer reaches back to that revision.
+            The changes, or None if the history does not have that revision: it no longer reaches
+            back to it, or the state is in another era.
 
         Raises:
             PlatformError: PLATFORM_UNREACHABLE.
         """
 
-    async def revision(self) -> int:
+    async def revision(self) -> Revision:
         """Return the newest revision, which was current at some time during the call.
 
         Raises:
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -117,6 +117,7 @@
         "_app",
         "_clock",
         "_directory",
+        "_eras",
         "_follower",
         "_limit_cleanup_at",
         "_gossip",
@@ -146,6 +147,7 @@
         read_seeds: Callable[[], frozenset[str]],
     ) -> None:
         self._read_seeds = read_seeds
+        self._eras = state.eras
         self._options = options
         self._clock = clock
         self._rng = rng
@@ -178,7 +180,7 @@
         self._handing = ContentForwarder(
             options.ip,
             options.content_port,
-            state.mirror,
+            state,
             self._gossip,
             LinkPacer(clock, options.link_rate),
         )
@@ -192,6 +194,7 @@
             self._handing.fetch_after,
             first=options.ip in options.seeds,
             propagation_seconds=lambda: self._gossip.propagation_seconds,
+            lists_first=self._gossip.is_domain_delegate,
         )
         self._follower.on_grown = self._gossip.send_soon
         self._gossip.on_loads = self._serve_queues
@@ -367,13 +370,23 @@
 
     def _own_news(self) -> News:
         view = self._view
-        return News(view.revision, view.age, view.grace, view.unanswered_seconds == 0.0)
+        return News(
+            revision=view.revision.number,
+            age=view.age,
+            grace=view.grace,
+            reads=view.unanswered_seconds == 0.0,
+            era=view.revision.era,
+        )
 
-    def _apply_news(self, news: News, proved_at: float) -> None:
-        if news.grace > 0:
+    def _apply_news(self, news: News, proved_at: float, peer: str) -> None:
+        if not self._eras.accept_from_peer(news.era, peer):
+            return
+        if news.era != self._view.revision.era:
+            self._view.distrust_removals(news.grace)
+        elif news.grace > 0:
             self._view.adopt_distrust(news.grace)
-        self._follower.note_revision(news.revision)
-        self._view.confirm_revision(news.revision, proved_at)
+        self._follower.note_revision(news.position)
+        self._view.confirm_revision(news.position, proved_at)
 
     def _apply_peer_ends(self, keys: frozenset[int]) -> None:
         """Stop sending to endpoints that a peer reported as ended, and to their groups.
@@ -405,7 +418,14 @@
     def _view_seen(self) -> ViewStatus:
         view = self._view
         version = view.table.version if view.table is not None else 0
-        return ViewStatus(version, view.revision, view.age, self._gossip.is_reader())
+        return ViewStatus(
+            version=version,
+            revision=view.revision,
+            age=view.age,
+            reads=self._gossip.is_reader(),
+            era_changes=self._eras.changes,
+            era_rejections=self._eras.rejections,
+        )
 
     def _connection_limits(self) -> ConnectionLimits:
         limits = self._limits()
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -406,7 +406,8 @@
             waited=round(self._now() - call.arrived_at, 4),
             present=load.requests,
             reading=load.reading,
-            revision=view.revision,
+            revision=view.revision.number,
+            era=view.revision.era,
             view_age=round(view.age, 2),
             after_event=progress.events.last_id.decode("latin-1"),
         ).info("sent to an endpoint")
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from carawayhub.codes import Code
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.statements import StatementCounts
 from carawayhub.output.metrics import Recorder, summary_lines
 
@@ -30,14 +31,18 @@
     Attributes:
         version: Version of the active configuration, 0 if there is none.
         revision: Published revision up to which everything is known.
+        era_changes: How often the entry learned that the published state is in another era.
+        era_rejections: Stated eras that were not believed.
         age: Seconds since this revision was last proved to be the newest.
         reads: Whether this entry reads the store for its peers.
     """
 
     version: int = 0
-    revision: int = 0
+    revision: Revision = Revision()
     age: float = 0.0
     reads: bool = False
+    era_changes: int = 0
+    era_rejections: int = 0
 
 
 class Tally:
@@ -148,7 +153,13 @@
             "# TYPE carawayhub_gateway_configuration_version gauge",
             f"carawayhub_gateway_configuration_version {seen.version}",
             "# TYPE carawayhub_gateway_revision gauge",
-            f"carawayhub_gateway_revision {seen.revision}",
+            f"carawayhub_gateway_revision {seen.revision.number}",
+            "# TYPE carawayhub_gateway_store_era gauge",
+            f"carawayhub_gateway_store_era {seen.revision.era}",
+            "# TYPE carawayhub_gateway_store_era_changes_total counter",
+            f"carawayhub_gateway_store_era_changes_total {seen.era_changes}",
+            "# TYPE carawayhub_gateway_store_era_rejections_total counter",
+            f"carawayhub_gateway_store_era_rejections_total {seen.era_rejections}",
             "# TYPE carawayhub_gateway_view_age_seconds gauge",
             f"carawayhub_gateway_view_age_seconds {seen.age:.3f}",
             "# TYPE carawayhub_gateway_reads_for_peers gauge",
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -3,10 +3,12 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from loguru import logger
 
 from carawayhub.clock import Clock
+from carawayhub.gateway.departures import Departures
 from carawayhub.gateway.groupavailability import GroupAvailability
 from carawayhub.gateway.loads import work_key
 from carawayhub.gateway.model import Endpoint, EndpointState, RouteTable, superseded
@@ -19,6 +21,7 @@
     Source,
     TablePublished,
 )
+from carawayhub.gateway.revision import Revision
 
 LAPSE_GRACE_SECONDS = 2.2
 """Seconds after the store is available again within which lapsed entries may be renewed.
@@ -69,6 +72,7 @@
         "_by_service",
         "_clock",
         "_current",
+        "_departures",
         "_endpoints",
         "_failing_since",
         "_misdirected",
@@ -95,21 +99,22 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, tuple[Endpoint, ...]] = {}
         self._current: dict[str, str] = {}
-        self._unreadable: dict[str, int] = {}
+        self._unreadable: dict[str, Revision] = {}
         self._former_lifetime_updates: Counter[str] = Counter()
         self._group_status = GroupAvailability(clock)
         self._unavailable: dict[str, tuple[Endpoint, ...]] = {}
         self._lapsed: dict[str, float] = {}
         self._misdirected: set[str] = set()
         self._leaving_since: dict[str, float] = {}
+        self._departures = Departures(heartbeat)
         self._superseded: frozenset[str] = frozenset()
         self.confirmed_at = float("-inf")
-        self._awaited: dict[int, float] = {}
+        self._awaited: dict[Revision, float] = {}
         self._failing_since: float | None = None
         self._removals_trusted_from = float("-inf")
         self._unproved_until = float("-inf")
         self.table: RouteTable | None = None
-        self.revision = 0
+        self.revision = Revision()
         self.unreadable_entries = 0
         self.on_table: Callable[[float], None] = _ignore_delay
 
@@ -163,14 +168,17 @@
         if not is_proved or now - self._unproved_until <= LAPSE_GRACE_SECONDS:
             self.distrust_removals(seconds)
 
-    def confirm_revision(self, revision: int, proved_at: float) -> None:
+    def confirm_revision(self, revision: Revision, proved_at: float) -> None:
         """Record a proof that ``revision`` was the newest at ``proved_at``.
 
         A proof of a revision that is not known here yet counts as soon as it is known. While
-        changes follow each other closely, an entry is always slightly behind.
+        changes follow each other closely, an entry is always slightly behind. A proof says nothing
+        of another era: revisions are given out again in each.
         """
-        if self.revision >= revision:
+        if revision.era == self.revision.era and revision <= self.revision:
             self.confirm(proved_at)
+        elif revision.era < self.revision.era:
+            return
         elif revision in self._awaited or len(self._awaited) < MAX_AWAITED_PROOFS:
             known_at = self._awaited.get(revision, proved_at)
             self._awaited[revision] = max(known_at, proved_at)
@@ -183,6 +191,8 @@
 
     def replace(self, published: Published, source: Source = Source.LISTING) -> None:
         """Apply a snapshot. Endpoints that it does not list are removed."""
+        if self.table is not None and published.revision.era != self.revision.era:
+            self._enter_era(published, source)
         named = {
             change.endpoint.incarnation.replica
             for change in published.changes
@@ -197,14 +207,51 @@
         self._set_revision(published.revision)
         self._log_unreadable(published)
 
+    def _enter_era(self, published: Published, source: Source) -> None:
+        """Prepare for the content of another era, which may lack what was acknowledged in this one.
+
+        What the store has lost is written again. Until then this stays in force: the configuration
+        (see ``_apply_table``), and that replicas leave or have left. Entries that are missing are
+        held as after an outage, unless a peer that has waited for them sends the content.
+        """
+        if source is Source.LISTING:
+            self.distrust_removals(LAPSE_GRACE_SECONDS)
+        held_out = self._departures.enter_era(self._clock.monotonic(), self._endpoints.values())
+        self._lapsed = {
+            each: max(until, self._removals_trusted_from) for each, until in self._lapsed.items()
+        }
+        self._former_lifetime_updates.clear()
+        logger.bind(
+            before=self.revision.era,
+            now=published.revision.era,
+            known_revision=self.revision.number,
+            revision=published.revision.number,
+            source=source.value,
+            version=self.table.version if self.table is not None else 0,
+            left=held_out,
+            announced=sorted(self._leaving_since),
+            grace=round(self.grace, 2),
+        ).warning(
+            "entered another era of the store; what was known to leave or to be gone stays so"
+        )
+
     def extend(self, published: Published, source: Source = Source.WATCH) -> None:
-        """Apply changes that follow this view."""
+        """Apply changes that follow this view; changes of another era do not."""
+        if published.revision.era != self.revision.era:
+            logger.bind(
+                era=published.revision.era, known=self.revision.era, source=source.value
+            ).warning("changes of another era are not applied")
+            return
+        for change in published.changes:
+            if isinstance(change, EndpointPublished):
+                self._departures.record_write(change.endpoint.id)
         self._apply(published.changes, source)
         self._set_revision(max(self.revision, published.revision))
         self._log_unreadable(published)
 
-    def _set_revision(self, revision: int) -> None:
+    def _set_revision(self, revision: Revision) -> None:
         self.revision = revision
+        self._awaited = {each: at for each, at in self._awaited.items() if each.era >= revision.era}
         for each in [each for each in self._awaited if each <= revision]:
             self.confirm(self._awaited.pop(each))
 
@@ -287,9 +334,12 @@
     def _drop_outdated(self) -> None:
         if self._lapsed:
             self._drop_lapsed()
-        if self._group_status.next_expiry() <= self._clock.monotonic():
+        now = self._clock.monotonic()
+        if self._group_status.next_expiry() <= now:
             self._group_status.drop_expired()
             self._rebuild()
+        if self._departures.release(now):
+            self._rebuild()
 
     def _drop_lapsed(self) -> None:
         gone = [each for each in self._lapsed if self._has_lapsed(each)]
@@ -335,6 +385,7 @@
             return
         self._unreadable.pop(endpoint.incarnation.replica, None)
         before = self._endpoints.get(endpoint.id)
+        endpoint = _with_registration(endpoint, before)
         self._current[endpoint.incarnation.replica] = endpoint.id
         self._endpoints[endpoint.id] = endpoint
         self._lapsed.pop(endpoint.id, None)
@@ -371,7 +422,7 @@
     def _current_of(self, replica: str) -> Endpoint | None:
         return self._endpoints.get(self._current.get(replica, ""))
 
-    def _drop_unreadable(self, replica: str, problem: str, revision: int) -> None:
+    def _drop_unreadable(self, replica: str, problem: str, revision: Revision) -> None:
         """Stop using an endpoint whose entry cannot be read; log this once for each revision."""
         known = self._current_of(replica)
         if known is not None:
@@ -380,7 +431,7 @@
             return
         self._unreadable[replica] = revision
         self.unreadable_entries += 1
-        logger.bind(replica=replica, problem=problem, revision=revision).warning(
+        logger.bind(replica=replica, problem=problem, revision=revision.number).warning(
             "entry of an endpoint cannot be read; the endpoint is not used"
         )
 
@@ -408,6 +459,7 @@
         known = self._endpoints.pop(endpoint_id, None)
         if known is not None:
             self._current.pop(known.incarnation.replica, None)
+            self._departures.record_removal(endpoint_id)
             logger.bind(endpoint=endpoint_id, reason=reason).info("endpoint is gone")
 
     def _is_service_configured(self, endpoint: Endpoint) -> bool:
@@ -434,6 +486,8 @@
         """Return whether an endpoint is in service, apart from its group and its heartbeats."""
         if endpoint.state is not EndpointState.READY:
             return False
+        if self._departures.is_held_out(endpoint.id, self._clock.monotonic()):
+            return False
         return endpoint.id not in self._superseded and endpoint.id not in self._leaving_since
 
     def _log_unreadable(self, published: Published) -> None:
@@ -443,5 +497,18 @@
             )
 
 
+def _with_registration(endpoint: Endpoint, before: Endpoint | None) -> Endpoint:
+    """Return an endpoint with the revision of a former era at which it registered.
+
+    The copy from which the store returns lists what registered before it under the same number. If
+    it counted as a registration of this era, it would supersede endpoints that registered later.
+    """
+    if before is None or before.registered.era == endpoint.registered.era:
+        return endpoint
+    if before.registered.number != endpoint.registered.number:
+        return endpoint
+    return replace(endpoint, registered=before.registered)
+
+
 def _ignore_delay(seconds: float) -> None:
     return
--- a/carawayhub/platform/agent.py
+++ b/carawayhub/platform/agent.py
@@ -61,13 +61,14 @@
         service: Name of the service.
     """
 
-    __slots__ = ("_service_names", "_profile", "_service", "_store")
+    __slots__ = ("_profile", "_service", "_service_names", "_store", "_version")
 
     def __init__(self, store: StoreClient, service: str) -> None:
         self._store = store
         self._service = service
         self._profile: EngineProfile | None = None
         self._service_names: frozenset[str] = frozenset()
+        self._version = -1
 
     async def replicas(self, group: str) -> Sequence[tuple[str, Address]]:
         """Return the instance id and address of each replica that may belong to a group.
@@ -100,7 +101,9 @@
     async def _read(self) -> Published:
         published = await self._store.snapshot()
         for change in published.changes:
-            if isinstance(change, TablePublished):
+            # A store that returned from an older copy lists an older configuration.
+            if isinstance(change, TablePublished) and change.table.version >= self._version:
+                self._version = change.table.version
                 self._service_names = frozenset(change.table.services)
                 service = change.table.services.get(self._service)
                 if service is not None:
--- a/carawayhub/platform/changes.py
+++ b/carawayhub/platform/changes.py
@@ -13,6 +13,7 @@
     Published,
     TablePublished,
 )
+from carawayhub.gateway.revision import Revision
 from carawayhub.platform.published import CONFIG_KEY, decode_route_table
 from carawayhub.platform.registrations import ENDPOINT_PREFIX, decode_endpoint
 
@@ -36,7 +37,7 @@
 
 
 def decode_published(
-    revision: int, events: Sequence[Event], unreadable: Sequence[str] = ()
+    revision: Revision, events: Sequence[Event], unreadable: Sequence[str] = ()
 ) -> Published:
     """Decode events into changes of the published state.
 
@@ -49,7 +50,7 @@
     problems = list(unreadable)
     for event in events:
         try:
-            change = _change(event)
+            change = _change(event, revision.era)
         except PlatformError as exc:
             problems.append(str(exc))
             continue
@@ -58,20 +59,21 @@
     return Published(revision=revision, changes=tuple(changes), unreadable=tuple(problems))
 
 
-def _change(event: Event) -> Change | None:
+def _change(event: Event, era: int) -> Change | None:
     """Decode an event; None if its key is neither an endpoint nor the configuration."""
     if event.key.startswith(ENDPOINT_PREFIX):
-        return _endpoint_change(event)
+        return _endpoint_change(event, era)
     if event.key == CONFIG_KEY and not event.deleted:
         return TablePublished(decode_route_table(event.content))
     return None
 
 
-def _endpoint_change(event: Event) -> Change:
+def _endpoint_change(event: Event, era: int) -> Change:
     replica = event.key.removeprefix(ENDPOINT_PREFIX)
     if event.deleted:
         return EndpointRemoved(replica)
     try:
-        return EndpointPublished(decode_endpoint(event.key, event.content, event.created_rev))
+        registered = Revision(era, event.created_rev)
+        return EndpointPublished(decode_endpoint(event.key, event.content, registered))
     except PlatformError as exc:
-        return EndpointUnreadable(replica, str(exc), event.rev)
+        return EndpointUnreadable(replica, str(exc), Revision(era, event.rev))
--- a/carawayhub/platform/published.py
+++ b/carawayhub/platform/published.py
@@ -152,6 +152,18 @@
     tenants: list[_Tenant] = []
 
 
+class _Version(msgspec.Struct, rename="pascal"):
+    version: int
+
+
+def configuration_version(value: bytes) -> int | None:
+    """Return the version of a configuration, None if it cannot be decoded."""
+    try:
+        return msgspec.json.decode(value, type=_Version).version
+    except UNREADABLE:
+        return None
+
+
 def decode_route_table(value: bytes) -> RouteTable:
     """Decode the configuration that the operators published.
 
--- a/carawayhub/platform/registrations.py
+++ b/carawayhub/platform/registrations.py
@@ -16,10 +16,13 @@
 from carawayhub.codes import Code
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.model import Endpoint, EndpointState, GroupMembership, Incarnation
+from carawayhub.gateway.revision import Revision
 from carawayhub.platform.answers import UNREADABLE
 
 ENDPOINT_PREFIX = "servers/"
 
+UNREGISTERED = Revision()
+
 MAX_SLOTS = 65_536
 """Most concurrent requests that an endpoint may announce: more than any engine has, and few enough
 that an entry of another program cannot attract all requests."""
@@ -68,7 +71,7 @@
     size: Count = 0
 
 
-def decode_endpoint(key: str, value: bytes, registered: int = 0) -> Endpoint:
+def decode_endpoint(key: str, value: bytes, registered: Revision = UNREGISTERED) -> Endpoint:
     """Decode the endpoint that registered itself under ``key`` at a revision.
 
     Raises:
@@ -93,7 +96,7 @@
     return replica
 
 
-def _endpoint(replica: str, beat: _Beat, registered: int) -> Endpoint:
+def _endpoint(replica: str, beat: _Beat, registered: Revision) -> Endpoint:
     incarnation = Incarnation(replica, beat.born)
     return Endpoint(
         id=incarnation.id,
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -2,19 +2,20 @@
 
 import base64
 from collections.abc import Mapping, Sequence
-from typing import TypeVar
+from dataclasses import dataclass
+from typing import Generic, TypeVar
 from urllib.parse import urlencode
 
 import anyio
 import httpcore
 import msgspec
-from loguru import logger
 
 from carawayhub.addresses import Address
 from carawayhub.codes import Code
 from carawayhub.endpoints.sockets import LIVENESS_OPTIONS
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.ports import Published
+from carawayhub.gateway.revision import Eras, Revision
 from carawayhub.platform.answers import decode_answer
 from carawayhub.platform.changes import Event, decode_published
 from carawayhub.platform.mirror import StoreMirror
@@ -27,6 +28,11 @@
 """Time limit of a call beyond its wait; a live store answers within milliseconds."""
 MS_PER_SECOND = 1000
 ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 15
+
+LISTING_ATTEMPTS = 3
+"""Attempts to list everything within one era."""
+
 KEY_AFTER_CONFIG = "op/~"
 """A key that sorts after the configuration: a listing from it is empty but has the revision."""
 
@@ -59,7 +65,20 @@
     events: list[_WireEvent] = []
 
 
-Answer = TypeVar("Answer")
+Content = TypeVar("Content", _Listing, _Watch)
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer(Generic[Content]):
+    """Decoded answer with the era that it states."""
+
+    era: int
+    content: Content
+
+    @property
+    def revision(self) -> Revision:
+        """The store's revision at the time of the answer."""
+        return Revision(self.era, self.content.current_rev)
 
 
 class StoreClient:
@@ -75,10 +94,11 @@
         backend: Opens connections, None for the default network.
 
     Attributes:
+        eras: Which era of the store is believed.
         mirror: Copy of the content read so far.
     """
 
-    __slots__ = ("_era", "_pool", "_url", "mirror")
+    __slots__ = ("_pool", "_url", "eras", "mirror")
 
     def __init__(
         self,
@@ -86,8 +106,8 @@
         source: str = "",
         backend: httpcore.AsyncNetworkBackend | None = None,
     ) -> None:
-        self.mirror = StoreMirror()
-        self._era = ""
+        self.eras = Eras()
+        self.mirror = StoreMirror(self.eras)
         self._url = f"http://{address}"
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=4,
@@ -103,79 +123,97 @@
         The pages are not an atomic snapshot: the revision is that of the first page, and changes
         made while the other pages were read are delivered again with the changes after it.
         """
-        events: list[_WireEvent] = []
-        first = 0
+        for _ in range(LISTING_ATTEMPTS):
+            pages = await self._list_all()
+            if len({page.era for page in pages}) == 1:
+                break
+        else:
+            raise PlatformError(Code.PLATFORM_UNREACHABLE, "each listing was of several eras")
+        revision = pages[0].revision
+        items = [item for page in pages for item in page.content.items]
+        found, unreadable = _decode_events([_listed_event(each) for each in items])
+        self.mirror.replace(revision, found)
+        return decode_published(revision, found, unreadable)
+
+    async def _list_all(self) -> list[_Answer[_Listing]]:
+        pages = []
         for prefix in (CONFIG_KEY, ENDPOINT_PREFIX):
             after = ""
             while True:
                 query = {"Prefix": prefix} | ({"After": after} if after else {})
                 page = await self._get("/v1/kv-range", query, 0.0, _Listing)
-                first = first or page.current_rev
-                events += [_listed_event(each) for each in page.items]
-                if not page.has_more or not page.items:
+                pages.append(page)
+                if not page.content.has_more or not page.content.items:
                     break
-                after = page.items[-1].key
-        found, unreadable = _decode_events(events)
-        self.mirror.replace(first, found)
-        return decode_published(first, found, unreadable)
+                after = page.content.items[-1].key
+        return pages
 
-    async def changes(self, after: int, wait: float) -> Published | None:
+    async def changes(self, after: Revision, wait: float) -> Published | None:
         """Return the changes after a revision; see ``PublishedState``."""
-        query = {"Prefix": "", "After": after, "WaitMs": int(wait * MS_PER_SECOND)}
+        query = {"Prefix": "", "After": after.number, "WaitMs": int(wait * MS_PER_SECOND)}
         try:
             answer = await self._get("/v1/kv-watch", query, wait, _Watch)
         except _HistoryGoneError:
             return None
-        found, unreadable = _decode_events(answer.events)
-        self.mirror.extend(answer.current_rev, found)
-        return decode_published(answer.current_rev, found, unreadable)
+        if answer.era != after.era:
+            return None
+        found, unreadable = _decode_events(answer.content.events)
+        self.mirror.extend(answer.revision, found)
+        return decode_published(answer.revision, found, unreadable)
 
-    async def revision(self) -> int:
+    async def revision(self) -> Revision:
         """Return the newest revision; see ``PublishedState``."""
         query = {"Prefix": "op/", "After": KEY_AFTER_CONFIG}
-        return (await self._get("/v1/kv-range", query, 0.0, _Listing)).current_rev
+        return (await self._get("/v1/kv-range", query, 0.0, _Listing)).revision
 
     async def check_reachable(self) -> None:
         """Check that the store answers; see ``PublishedState``. The answer may be seconds old."""
         query = {"Prefix": "op/", "After": KEY_AFTER_CONFIG, "StaleOk": 1}
-        await self._get("/v1/kv-range", query, 0.0, _Listing)
+        response = await self._request("/v1/kv-range", query, 0.0)
+        # Its era may be a former one, which says nothing.
+        decode_answer(response.content, _Listing)
 
     async def close(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
 
     async def _get(
-        self, path: str, query: Mapping[str, object], wait: float, kind: type[Answer]
-    ) -> Answer:
+        self, path: str, query: Mapping[str, object], wait: float, kind: type[Content]
+    ) -> _Answer[Content]:
+        response = await self._request(path, query, wait)
+        era = _stated_era(response)
+        if not self.eras.accept_from_store(era):
+            raise PlatformError(Code.PLATFORM_MALFORMED, f"{path}: era {era}")
+        if response.status == GONE_STATUS:
+            raise _HistoryGoneError(Code.PLATFORM_MALFORMED, path)
+        return _Answer(era, decode_answer(response.content, kind))
+
+    async def _request(
+        self, path: str, query: Mapping[str, object], wait: float
+    ) -> httpcore.Response:
         url = f"{self._url}{path}?{urlencode(query)}"
         try:
             with anyio.fail_after(wait + ANSWER_MARGIN_SECONDS):
                 response = await self._pool.request("GET", url)
         except (httpcore.NetworkError, httpcore.ProtocolError, OSError, TimeoutError) as exc:
             raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{path}: {exc!r}") from exc
-        self._note_era(response, path)
-        if response.status == GONE_STATUS:
-            raise _HistoryGoneError(Code.PLATFORM_MALFORMED, path)
-        if response.status != OK_STATUS:
+        if response.status not in (OK_STATUS, GONE_STATUS):
             raise PlatformError(Code.PLATFORM_UNREACHABLE, f"{path}: status {response.status}")
-        return decode_answer(response.content, kind)
-
-    def _note_era(self, response: httpcore.Response, path: str) -> None:
-        """Log a change of the era that the store states in its answers."""
-        era = next((value for name, value in response.headers if name.lower() == ERA_HEADER), b"")
-        stated = era.decode("latin-1")
-        if stated == self._era:
-            return
-        logger.bind(before=self._era, now=stated, call=path, revision=self.mirror.revision).warning(
-            "the store states another era"
-        )
-        self._era = stated
+        return response
 
 
 class _HistoryGoneError(PlatformError):
     """The store no longer has the history after the requested revision."""
 
 
+def _stated_era(response: httpcore.Response) -> int:
+    """Return the era that an answer states, 0 if it states none that can be read."""
+    for name, value in response.headers:
+        if name.lower() == ERA_HEADER and value.isdigit() and len(value) <= MAX_ERA_DIGITS:
+            return int(value)
+    return 0
+
+
 def _listed_event(item: _Item) -> _WireEvent:
     """Convert an item of a listing to the event that wrote it."""
     return _WireEvent(key=item.key, value=item.value, rev=item.rev, created_rev=item.created_rev)
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -18,6 +18,7 @@
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.statements import ReplicaStatements
 from carawayhub.gateway.tally import Tally
 from carawayhub.gateway.view import FleetView
@@ -86,7 +87,9 @@
             EndpointPublished(endpoint(f"i-{at}", service, address=each.address, born=born))
             for at, each in enumerate(self.endpoints)
         ]
-        self.view.replace(Published(revision=version, changes=(TablePublished(config), *published)))
+        self.view.replace(
+            Published(revision=Revision(0, version), changes=(TablePublished(config), *published))
+        )
 
     async def _entry(self, tasks: anyio.abc.TaskGroup) -> None:
         options = {"repeat": Repeat.STREAM} | self.options
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -21,9 +21,11 @@
     Share,
 )
 from carawayhub.gateway.process import GatewayOptions
+from carawayhub.gateway.revision import Revision
 from carawayhub.limits.replicarate import ReplicaRates
 
 KEY = "key-of-armor"
+UNREGISTERED = Revision()
 BOUNDS = Bounds(config_apply=2.0, drain=2.0, revoke_after=5.0)
 
 
@@ -33,7 +35,7 @@
     state: EndpointState = EndpointState.READY,
     places: int = 6,
     address: str = "127.0.0.1:9",
-    registered: int = 0,
+    registered: Revision = UNREGISTERED,
     born: int = 0,
     membership: GroupMembership | None = None,
 ) -> Endpoint:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -23,6 +23,7 @@
 from carawayhub.gateway.ports import Published, TablePublished
 from carawayhub.gateway.refusals import CLOSED_AFTER_REFUSALS, MAX_WAIT_SECONDS, Refusals
 from carawayhub.gateway.retryshare import RetryShare
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.view import FleetView
 from tests.gateway_world import KEY, endpoint, route, table, work
 
@@ -74,7 +75,7 @@
 
     def publish(self) -> None:
         changes = (TablePublished(table(1, route(), route("/open/", public=True))),)
-        self.view.replace(Published(revision=1, changes=changes))
+        self.view.replace(Published(revision=Revision(0, 1), changes=changes))
         self.view.confirm(self.clock.monotonic())
 
     def refused(self, req: CallerRequest) -> RequestError:
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -156,7 +156,7 @@
             clock = SystemClock()
             first, second, _ = self.entries
             first.own.news = lambda: News(7, 0.5, 0.0)
-            second.on_news = lambda news, at: received.append((news, at, clock.monotonic()))
+            second.on_news = lambda news, at, peer: received.append((news, at, clock.monotonic()))
             await self.until(lambda: any(news.revision == 7 for news, _, _ in received))
             for news, proved_at, now in received:
                 if news.revision == 7:
--- a/tests/test_gateway_large.py
+++ b/tests/test_gateway_large.py
@@ -230,7 +230,7 @@
                 def news(ip: str = ip) -> News:
                     return News(7, anyio.current_time() - newest[ip], 0.0)
 
-                def take(update: News, at: float, ip: str = ip) -> None:
+                def take(update: News, at: float, peer: str, ip: str = ip) -> None:
                     newest[ip] = max(newest[ip], at)
                     proved[ip] = newest[ip]
                     self.assertLessEqual(at, began_at)
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -16,6 +16,7 @@
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
 from carawayhub.gateway.retryshare import RetryShare
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.view import FleetView
 from tests.gateway_world import endpoint, route, table
 
@@ -31,7 +32,7 @@
         self.view = FleetView(clock, 1.2)
         self.revision = 1
         first = TablePublished(table(1, route()))
-        self.view.replace(Published(revision=1, changes=(first, *self.groups(False))))
+        self.view.replace(Published(revision=Revision(0, 1), changes=(first, *self.groups(False))))
         retries = RetryShare(clock, 0.2, 88.0, 10.0)
         self.pool = ServicePool("llm", self.view, Loads(), Health(clock), clock, rng, retries)
         self.pool.update_outages()
@@ -53,7 +54,7 @@
         """Let the second group form, and serve the queue."""
         self.revision += 1
         changes = tuple(self.groups(True))
-        self.view.extend(Published(revision=self.revision, changes=changes))
+        self.view.extend(Published(revision=Revision(0, self.revision), changes=changes))
         self.pool.update_outages()
         self.pool.serve_queue()
 
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -27,6 +27,7 @@
     TablePublished,
 )
 from carawayhub.gateway.process import GatewayProcess
+from carawayhub.gateway.revision import Eras, Revision
 from carawayhub.gateway.view import LAPSE_GRACE_SECONDS, FleetView
 from carawayhub.platform.headers import PlatformWire
 from tests.gateway_world import endpoint, entry_options, table
@@ -38,7 +39,7 @@
 
 
 def published(revision: int, *changes) -> Published:
-    return Published(revision=revision, changes=changes)
+    return Published(revision=Revision(0, revision), changes=changes)
 
 
 class View(unittest.TestCase):
@@ -109,7 +110,7 @@
             state, rng = unittest.mock.Mock(), random.Random(1)
             process = GatewayProcess(options, state, PlatformWire(), self.clock, rng, frozenset)
             process._view = self.view
-            process._apply_news(News(5, 0.0, seconds), float("-inf"))
+            process._apply_news(News(5, 0.0, seconds), float("-inf"), "10.0.0.9")
 
         anyio.run(hear)
 
@@ -154,8 +155,12 @@
         self.view.extend(
             published(
                 7,
-                EndpointPublished(endpoint("i-1", address="10.0.0.1:80", registered=3)),
-                EndpointPublished(endpoint("i-9", address="10.0.0.1:80", registered=7)),
+                EndpointPublished(
+                    endpoint("i-1", address="10.0.0.1:80", registered=Revision(0, 3))
+                ),
+                EndpointPublished(
+                    endpoint("i-9", address="10.0.0.1:80", registered=Revision(0, 7))
+                ),
             )
         )
         self.assertEqual(self.serving(), {"i-2", "i-9"})
@@ -164,13 +169,13 @@
     def test_renewed_entry_does_not_end_its_successor(self) -> None:
         """The last heartbeat of the former replica is late, but its entry was registered first."""
         for name, registered in (("i-9", 7), ("i-1", 3)):
-            entry = endpoint(name, address="10.0.0.1:80", registered=registered)
+            entry = endpoint(name, address="10.0.0.1:80", registered=Revision(0, registered))
             self.view.extend(published(8, EndpointPublished(entry)))
         self.assertEqual(self.serving(), {"i-2", "i-9"})
 
     def test_former_one_is_back_when_its_successor_is_gone(self) -> None:
         for name, registered in (("i-1", 3), ("i-9", 7)):
-            entry = endpoint(name, address="10.0.0.1:80", registered=registered)
+            entry = endpoint(name, address="10.0.0.1:80", registered=Revision(0, registered))
             self.view.extend(published(8, EndpointPublished(entry)))
         self.view.extend(published(9, EndpointRemoved("i-9")))
         self.assertEqual(self.serving(), {"i-1", "i-2"})
@@ -188,6 +193,7 @@
     """A published state whose watch can stall and whose reads can fail."""
 
     def __init__(self) -> None:
+        self.eras = Eras()
         self.now = 1
         self.watch_stalled = False
         self.cut = False
@@ -207,22 +213,22 @@
         self.snapshots += 1
         return published(self.now, TablePublished(table(self.now)))
 
-    async def changes(self, after: int, wait: float) -> Published | None:
+    async def changes(self, after: Revision, wait: float) -> Published | None:
         self.reads += 1
         with anyio.move_on_after(wait):
-            while (self.watch_stalled or self.now <= after) and not self.cut:
+            while (self.watch_stalled or self.now <= after.number) and not self.cut:
                 await self.changed.wait()
         if self.cut:
             raise PlatformError(Code.PLATFORM_UNREACHABLE, "cut")
         await self._answer()
         if self.watch_stalled:
-            return published(after)
+            return published(after.number)
         return published(self.now, TablePublished(table(self.now)))
 
-    async def revision(self) -> int:
+    async def revision(self) -> Revision:
         self.reads += 1
         await self._answer()
-        return self.now
+        return Revision(0, self.now)
 
     async def check_reachable(self) -> None:
         self.touches += 1
@@ -243,11 +249,11 @@
         self.peer_requests = 0
         self.propagation_seconds = 0.0
 
-    async def fetch_changes(self, revision: int) -> ForwardedContent | None:
+    async def fetch_changes(self, revision: Revision) -> ForwardedContent | None:
         """Answer like peers that know the complete published state, None while there are none."""
         self.peer_requests += 1
         await anyio.sleep(0.002)
-        if self.peers is None or self.peers.now <= revision:
+        if self.peers is None or self.peers.now <= revision.number:
             return None
         return ForwardedContent(
             published(self.peers.now, TablePublished(table(self.peers.now))), True
@@ -316,12 +322,12 @@
         async def scenario() -> None:
             reads = self.state.reads
             for _ in range(40):
-                self.view.confirm_revision(self.state.now, anyio.current_time())
+                self.view.confirm_revision(Revision(0, self.state.now), anyio.current_time())
                 await anyio.sleep(0.25)
             self.assertEqual(self.state.reads, reads)
             self.state.change()
-            self.follower.note_revision(self.state.now)
-            self.view.confirm_revision(self.state.now, anyio.current_time())
+            self.follower.note_revision(Revision(0, self.state.now))
+            self.view.confirm_revision(Revision(0, self.state.now), anyio.current_time())
             await anyio.sleep(0.6)
             self.assertEqual(self.state.reads, reads + 1)
             self.assertEqual(self.view.table.version, 2)
@@ -338,8 +344,8 @@
             reads = self.state.reads
             for _ in range(70):
                 self.state.change()
-                self.follower.note_revision(self.state.now)
-                self.view.confirm_revision(self.state.now, anyio.current_time())
+                self.follower.note_revision(Revision(0, self.state.now))
+                self.view.confirm_revision(Revision(0, self.state.now), anyio.current_time())
                 await anyio.sleep(0.07)
             self.assertLessEqual(self.state.reads - reads, 12)
             await anyio.sleep(1.0)
@@ -364,7 +370,7 @@
 
         async def scenario() -> None:
             age = self.view.age
-            self.view.confirm_revision(self.state.now + 1, anyio.current_time())
+            self.view.confirm_revision(Revision(0, self.state.now + 1), anyio.current_time())
             self.assertEqual(self.view.age, age)
 
         self.run_follower(scenario, reads=False)
@@ -383,7 +389,7 @@
         async def scenario() -> None:
             reads = self.state.reads
             for _ in range(20):
-                self.view.confirm_revision(self.state.now, anyio.current_time() - 1.3)
+                self.view.confirm_revision(Revision(0, self.state.now), anyio.current_time() - 1.3)
                 await anyio.sleep(1.0)
             self.assertEqual(self.state.reads, reads)
 
@@ -397,10 +403,10 @@
             reads = self.state.reads
             for _ in range(20):
                 self.state.change()
-                self.follower.note_revision(self.state.now)
+                self.follower.note_revision(Revision(0, self.state.now))
                 await anyio.sleep(0.2)
                 self.assertEqual(self.view.table.version, self.state.now)
-                self.view.confirm_revision(self.state.now, anyio.current_time())
+                self.view.confirm_revision(Revision(0, self.state.now), anyio.current_time())
             self.assertEqual(self.state.reads, reads)
 
         self.run_follower(scenario, reads=False)
@@ -436,7 +442,7 @@
         async def scenario() -> None:
             self.state.change()
             proved_at = anyio.current_time()
-            self.view.confirm_revision(self.state.now, proved_at)
+            self.view.confirm_revision(Revision(0, self.state.now), proved_at)
             self.assertLess(self.view.confirmed_at, proved_at)
             self.view.extend(published(self.state.now, TablePublished(table(2))))
             self.assertEqual(self.view.confirmed_at, proved_at)
@@ -450,7 +456,7 @@
             self.state.watch_stalled = True
             self.state.change()
             self.peers = self.state
-            self.follower.note_revision(self.state.now)
+            self.follower.note_revision(Revision(0, self.state.now))
             await anyio.sleep(0.1)
             self.assertEqual(self.view.table.version, self.state.now)
 
@@ -463,15 +469,15 @@
             self.state.down = True
             for _ in range(8):
                 self.state.change()
-                self.follower.note_revision(self.state.now)
+                self.follower.note_revision(Revision(0, self.state.now))
                 await anyio.sleep(0.5)
             self.peers = self.state
-            self.follower.note_revision(self.state.now)
+            self.follower.note_revision(Revision(0, self.state.now))
             await anyio.sleep(MAX_RETRY_SECONDS + 0.5)
             self.assertEqual(self.view.table.version, self.state.now)
             for _ in range(4):
                 self.state.change()
-                self.follower.note_revision(self.state.now)
+                self.follower.note_revision(Revision(0, self.state.now))
                 await anyio.sleep(0.2)
                 self.assertEqual(self.view.table.version, self.state.now)
 
@@ -481,7 +487,7 @@
         async def scenario() -> None:
             reads = self.state.reads
             for _ in range(100):
-                self.follower.note_revision(self.state.now + 1)
+                self.follower.note_revision(Revision(0, self.state.now + 1))
                 await anyio.sleep(0.1)
             self.assertLessEqual(self.state.reads - reads, 30)
 
@@ -500,7 +506,7 @@
 
             self.state.snapshot = stale_snapshot
             await self.follower._read_all()
-            self.assertEqual((self.view.revision, self.view.table.version), (2, 2))
+            self.assertEqual((self.view.revision, self.view.table.version), (Revision(0, 2), 2))
 
         self.run_follower(scenario)
 
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -10,6 +10,7 @@
 from carawayhub.gateway.model import GroupMembership
 from carawayhub.gateway.outage import FIRST_OUTAGE_SECONDS, FORM_SECONDS, Outage, OutageState
 from carawayhub.gateway.ports import EndpointPublished, EndpointRemoved, Published
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.view import FleetView
 from tests.gateway_world import endpoint
 
@@ -44,7 +45,7 @@
         seat = GroupMembership("g0", epoch, rank, formed, 3)
         self.revision += 1
         change = EndpointPublished(endpoint(name, membership=seat, address=f"127.0.0.{rank + 1}:9"))
-        self.view.extend(Published(revision=self.revision, changes=(change,)))
+        self.view.extend(Published(revision=Revision(0, self.revision), changes=(change,)))
 
     def serving(self) -> set[str]:
         return {each.id for each in self.view.serving("llm")}
@@ -93,10 +94,10 @@
 
     def test_endpoints_without_groups_are_not_touched(self) -> None:
         plain = endpoint("i-9", "desk")
-        self.view.extend(Published(revision=9, changes=(EndpointPublished(plain),)))
+        self.view.extend(Published(revision=Revision(0, 9), changes=(EndpointPublished(plain),)))
         self.view.rank_ended(plain)
         self.assertEqual([each.id for each in self.view.serving("desk")], ["i-9"])
-        self.view.extend(Published(revision=10, changes=(EndpointRemoved("i-9"),)))
+        self.view.extend(Published(revision=Revision(0, 10), changes=(EndpointRemoved("i-9"),)))
         self.assertEqual(self.view.serving("desk"), ())
 
 
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -19,6 +19,7 @@
     Published,
     TablePublished,
 )
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.view import FleetView
 from carawayhub.platform.published import decode_route_table
 from carawayhub.platform.registrations import decode_endpoint
@@ -39,7 +40,7 @@
 
 def decode(entry: object, key: str = "servers/i-1") -> Endpoint:
     """Decode an entry to its endpoint."""
-    return decode_endpoint(key, json.dumps(entry).encode(), 7)
+    return decode_endpoint(key, json.dumps(entry).encode(), Revision(0, 7))
 
 
 class Reading(unittest.TestCase):
@@ -49,7 +50,7 @@
         found = decode(ENTRY)
         self.assertEqual(found.incarnation, Incarnation("i-1", 1_790_000_000_000))
         self.assertEqual(found.membership, GroupMembership("g0", 2, 3, formed=True, size=12))
-        self.assertEqual((found.places, found.registered), (6, 7))
+        self.assertEqual((found.places, found.registered), (6, Revision(0, 7)))
 
     def test_endpoint_that_does_not_say_when_it_started(self) -> None:
         entry = {name: value for name, value in ENTRY.items() if name != "born"}
@@ -126,7 +127,7 @@
 
 
 def published(revision: int, *changes) -> Published:
-    return Published(revision=revision, changes=changes)
+    return Published(revision=Revision(0, revision), changes=changes)
 
 
 class InTheView(unittest.TestCase):
@@ -195,7 +196,7 @@
 
     def test_entry_that_turns_unreadable_is_used_no_more_and_told_once(self) -> None:
         for revision in (4, 4, 5):
-            self.take(revision, EndpointUnreadable("i-2", "Slots", revision))
+            self.take(revision, EndpointUnreadable("i-2", "Slots", Revision(0, revision)))
         self.assertEqual(self.serving(), {"i-1@1000"})
         self.assertEqual(self.view.unreadable_entries, 2)
         self.take(6, EndpointPublished(endpoint("i-2", address="10.0.0.2:80")))
@@ -203,9 +204,13 @@
 
     def test_unreadable_entry_never_only_lapsed(self) -> None:
         self.view.distrust_removals(10.0)
-        self.take(4, EndpointUnreadable("i-2", "Slots", 4))
+        self.take(4, EndpointUnreadable("i-2", "Slots", Revision(0, 4)))
         self.view.replace(
-            published(5, EndpointPublished(self.two()[0]), EndpointUnreadable("i-2", "Slots", 4))
+            published(
+                5,
+                EndpointPublished(self.two()[0]),
+                EndpointUnreadable("i-2", "Slots", Revision(0, 4)),
+            )
         )
         self.assertEqual(self.serving(), {"i-1@1000"})
 
@@ -215,7 +220,7 @@
         An entry of another program had their address, a different service and a later creation
         revision.
         """
-        foreign = endpoint("x-1", service="else", address="10.0.0.2:80", registered=9)
+        foreign = endpoint("x-1", service="else", address="10.0.0.2:80", registered=Revision(0, 9))
         self.take(4, EndpointPublished(foreign))
         self.assertEqual(self.serving(), {"i-1@1000", "i-2"})
 
--- a/tests/test_platform_metrics.py
+++ b/tests/test_platform_metrics.py
@@ -12,6 +12,7 @@
 from carawayhub.experts.planner import Plan
 from carawayhub.experts.switch import ChangeOutcome
 from carawayhub.experts.tally import GroupTally
+from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.statements import StatementCounts
 from carawayhub.gateway.tally import Tally, ViewStatus
 from carawayhub.platform.probes import METRICS_PATH, METRICS_PORT, metrics_app, probe_app
@@ -70,7 +71,9 @@
         self.assertIn('carawayhub_gateway_milliseconds_count{route="songs"} 10', text)
 
     def test_entry_tells_what_it_knows_of_the_published_state(self) -> None:
-        tally = Tally(view_status=lambda: ViewStatus(version=7, revision=31, age=0.4, reads=True))
+        tally = Tally(
+            view_status=lambda: ViewStatus(version=7, revision=Revision(0, 31), age=0.4, reads=True)
+        )
         tally.table_applied(float("inf"))
         tally.table_applied(0.25)
         app = probe_app(lambda: True, list, tally.page)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -19,6 +19,7 @@
     EndpointUnreadable,
     TablePublished,
 )
+from carawayhub.gateway.revision import Revision
 from carawayhub.platform.published import decode_route_table
 from carawayhub.platform.ranks import RankClient
 from carawayhub.platform.registrations import decode_endpoint
@@ -226,10 +227,10 @@
 
         async def scenario(address: Address) -> None:
             published = await StoreClient(address).snapshot()
-            self.assertEqual(published.revision, 9)
+            self.assertEqual(published.revision, Revision(0, 9))
             found = [c.endpoint for c in published.changes if isinstance(c, EndpointPublished)]
             self.assertEqual([each.id for each in found], ["i-1", "i-3"])
-            self.assertEqual([each.registered for each in found], [3, 3])
+            self.assertEqual([each.registered for each in found], [Revision(0, 3)] * 2)
             self.assertIsInstance(published.changes[0], TablePublished)
             unreadable = [c for c in published.changes if isinstance(c, EndpointUnreadable)]
             self.assertEqual([each.replica for each in unreadable], ["i-2"])
@@ -246,11 +247,11 @@
 
         async def scenario(address: Address) -> None:
             store = StoreClient(address)
-            published = await store.changes(11, 1.5)
-            self.assertEqual(published.revision, 13)
-            self.assertEqual(published.changes[0].endpoint.registered, 3)
+            published = await store.changes(Revision(0, 11), 1.5)
+            self.assertEqual(published.revision, Revision(0, 13))
+            self.assertEqual(published.changes[0].endpoint.registered, Revision(0, 3))
             self.assertEqual(published.changes[1], EndpointRemoved("i-2"))
-            self.assertIsNone(await store.changes(5, 1.5))
+            self.assertIsNone(await store.changes(Revision(0, 5), 1.5))
 
         JsonServer({"/v1/kv-watch": watch}).run(scenario)
 
--- a/tests/test_replica_backoff.py
+++ b/tests/test_replica_backoff.py
@@ -13,6 +13,7 @@
 from carawayhub.gateway.model import Repeat
 from carawayhub.gateway.ports import Published
 from carawayhub.gateway.relay import GatewayRelay
+from carawayhub.gateway.revision import Revision
 from carawayhub.platform.headers import PlatformWire
 from carawayhub.standins.stated import StatedArrival
 from tests.entry_harness import CallerReply, EntryHarness, answers
@@ -324,7 +325,7 @@
             self.assertEqual((await harness.ask()).status, 200)
             harness.publish(version=2)
             self.assertEqual((await harness.ask()).status, 503)
-            harness.view.replace(Published(revision=8, changes=()))
+            harness.view.replace(Published(revision=Revision(0, 8), changes=()))
             harness.publish(version=3)
             self.assertEqual((await harness.ask()).status, 503)
             self.assertEqual(len(harness.taken()), 1)
