Infer a return of the store that no era announces

Entries count such returns themselves and agree on the highest count by their news. Where the store does state its era, a lower revision within it is an answer that cannot be used, and the entry does not count as in touch.

test_store_that_does_not_state_its_era: two returns without the header, no configuration late, a leaving honoured.

--- a/carawayhub/gateway/revision.py
+++ b/carawayhub/gateway/revision.py
@@ -21,7 +21,7 @@
     only comparable within an era. A later era goes before a higher number.
 
     Attributes:
-        era: How often the store has returned from a copy; 0 if it does not say.
+        era: How often the store has returned from a copy.
         number: Number of changes up to this position in that era.
     """
 
@@ -34,12 +34,14 @@
 
     An era may be stated wrongly. A later one is believed at once, unless it is implausibly late; a
     former or implausible one only if the store repeats it. What the store has refuted in this way
-    is not believed from peers again.
+    is not believed from peers again. If the store states none, its returns are inferred from
+    revisions that go back, and entries agree on the highest count.
 
     Attributes:
         known: The era that is believed.
         changes: How often another one was learned.
         rejections: Statements that were not believed.
+        is_stated: Whether the store states its era.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         "_refuted_from",
         "_repeats",
         "changes",
+        "is_stated",
         "known",
         "rejections",
     )
@@ -58,27 +61,35 @@
         self.changes = 0
         self.rejections = 0
         self._is_known = False
-        self._candidate = 0
+        self.is_stated = False
+        self._candidate: int | None = None
         self._repeats = 0
         self._refuted_from: int | None = None
-        self._logged: set[tuple[str, int]] = set()
-
-    def accept_from_store(self, era: int) -> bool:
-        """Return whether an answer of the store that states ``era`` may be used."""
-        if self._is_plausible(era):
-            self._repeats = 0
-            self._learn(era, "store")
-            return True
-        self._repeats = self._repeats + 1 if era == self._candidate else 1
-        self._candidate = era
-        if self._repeats < CONFIRMING_ANSWERS:
-            self._reject(era, "store")
-            return False
-        if era < self.known:
-            self._refuted_from = self.known
+        self._logged: set[tuple[str, int | None]] = set()
+
+    def attribute(self, stated: int | None) -> int | None:
+        """Return the era of an answer of the store, None if the answer may not be used.
+
+        Args:
+            stated: Era that the answer states, None if it states none that can be read.
+        """
+        if not self._is_expected(stated):
+            self._repeats = self._repeats + 1 if stated == self._candidate else 1
+            self._candidate = stated
+            if self._repeats < CONFIRMING_ANSWERS:
+                self._reject(stated, "store")
+                return None
+            if stated is not None and stated < self.known:
+                self._refuted_from = self.known
         self._repeats = 0
-        self._learn(era, "store")
-        return True
+        self.is_stated = stated is not None
+        self._learn(self.known if stated is None else stated, "store")
+        return self.known
+
+    def infer_return(self) -> int:
+        """Return the era that begins as the store's revisions went back without a statement."""
+        self._learn(self.known + 1, "revisions that went back")
+        return self.known
 
     def accept_from_peer(self, era: int, peer: str) -> bool:
         """Return whether what a peer says of the published state in ``era`` may be used."""
@@ -92,6 +103,11 @@
         self._learn(era, peer)
         return True
 
+    def _is_expected(self, stated: int | None) -> bool:
+        if stated is None:
+            return not self.is_stated
+        return self._is_plausible(stated)
+
     def _is_plausible(self, era: int) -> bool:
         if not self._is_known:
             return era >= 0
@@ -110,7 +126,7 @@
         self._is_known = True
         self.known = era
 
-    def _reject(self, era: int, source: str) -> None:
+    def _reject(self, era: int | None, source: str) -> None:
         self.rejections += 1
         if (source, era) in self._logged or len(self._logged) >= MAX_LOGGED_ERAS:
             return
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -180,13 +180,29 @@
     async def _get(
         self, path: str, query: Mapping[str, object], wait: float, kind: type[Content]
     ) -> _Answer[Content]:
+        known = self.mirror.revision
         response = await self._request(path, query, wait)
-        era = _stated_era(response)
-        if not self.eras.accept_from_store(era):
-            raise PlatformError(Code.PLATFORM_MALFORMED, f"{path}: era {era}")
+        stated = _stated_era(response)
+        era = self.eras.attribute(stated)
+        if era is None:
+            raise PlatformError(Code.PLATFORM_MALFORMED, f"{path}: era {stated}")
         if response.status == GONE_STATUS:
             raise _HistoryGoneError(Code.PLATFORM_MALFORMED, path)
-        return _Answer(era, decode_answer(response.content, kind))
+        answer = _Answer(era, decode_answer(response.content, kind))
+        if era == known.era and answer.revision < known:
+            return _Answer(self._era_after(known, answer.revision, path), answer.content)
+        return answer
+
+    def _era_after(self, known: Revision, answered: Revision, path: str) -> int:
+        """Return the era of an answer whose revision is lower than one that was known before.
+
+        Raises:
+            PlatformError: PLATFORM_MALFORMED if the store states its eras, so that this is none.
+        """
+        if self.eras.is_stated:
+            numbers = f"revision {answered.number} after {known.number} in one era"
+            raise PlatformError(Code.PLATFORM_MALFORMED, f"{path}: {numbers}")
+        return self.eras.infer_return()
 
     async def _request(
         self, path: str, query: Mapping[str, object], wait: float
@@ -206,12 +222,12 @@
     """The store no longer has the history after the requested revision."""
 
 
-def _stated_era(response: httpcore.Response) -> int:
-    """Return the era that an answer states, 0 if it states none that can be read."""
+def _stated_era(response: httpcore.Response) -> int | None:
+    """Return the era that an answer states, None if it states none that can be read."""
     for name, value in response.headers:
         if name.lower() == ERA_HEADER and value.isdigit() and len(value) <= MAX_ERA_DIGITS:
             return int(value)
-    return 0
+    return None
 
 
 def _listed_event(item: _Item) -> _WireEvent:
--- a/tests/broken_entries.py
+++ b/tests/broken_entries.py
@@ -18,7 +18,7 @@
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.revision import Eras, Revision
 from carawayhub.gateway.view import FleetView
-from carawayhub.platform import mirror, published, store
+from carawayhub.platform import mirror, published
 from carawayhub.platform.__main__ import main
 
 VARIABLE = "CARAWAYHUB_TEST_BROKEN"
@@ -132,10 +132,10 @@
 
 def _one_era() -> None:
     """Compare revisions of the store across its eras."""
-    store._stated_era = lambda response: 0
     for kind in (News, mirror._Content):
         kind.position = property(lambda self: Revision(0, self.revision))  # type: ignore[assignment]
-    Eras.accept_from_store = lambda self, era: True  # type: ignore[method-assign]
+    Eras.attribute = lambda self, stated: 0  # type: ignore[method-assign]
+    Eras.infer_return = lambda self: 0  # type: ignore[method-assign]
     Eras.accept_from_peer = lambda self, era, peer: True  # type: ignore[method-assign]
 
 
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -35,30 +35,42 @@
 
     def setUp(self) -> None:
         self.eras = Eras()
-        self.assertTrue(self.eras.accept_from_store(3))
+        self.assertEqual(self.eras.attribute(3), 3)
 
     def test_later_era_is_believed_at_once(self) -> None:
-        self.assertTrue(self.eras.accept_from_store(4))
+        self.assertEqual(self.eras.attribute(4), 4)
         self.assertTrue(self.eras.accept_from_peer(6, "10.0.0.1"))
         self.assertEqual((self.eras.known, self.eras.changes), (6, 2))
 
     def test_single_wrong_answer_of_the_store_changes_nothing(self) -> None:
-        for era in (0, 2, ENORMOUS):
-            self.assertFalse(self.eras.accept_from_store(era))
-            self.assertTrue(self.eras.accept_from_store(3))
+        for era in (0, 2, ENORMOUS, None):
+            self.assertIsNone(self.eras.attribute(era))
+            self.assertEqual(self.eras.attribute(3), 3)
         self.assertEqual(self.eras.known, 3)
 
     def test_wrong_answers_that_differ_confirm_nothing(self) -> None:
         for at in range(3 * CONFIRMING_ANSWERS):
-            self.assertFalse(self.eras.accept_from_store(at % 3))
+            self.assertIsNone(self.eras.attribute(at % 3))
 
     def test_store_that_repeats_an_unlikely_era_is_believed(self) -> None:
         """Guards against an entry that is cut off for good by an era that was stated wrongly."""
         for era in (ENORMOUS, 3, 0):
-            answers = [self.eras.accept_from_store(era) for _ in range(CONFIRMING_ANSWERS)]
-            self.assertEqual(answers, [False] * (CONFIRMING_ANSWERS - 1) + [True])
+            answers = [self.eras.attribute(era) for _ in range(CONFIRMING_ANSWERS)]
+            self.assertEqual(answers, [None] * (CONFIRMING_ANSWERS - 1) + [era])
             self.assertEqual(self.eras.known, era)
 
+    def test_store_that_stops_stating_its_era_is_believed_to_stay_in_it(self) -> None:
+        answers = [self.eras.attribute(None) for _ in range(CONFIRMING_ANSWERS + 1)]
+        self.assertEqual(answers, [None] * (CONFIRMING_ANSWERS - 1) + [3, 3])
+
+    def test_return_that_is_not_stated_is_inferred(self) -> None:
+        eras = Eras()
+        self.assertEqual(eras.attribute(None), 0)
+        self.assertEqual(eras.infer_return(), 1)
+        self.assertEqual(eras.attribute(None), 1)
+        self.assertTrue(eras.accept_from_peer(2, "10.0.0.1"))
+        self.assertEqual(eras.attribute(None), 2)
+
     def test_implausible_era_of_a_peer_is_never_believed(self) -> None:
         for era in (-1, 3 + MAX_ERA_ADVANCE + 1, ENORMOUS):
             for _ in range(2 * CONFIRMING_ANSWERS):
@@ -69,10 +81,10 @@
         """Guards against peers that pass a wrong era on to each other for ever."""
         self.assertTrue(self.eras.accept_from_peer(9, "10.0.0.1"))
         for _ in range(CONFIRMING_ANSWERS):
-            self.eras.accept_from_store(3)
+            self.eras.attribute(3)
         self.assertFalse(self.eras.accept_from_peer(9, "10.0.0.1"))
         self.assertTrue(self.eras.accept_from_peer(4, "10.0.0.2"))
-        self.assertTrue(self.eras.accept_from_store(9))
+        self.assertEqual(self.eras.attribute(9), 9)
         self.assertTrue(self.eras.accept_from_peer(10, "10.0.0.1"))
 
     def test_news_of_a_former_era_is_no_wrong_statement(self) -> None:
@@ -199,7 +211,7 @@
 
     def mirror(self, era: int) -> StoreMirror:
         eras = Eras()
-        eras.accept_from_store(era)
+        eras.attribute(era)
         return StoreMirror(eras)
 
     def config(self, version: int, revision: int) -> Event:
@@ -292,10 +304,16 @@
 
     def test_revisions_compared_across_eras_are_found(self) -> None:
         """Guards against histories that would not find the fault that they are for."""
-        with mock.patch("carawayhub.platform.store._stated_era", return_value=0):
-            history = History(4, 6, returns=True)
-            history.play()
-        self.assertTrue(history.late)
+        found = 0
+        with (
+            mock.patch.object(Eras, "attribute", return_value=0),
+            mock.patch.object(Eras, "infer_return", return_value=0),
+        ):
+            for seed in self.SEEDS:
+                history = History(seed, 6, returns=True)
+                history.play()
+                found += bool(history.late)
+        self.assertTrue(found)
 
 
 if __name__ == "__main__":
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -401,6 +401,26 @@
 
         self.check(story)
 
+    def test_store_that_does_not_state_its_era(self) -> None:
+        """Guards against a return that only shows in revisions that went back."""
+
+        async def story(fleet: StoreFleet) -> None:
+            fleet.store.stated_era = None
+            await anyio.sleep(5.0)
+            began_at = anyio.current_time()
+            fleet.disturbed += [(ip, began_at - 5.0, began_at) for ip in fleet.ips]
+            for _ in range(2):
+                await lose_writes(fleet)
+                await anyio.sleep(1.0)
+                fleet.move_route()
+                fleet.write_endpoint(2, "draining")
+                await anyio.sleep(SETTLE_SECONDS)
+                self.assertEqual(fleet.users(2), [])
+                fleet.move_route()
+                await anyio.sleep(SETTLE_SECONDS)
+
+        self.check(story)
+
     def test_few_entries_list_at_the_return(self) -> None:
         """Guards against a store that refuses the listings of all entries at one moment."""
         listings = []
