Let entries keep the later configuration and its size out of peers' answers

After a return from a copy every entry asks its peers for everything. With a configuration that fills more than a datagram no peer could answer, and 98 entries listed the store 102 times within 2 s (600 routes). And an entry that started alone took the copy's older configuration, with keys that were revoked in a later one, and kept it beside peers of the same revision.

Askers now state the version that they have, and peers leave out a configuration that is not later; news say which version is in force, and an entry whose peers have a later one asks for it.

--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -344,8 +344,9 @@
     """Published content that nobody hands on."""
 
     revision = Revision()
+    version = -1
 
-    def encode_after(self, revision: Revision) -> bytes | None:
+    def encode_after(self, revision: Revision, version: int = -1) -> bytes | None:
         """Return nothing."""
         return None
 
--- a/carawayhub/gateway/follower.py
+++ b/carawayhub/gateway/follower.py
@@ -46,6 +46,10 @@
 """Longest random delay before an entry that learned of a change requests it from peers, so that not
 all entries send their requests at one moment."""
 
+ADOPTION_INTERVAL_SECONDS = 0.3
+"""Seconds between two requests for a configuration that peers have and the store does not list. One
+that was just published arrives with its revision in the meantime."""
+
 MIN_BATCH_SECONDS = 0.25
 MAX_BATCH_SECONDS = 0.7
 """Minimum and maximum time for which an entry waits for further changes before it reads from the
@@ -135,6 +139,7 @@
         "_revision_missing",
         "_fetch_changes",
         "_clock",
+        "_configuration_missing",
         "_first",
         "_listing",
         "_lists_first",
@@ -192,6 +197,7 @@
         self._newest_revision = Revision()
         self._view_changed = anyio.Event()
         self._revision_missing = anyio.Event()
+        self._configuration_missing = anyio.Event()
         self._watch_scope = anyio.CancelScope()
         self._watching = False
         self._listing = anyio.Lock()
@@ -208,6 +214,7 @@
             tasks.start_soon(self._catch_up)
             tasks.start_soon(self._prove)
             tasks.start_soon(self._touch)
+            tasks.start_soon(self._adopt_configurations)
 
     def note_revision(self, revision: Revision) -> None:
         """Record that a revision of the believed era exists."""
@@ -217,6 +224,24 @@
         if self._is_behind():
             self._revision_missing.set()
 
+    def note_version(self, version: int) -> None:
+        """Record that a peer has a configuration of this version in force."""
+        table = self._view.table
+        if table is not None and version > table.version:
+            self._configuration_missing.set()
+
+    async def _adopt_configurations(self) -> None:
+        """Get configurations of a later version than the store lists from peers.
+
+        After its return from a copy, an entry that starts beside it knows only the copy's.
+        """
+        while True:
+            await self._configuration_missing.wait()
+            await anyio.sleep(ADOPTION_INTERVAL_SECONDS)
+            self._configuration_missing = anyio.Event()
+            if not self._is_behind():
+                await self._apply_from_peers()
+
     def _is_behind(self) -> bool:
         return self._is_in_other_era() or self._newest_revision > self._view.revision
 
@@ -270,7 +295,9 @@
     async def _apply_from_peers(self) -> bool:
         """Apply what a peer knows beyond this view; return whether there was anything new."""
         update = await self._fetch_changes(self._view.revision)
-        if update is None or update.published.revision <= self._view.revision:
+        if update is None or update.published.revision < self._view.revision:
+            return False
+        if update.published.revision == self._view.revision and update.whole:
             return False
         if update.whole:
             self._view.replace(update.published, Source.PEER)
--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -27,7 +27,7 @@
 from carawayhub.gateway.loads import Loads, Work
 from carawayhub.gateway.peers import Peers
 from carawayhub.gateway.retryshare import DEFAULT_SHARE
-from carawayhub.gateway.revision import Revision
+from carawayhub.gateway.revision import KnownContent
 from carawayhub.gateway.telling import (
     GOSSIP_INTERVAL_SECONDS,
     VIA_DELEGATE,
@@ -208,9 +208,9 @@
         """Return whether this entry is the first one of its failure domain."""
         return self._builder.delegate() == self.own.address.ip
 
-    def peers_ahead_of(self, revision: Revision, era: int) -> list[str]:
-        """Return the peers with a newer revision of an era, those in this failure domain first."""
-        found = self._peers.ahead_of(revision, era)
+    def peers_ahead_of(self, known: KnownContent, era: int) -> list[str]:
+        """Return the peers that know more of an era, those in this failure domain first."""
+        found = self._peers.ahead_of(known, era)
         self._rng.shuffle(found)
         found.sort(key=lambda each: each.failure_domain != self.own.address.failure_domain)
         return [each.ip for each in found]
--- a/carawayhub/gateway/handing.py
+++ b/carawayhub/gateway/handing.py
@@ -14,7 +14,7 @@
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.gossip import Gossip
 from carawayhub.gateway.ports import ForwardedContent, PublishedState
-from carawayhub.gateway.revision import Revision
+from carawayhub.gateway.revision import KnownContent, Revision
 from carawayhub.peers.pace import LinkPacer
 from carawayhub.peers.questions import Answer, Question, QuestionLink
 
@@ -60,8 +60,10 @@
 
     async def fetch_after(self, revision: Revision) -> ForwardedContent | None:
         """Return the content after a revision from a peer, None if no peer can provide it."""
-        for ip in self._gossip.peers_ahead_of(revision, self._eras.known)[:MAX_PEERS_ASKED]:
-            answer = await self._link.ask(ip, PUBLISHED, msgspec.msgpack.encode(revision))
+        known = KnownContent(revision.era, revision.number, self._mirror.version)
+        question = msgspec.msgpack.encode(known)
+        for ip in self._gossip.peers_ahead_of(known, self._eras.known)[:MAX_PEERS_ASKED]:
+            answer = await self._link.ask(ip, PUBLISHED, question)
             if answer is None or not answer.ok:
                 continue
             forwarded = self._decode_content(answer.content, ip)
@@ -88,10 +90,10 @@
                     self.on_slow_ranks(replicas[:MAX_SLOW_RANKS])
                     content = b""
                 case _:
-                    asked = msgspec.msgpack.decode(question.content, type=Revision | int)
+                    asked = msgspec.msgpack.decode(question.content, type=KnownContent | int)
                     # Entries of a former build ask with a number alone.
-                    revision = Revision(0, asked) if isinstance(asked, int) else asked
-                    content = self._mirror.encode_after(revision)
+                    known = KnownContent(0, asked) if isinstance(asked, int) else asked
+                    content = self._mirror.encode_after(known.revision, known.version)
         except msgspec.DecodeError as exc:
             logger.bind(peer=ip, error=str(exc)).warning(
                 "discarded a malformed question from a peer"
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -46,6 +46,7 @@
         grace: Seconds for which removed registrations are assumed to have merely expired.
         reads: Whether the sender can read the published state.
         era: Era of that revision.
+        version: Version of the configuration in force, -1 if there is none.
     """
 
     revision: int
@@ -53,6 +54,7 @@
     grace: float
     reads: bool = True
     era: int = 0
+    version: int = -1
 
     @property
     def position(self) -> Revision:
@@ -184,6 +186,7 @@
         revision: Published revision that it knows, the first one if it is only known from reports.
         reads: Whether it can read the published state.
         heard_at: Time at which its last datagram was received.
+        version: Version of its configuration, -1 if it is only known from reports.
         reported_until: Time until which a delegate's report of it is valid.
     """
 
@@ -197,6 +200,7 @@
     revision: Revision
     reads: bool
     heard_at: float
+    version: int = -1
     reported_until: float = float("-inf")
 
     def row(self) -> MemberRow:
--- a/carawayhub/gateway/peers.py
+++ b/carawayhub/gateway/peers.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from carawayhub.gateway.hello import Hello, MemberRow, PeerEntry, Phase
-from carawayhub.gateway.revision import Revision
+from carawayhub.gateway.revision import KnownContent, Revision
 
 READER_COUNT = 2
 """Number of entries, in different failure domains, that read the published state for all. With only
@@ -94,6 +94,7 @@
                 hello.news.position,
                 hello.news.reads,
                 now,
+                hello.news.version,
             ),
             now,
         )
@@ -123,10 +124,11 @@
 
     def _reported_entry(self, row: MemberRow, now: float) -> PeerEntry:
         known = self._by_ip.get(row.ip)
-        number, revision, heard_at = 0, Revision(), float("-inf")
+        number, revision, heard_at, version = 0, Revision(), float("-inf"), -1
         until = now + REPORTED_PEER_TTL_SECONDS
         if known is not None and known.incarnation == row.incarnation:
             number, revision, heard_at = known.number, known.revision, known.heard_at
+            version = known.version
         return PeerEntry(
             row.ip,
             row.incarnation,
@@ -138,6 +140,7 @@
             revision,
             row.reads,
             heard_at,
+            version,
             until,
         )
 
@@ -192,12 +195,13 @@
             each for each in self._by_ip.values() if each.phase is phase and each.expires_at > now
         ]
 
-    def ahead_of(self, revision: Revision, era: int) -> list[PeerEntry]:
-        """Return the peers with a newer revision of an era."""
+    def ahead_of(self, known: KnownContent, era: int) -> list[PeerEntry]:
+        """Return the peers that know more of an era, or a later configuration."""
         return [
             each
             for each in self._by_ip.values()
-            if each.revision.era == era and each.revision > revision
+            if each.revision.era == era
+            and (each.revision > known.revision or each.version > known.version)
         ]
 
     def readers(self, own_fits: bool) -> frozenset[str]:
--- a/carawayhub/gateway/ports.py
+++ b/carawayhub/gateway/ports.py
@@ -97,12 +97,19 @@
 
     Attributes:
         revision: Revision up to which the copy is complete.
+        version: Version of its configuration, -1 if it has none.
     """
 
     revision: Revision
+    version: int
 
-    def encode_after(self, revision: Revision) -> bytes | None:
-        """Return the encoded content after a revision, None if there is none or it is too large."""
+    def encode_after(self, revision: Revision, version: int = -1) -> bytes | None:
+        """Return the encoded content after a revision, None if there is none or it is too large.
+
+        Args:
+            revision: Revision that the receiver knows.
+            version: Version of the configuration that it knows, -1 for none.
+        """
 
     def take(self, data: bytes) -> ForwardedContent | None:
         """Apply content from a peer and return it, or None if none of it is new.
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -376,6 +376,7 @@
             grace=view.grace,
             reads=view.unanswered_seconds == 0.0,
             era=view.revision.era,
+            version=view.table.version if view.table is not None else -1,
         )
 
     def _apply_news(self, news: News, proved_at: float, peer: str) -> None:
@@ -386,6 +387,7 @@
         elif news.grace > 0:
             self._view.adopt_distrust(news.grace)
         self._follower.note_revision(news.position)
+        self._follower.note_version(news.version)
         self._view.confirm_revision(news.position, proved_at)
 
     def _apply_peer_ends(self, keys: frozenset[int]) -> None:
--- a/carawayhub/gateway/revision.py
+++ b/carawayhub/gateway/revision.py
@@ -29,6 +29,26 @@
     number: int = 0
 
 
+class KnownContent(Struct, frozen=True, array_like=True):
+    """What an entry knows of the published state.
+
+    Attributes:
+        era: Era of the revision.
+        number: Number of the revision up to which everything is known.
+        version: Version of the known configuration, -1 if there is none. It may be later than the
+            one that the store lists after a return from a copy.
+    """
+
+    era: int = 0
+    number: int = 0
+    version: int = -1
+
+    @property
+    def revision(self) -> Revision:
+        """Revision up to which everything is known."""
+        return Revision(self.era, self.number)
+
+
 class Eras:
     """Decides which era of the store this entry believes in.
 
--- a/carawayhub/platform/mirror.py
+++ b/carawayhub/platform/mirror.py
@@ -58,17 +58,27 @@
 
     Attributes:
         revision: Revision up to which all changes are known.
+        version: Version of the configuration, -1 if there is none that can be read.
     """
 
-    __slots__ = ("_eras", "_history_start", "_removed", "_encoded", "_written", "revision")
+    __slots__ = (
+        "_encoded",
+        "_eras",
+        "_history_start",
+        "_removed",
+        "_written",
+        "revision",
+        "version",
+    )
 
     def __init__(self, eras: Eras) -> None:
         self._eras = eras
         self._written: dict[str, Event] = {}
         self._removed: dict[str, Event] = {}
-        self._encoded: tuple[tuple[Revision, Revision], bytes] | None = None
+        self._encoded: tuple[tuple[Revision, int, Revision, int], bytes] | None = None
         self._history_start = 0
         self.revision = Revision()
+        self.version = -1
 
     def replace(self, revision: Revision, events: Iterable[Event]) -> None:
         """Replace the content by a listing of all keys, unless it is older than this one.
@@ -79,11 +89,8 @@
             return
         former = self._written.get(CONFIG_KEY)
         self._written = {each.key: each for each in events}
-        if former is not None:
-            listed = self._written.get(CONFIG_KEY)
-            self._written[CONFIG_KEY] = _later_configuration(former, listed, revision.number)
+        self._store_configuration(former, self._written.get(CONFIG_KEY), revision.number)
         self._removed = {}
-        self._encoded = None
         self._history_start = revision.number
         self.revision = revision
 
@@ -100,13 +107,13 @@
             self._history_start = max(self._history_start, oldest.rev)
         self.revision = max(self.revision, revision)
 
-    def encode_after(self, revision: Revision) -> bytes | None:
+    def encode_after(self, revision: Revision, version: int = -1) -> bytes | None:
         """Return the encoded changes after a revision; see ``gateway.ports.Mirror``."""
-        if self.revision <= revision:
+        if self.revision <= revision and self.version <= version:
             return None
-        revisions = (revision, self.revision)
-        if self._encoded is None or self._encoded[0] != revisions:
-            self._encoded = revisions, self._encoded_after(revision)
+        key = (revision, version, self.revision, self.version)
+        if self._encoded is None or self._encoded[0] != key:
+            self._encoded = key, self._encoded_after(revision, version)
         data = self._encoded[1]
         return data if len(data) <= MAX_FORWARDED_BYTES else None
 
@@ -117,7 +124,9 @@
         except UNREADABLE as exc:
             raise PlatformError(Code.PLATFORM_MALFORMED, str(exc)) from exc
         revision = content.position
-        if revision.era != self._eras.known or revision <= self.revision:
+        if revision.era != self._eras.known or revision < self.revision:
+            return None
+        if revision == self.revision and not self._has_later_configuration(content.events):
             return None
         if content.whole:
             self.replace(revision, content.events)
@@ -127,13 +136,25 @@
             return None
         return ForwardedContent(decode_published(revision, content.events), content.whole)
 
-    def _encoded_after(self, revision: Revision) -> bytes:
+    def _has_later_configuration(self, events: Iterable[Event]) -> bool:
+        versions = [
+            configuration_version(each.content) for each in events if each.key == CONFIG_KEY
+        ]
+        return any(each is not None and each > self.version for each in versions)
+
+    def _encoded_after(self, revision: Revision, version: int) -> bytes:
         is_same_era = revision.era == self.revision.era
         whole = not is_same_era or revision.number < self._history_start
         known = list(self._written.values())
         if not whole:
             known = [*known, *self._removed.values()]
         events = [each for each in known if whole or each.rev > revision.number]
+        if 0 <= self.version <= version:
+            # The receiver keeps its own; it fills most of a datagram.
+            events = [each for each in events if each.key != CONFIG_KEY]
+        elif self.version > version and not whole:
+            events = [each for each in events if each.key != CONFIG_KEY]
+            events.append(self._written[CONFIG_KEY])
         events.sort(key=lambda each: each.rev)
         content = _Content(self.revision.number, whole, events, self.revision.era)
         return msgspec.msgpack.encode(content)
@@ -143,24 +164,36 @@
         return last.rev if last is not None else 0
 
     def _store_event(self, event: Event) -> None:
+        if event.deleted and event.key == CONFIG_KEY:
+            # The last configuration stays in force.
+            return
         if event.deleted:
             self._written.pop(event.key, None)
             self._removed[event.key] = event
             return
         self._removed.pop(event.key, None)
-        former = self._written.get(event.key)
-        if event.key == CONFIG_KEY and former is not None:
-            event = _later_configuration(former, event, event.rev)
-        self._written[event.key] = event
+        if event.key == CONFIG_KEY:
+            self._store_configuration(self._written.get(CONFIG_KEY), event, event.rev)
+        else:
+            self._written[event.key] = event
 
+    def _store_configuration(self, former: Event | None, now: Event | None, number: int) -> None:
+        """Store a configuration, or keep the former one if its version is later.
 
-def _later_configuration(former: Event, now: Event | None, number: int) -> Event:
-    """Return the configuration of the later version, as if it had been written at a revision.
+        One that cannot be read is forwarded as it is.
 
-    One that cannot be read is forwarded as it is.
-    """
-    kept = Event(CONFIG_KEY, number, former.created_rev, content=former.content)
-    if now is None:
-        return kept
-    before, after = configuration_version(former.content), configuration_version(now.content)
-    return kept if before is not None and after is not None and after < before else now
+        Args:
+            former: The known one, None if there is none.
+            now: The one that the store has, None if it lacks one.
+            number: Number of the revision at which the store has it.
+        """
+        if now is not None:
+            version = configuration_version(now.content)
+            if former is None or version is None or version >= self.version:
+                self._written[CONFIG_KEY] = now
+                self.version = -1 if version is None else version
+                return
+        if former is not None:
+            self._written[CONFIG_KEY] = Event(
+                CONFIG_KEY, number, former.created_rev, content=former.content
+            )
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -17,6 +17,7 @@
 SETTLE_SECONDS = 4.0
 WRITES_LOST = 12
 HEARTBEAT = 1.2
+ROUTES_OVER_A_DATAGRAM = 600
 MAX_LISTINGS = 5
 """Listings at one return: one for each failure domain. Each has two pages."""
 
@@ -117,6 +118,28 @@
         self.assertEqual(fleet.late(), [])
         self.assertEqual(fleet.went_back(), [])
 
+    def test_entry_that_starts_alone_adopts_the_later_configuration(self) -> None:
+        """Guards against an entry whose peers, all of its revision, have a later configuration."""
+
+        async def story(fleet: StoreFleet) -> None:
+            copy = fleet.store.copy()
+            fleet.move_route()
+            await anyio.sleep(3.0)
+            await fleet.return_from(copy, AWAY_SECONDS)
+            await anyio.sleep(1.0)
+            alone = fleet.ips[5]
+            fleet.deaf.add(alone)
+            await fleet.restart(alone, 0.5)
+            await anyio.sleep(4.0)
+            fleet.disturbed.append((alone, 0.0, anyio.current_time()))
+            fleet.deaf.discard(alone)
+            await anyio.sleep(8.0)
+            versions = {each.process._view.table.version for each in fleet.live.values()}
+            self.assertEqual(versions, {max(fleet.acks)})
+
+        fleet = self.play(story)
+        self.assertEqual(fleet.late(), [])
+
     def test_replica_that_was_draining_is_not_used(self) -> None:
         """Guards against a copy that lists a leaving replica as ready."""
         used: list[set[int]] = []
@@ -327,8 +350,9 @@
         entries: int = 6,
         domains: int = 3,
         seed: int = 4,
+        routes: int = 1,
     ) -> StoreFleet:
-        fleet = StoreFleet(entries, seed, domains)
+        fleet = StoreFleet(entries, seed, domains, routes=routes)
         fleet.play(lambda: story(fleet))
         self.assertEqual(fleet.late(), [])
         self.assertEqual(fleet.went_back(), [])
@@ -422,7 +446,10 @@
         self.check(story)
 
     def test_few_entries_list_at_the_return(self) -> None:
-        """Guards against a store that refuses the listings of all entries at one moment."""
+        """Guards against a store that refuses the listings of all entries at one moment.
+
+        A configuration that fills more than a datagram does not change that.
+        """
         listings = []
 
         async def story(fleet: StoreFleet) -> None:
@@ -436,7 +463,7 @@
             fleet.move_route()
             await anyio.sleep(3.0)
 
-        self.check(story, entries=98, domains=5)
+        self.check(story, entries=98, domains=5, routes=ROUTES_OVER_A_DATAGRAM)
         self.assertLessEqual(listings[0], 2 * MAX_LISTINGS)
 
 
