Read a Retry-After of ten digits or more

A replica that asked for a very long backoff was taken for one whose time cannot be read, and got requests at once. The new test failed before (unreadable).

--- a/carawayhub/platform/headers.py
+++ b/carawayhub/platform/headers.py
@@ -46,6 +46,7 @@
 """Callers cannot act on the limit or the leaving of one replica: the entry chooses the replica."""
 
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+_SECONDS = re.compile(rb"[0-9]{1,19}(\.[0-9]{1,9})?")
 MAX_LOGGED_BYTES = 40
 """Bytes of an unreadable value that are logged."""
 
@@ -130,7 +131,7 @@
     """Return the limit in an answer; of several values, the lowest that can be parsed."""
     if not values:
         return None
-    found = _decimals(values)
+    found = _decimals(values, _DECIMAL)
     return NamedLimit(min(found)) if found else _unreadable(values)
 
 
@@ -141,12 +142,12 @@
     """
     if status != UNAVAILABLE_STATUS or not values:
         return None
-    found = _decimals(values)
+    found = _decimals(values, _SECONDS)
     return RequestedBackoff(max(found)) if found else _unreadable(values)
 
 
-def _decimals(values: list[bytes]) -> list[float]:
-    return [float(value) for value in values if _DECIMAL.fullmatch(value)]
+def _decimals(values: list[bytes], form: re.Pattern[bytes]) -> list[float]:
+    return [float(value) for value in values if form.fullmatch(value)]
 
 
 def _unreadable(values: list[bytes]) -> UnreadableValue:
--- a/tests/test_replica_backoff.py
+++ b/tests/test_replica_backoff.py
@@ -383,6 +383,11 @@
             with self.subTest(value=value[:20]):
                 self.assertIsInstance(self.backoff(value), UnreadableValue)
 
+    def test_many_digits_ask_for_the_longest_backoff(self) -> None:
+        """Guards against a replica that asks for very long and gets requests at once."""
+        self.assertEqual(self.backoff(b"9999999999"), RequestedBackoff(9_999_999_999.0))
+        self.assertEqual(self.backoff(b"9" * 19), RequestedBackoff(float("9" * 19)))
+
     def test_the_longest_of_several_holds(self) -> None:
         self.assertEqual(self.backoff(b"2", b"5", b"x"), RequestedBackoff(5.0))
 
