Do not use a connection after the time that its endpoint states

What callers saw: a request could meet a connection that its replica was just closing, and cost a second attempt of the shared budget. Idle connections were kept for 15 s of our own whatever Keep-Alive said. They are given up half a second before the stated time now, or after 15 s if that is sooner. The test of five statements could not pass before: nothing read the header.

--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -6,8 +6,9 @@
 used idle connection, regardless of the number of open streams.
 """
 
+import re
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import Enum
@@ -26,6 +27,12 @@
 
 CONNECT_TIMEOUT = 1.0
 KEEPALIVE_SECONDS = 15.0
+"""Longest time for which an idle connection is kept, unless its endpoint states a shorter one."""
+
+KEEPALIVE_MARGIN_SECONDS = 0.5
+"""Time before the end that an endpoint stated from which its connection is not used: it counts from
+the end of its answer, and a request takes time to arrive."""
+
 MAX_IDLE = 64
 NO_BODY_STATUS = (204, 304)
 CONNECTION_CLOSE = (b"connection", b"close")
@@ -40,6 +47,8 @@
 """Seconds in which a probed endpoint must accept or refuse a connection: some round trips between
 failure domains."""
 
+_KEEPALIVE_TIMEOUT = re.compile(rb"(?:^|[,\s])timeout\s*=\s*(\d{1,9})\b", re.IGNORECASE)
+
 NotSent = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 Broken = (httpcore.NetworkError, httpcore.RemoteProtocolError, httpcore.LocalProtocolError)
 
@@ -194,7 +203,7 @@
             finally:
                 with anyio.CancelScope(shield=True):
                     await response.aclose()
-            await self._keep(req, conn)
+            await self._keep(req, conn, response.headers)
         except NotSent as exc:
             raise RequestError(Code.CONNECT_FAILED, req.endpoint, retry_after=1.0) from exc
         except httpcore.TimeoutException as exc:
@@ -239,13 +248,17 @@
             await conn.aclose()
         return _Connection(req, self._source, JoinedNetwork(self._backend))
 
-    async def _keep(self, req: UpstreamRequest, conn: "_Connection") -> None:
+    async def _keep(
+        self, req: UpstreamRequest, conn: "_Connection", headers: Iterable[tuple[bytes, bytes]]
+    ) -> None:
         """Keep a connection with a complete answer for the next request to the same address."""
-        if not conn.is_idle() or _has_trailing_data(conn):
+        seconds = _idle_seconds(headers)
+        if not conn.is_idle() or _has_trailing_data(conn) or seconds <= 0.0:
             await conn.aclose()
             return
         idle = self._idle.setdefault(_address(req), deque())
         conn.kept_at = self._clock.monotonic()
+        conn.expires_at = conn.kept_at + seconds
         idle.append(conn)
         if len(idle) > MAX_IDLE:
             await idle.popleft().aclose()
@@ -253,8 +266,7 @@
 
     def _is_expired(self, conn: "_Connection") -> bool:
         """Return whether a kept connection was idle too long or was closed by the endpoint."""
-        idle_too_long = self._clock.monotonic() >= conn.kept_at + KEEPALIVE_SECONDS
-        return idle_too_long or conn.has_expired()
+        return self._clock.monotonic() >= conn.expires_at or conn.has_expired()
 
     async def _close_unverified(self, req: UpstreamRequest, since: float) -> None:
         """Close the idle connections to an endpoint that have answered nothing since then.
@@ -289,6 +301,7 @@
 
     Attributes:
         kept_at: When its newest answer ended, by the clock of ``Upstream``.
+        expires_at: When it may no longer be used, by the same clock.
     """
 
     def __init__(self, req: UpstreamRequest, source: str, writes: JoinedNetwork) -> None:
@@ -301,6 +314,18 @@
         )
         self.writes = writes
         self.kept_at = 0.0
+        self.expires_at = 0.0
+
+
+def _idle_seconds(headers: Iterable[tuple[bytes, bytes]]) -> float:
+    """Return the seconds for which a connection may be idle after an answer with these headers."""
+    stated = [
+        int(found.group(1)) - KEEPALIVE_MARGIN_SECONDS
+        for name, value in headers
+        if name.lower() == b"keep-alive"
+        for found in _KEEPALIVE_TIMEOUT.finditer(value)
+    ]
+    return min([KEEPALIVE_SECONDS, *stated])
 
 
 def _is_refusal(exc: BaseException | None) -> bool:
--- a/tests/test_upstream_silence.py
+++ b/tests/test_upstream_silence.py
@@ -8,6 +8,7 @@
 from carawayhub.clock import ManualClock
 from carawayhub.codes import Code
 from carawayhub.endpoints.upstream import (
+    KEEPALIVE_MARGIN_SECONDS,
     KEEPALIVE_SECONDS,
     Upstream,
     UpstreamRequest,
@@ -31,6 +32,7 @@
         self.open: set[SocketStream] = set()
         self.hold = anyio.Event()
         self.loses_next = False
+        self.extra = b""
 
     def lose_all(self) -> None:
         """Let all open connections go silent."""
@@ -51,7 +53,7 @@
                 if client in self.lost:
                     await anyio.sleep_forever()
                 await self.hold.wait()
-                await client.send(ANSWER)
+                await client.send(ANSWER.replace(b"\r\n\r\n", b"\r\n" + self.extra + b"\r\n"))
 
 
 class SilenceTest(unittest.IsolatedAsyncioTestCase):
@@ -130,6 +132,35 @@
                 self.assertEqual(len(self.endpoint.open), 2)
                 tasks.cancel_scope.cancel()
 
+    async def test_connection_is_not_used_after_the_time_that_its_endpoint_states(self) -> None:
+        """Guards against a request on a connection that the endpoint is just closing."""
+        cases = (
+            (b"timeout=5", 5.0 - KEEPALIVE_MARGIN_SECONDS),
+            (b"max=100, Timeout=3", 3.0 - KEEPALIVE_MARGIN_SECONDS),
+            (b"timeout=0", 0.0),
+            (b"timeout=soon", KEEPALIVE_SECONDS),
+            (b"timeout=600", KEEPALIVE_SECONDS),
+        )
+        with anyio.fail_after(LIMIT_S):
+            async with self.listener, anyio.create_task_group() as tasks:
+                tasks.start_soon(self.listener.serve, self.endpoint.serve)
+                for stated, seconds in cases:
+                    with self.subTest(stated=stated):
+                        clock = ManualClock()
+                        self.upstream = Upstream(clock=clock)
+                        self.endpoint.hold.set()
+                        self.endpoint.extra = b"Keep-Alive: %s\r\n" % stated
+                        await self.ask()
+                        opened = len(self.endpoint.open)
+                        clock.advance(max(0.0, seconds - 0.1))
+                        if seconds:
+                            await self.ask()
+                            self.assertEqual(len(self.endpoint.open), opened)
+                            clock.advance(seconds)
+                        await self.ask()
+                        self.assertEqual(len(self.endpoint.open), opened + 1)
+                tasks.cancel_scope.cancel()
+
     async def stall(self) -> None:
         """Send a request whose connection is silent."""
         with self.assertRaises(RequestError) as caught:
