--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -107,7 +107,7 @@
         bound="2 s after the acknowledgement",
         excused=CALM,
         checker=late,
-        variants=("held-back", "deaf"),
+        variants=("held-back", "deaf", "one-era"),
     ),
     Promise(
         name="configuration never goes back",
--- a/tests/test_slow_ranks.py
+++ b/tests/test_slow_ranks.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from carawayhub.addresses import Address
 from carawayhub.clock import ManualClock, SystemClock
 from carawayhub.experts.slowranks import (
     EXPIRY_SECONDS,
@@ -21,6 +22,7 @@
 from carawayhub.gateway.placement import Placement
 from carawayhub.peers.pace import LinkPacer
 from carawayhub.peers.questions import Answer, Question, QuestionLink
+from carawayhub.platform.store import StoreClient
 from tests.gateway_world import endpoint, work
 
 
@@ -140,8 +142,9 @@
         self.assertFalse(found is None or found.free)
 
     def test_malformed_and_oversized_reports_do_no_harm(self) -> None:
+        state = StoreClient(Address("127.0.0.1", 9))
         forwarder = ContentForwarder(
-            "127.0.0.1", 0, None, None, LinkPacer(self.clock, 0.0)  # type: ignore[arg-type]
+            "127.0.0.1", 0, state, None, LinkPacer(self.clock, 0.0)  # type: ignore[arg-type]
         )
         received: list[str] = []
         forwarder.on_slow_ranks = received.extend
--- a/tests/test_soak_configuration.py
+++ b/tests/test_soak_configuration.py
@@ -10,12 +10,15 @@
 from loguru import logger
 
 from benchmarks.moved_routes import Disturbance, Probe, Published, going_back, late
-from benchmarks.soak_configuration import play
+from benchmarks.soak_configuration import play, play_with_returns
 from benchmarks.soak_timeline import Occurrence, Record, main, time_line, write_record
 
 SEEDS = {12: "connections to the store that go silent again and again made a configuration late"}
 """Seeds with a line on the cause for those that failed once."""
 
+SEED_WITH_RETURNS = 2
+"""A seed with which a variant that compares revisions across eras is found."""
+
 MOVES = [Published(at % 6, 10.0 * at) for at in range(9)]
 
 
@@ -35,6 +38,15 @@
                 soak = anyio.run(play, seed, Path(folder))
                 self.assertEqual(soak.problems, [])
 
+    def test_configurations_come_in_time_beside_returns_of_the_store(self) -> None:
+        """Guards against entries that ignore a store whose revisions went back."""
+        logger.disable("carawayhub")
+        self.addCleanup(logger.enable, "carawayhub")
+        with tempfile.TemporaryDirectory() as folder:
+            soak = anyio.run(play_with_returns, SEED_WITH_RETURNS, Path(folder))
+            self.assertEqual(soak.problems, [])
+            self.assertGreater(soak.struck["return"], 1)
+
 
 class CheckerTest(unittest.TestCase):
     """Broken promises are found, and only these."""
