Log which parts of prompts stood at an endpoint that ended, and how far answers had come

Logs named a request by one hash of all that it holds, so they could not show whether the requests at ended endpoints, none like another, have a part in common, nor that requests with the same other parts ran on at replicas that lived. The lines about answers that broke off now name the parts (hashed, with the model that reads them, without the last, which is the request's own) and the number of events that had come. The header is decoded in the adapter; a header out of form is no error. No decision changes.

--- a/carawayhub/endpoints/endings.py
+++ b/carawayhub/endpoints/endings.py
@@ -12,6 +12,7 @@
 from carawayhub.codes import Code
 from carawayhub.endpoints.upstream import Listening, Upstream
 from carawayhub.errors import RequestError
+from carawayhub.limits.fingerprint import RequestTraits
 from carawayhub.limits.poison import POISON_THRESHOLD, PoisonRecords
 
 PROBE_ATTEMPTS = 2
@@ -25,23 +26,25 @@
 
     Attributes:
         request: Id of the request, for logs.
-        fingerprint: Identifies the content of the request.
+        traits: What the request may have in common with others.
         endpoint: Id of the endpoint.
         service: Service of the endpoint.
         address: Address it listens on.
         lifetime: Key of the endpoint's current lifetime.
         planned: Whether the endpoint was known to be leaving.
         sent_at: When the request was sent to it.
+        events: Number of events of the answer that came before it broke off.
     """
 
     request: str
-    fingerprint: bytes
+    traits: RequestTraits
     endpoint: str
     service: str
     address: Address
     lifetime: int
     planned: bool
     sent_at: float
+    events: int = 0
 
 
 class Endings:
@@ -70,18 +73,18 @@
         self._waiting: dict[bytes, set[anyio.CancelScope]] = {}
         records.on_poison = self._cancel_waiting
 
-    def check(self, fingerprint: bytes) -> None:
+    def check(self, traits: RequestTraits) -> None:
         """Reject a poison request before it is queued.
 
         Raises:
             RequestError: POISON_REQUEST.
         """
-        if not self._records.is_poison(fingerprint):
+        if not self._records.is_poison(traits.content):
             return
-        self._records.record_repeat(fingerprint)
-        raise self._rejection(fingerprint)
+        self._records.record_repeat(traits.content)
+        raise self._rejection(traits.content)
 
-    def may_resend(self, fingerprint: bytes, sends: int) -> bool:
+    def may_resend(self, traits: RequestTraits, sends: int) -> bool:
         """Return whether a request may be sent again within one attempt of its caller.
 
         Where one more end would make the request poison, an attempt is sent to one endpoint only
@@ -90,20 +93,21 @@
         fleets that had lost all entries.
 
         Args:
-            fingerprint: Identifies the content of the request.
+            traits: What the request may have in common with others.
             sends: Number of times this attempt was sent.
         """
-        if self._records.is_poison(fingerprint):
+        if self._records.is_poison(traits.content):
             return False
-        return not sends or self._records.ends(fingerprint) < POISON_THRESHOLD - 1
+        return not sends or self._records.ends(traits.content) < POISON_THRESHOLD - 1
 
     @contextmanager
-    def waiting(self, fingerprint: bytes) -> Iterator[None]:
+    def waiting(self, traits: RequestTraits) -> Iterator[None]:
         """Let a request wait for a slot, but only until it is known to be a poison request.
 
         Raises:
             RequestError: POISON_REQUEST, as soon as a peer reports it.
         """
+        fingerprint = traits.content
         scopes = self._waiting.setdefault(fingerprint, set())
         scope = anyio.CancelScope()
         scopes.add(scope)
@@ -117,9 +121,9 @@
         if scope.cancelled_caught:
             raise self._rejection(fingerprint)
 
-    def answered(self, fingerprint: bytes) -> None:
+    def answered(self, traits: RequestTraits) -> None:
         """Record a complete answer."""
-        self._records.record_answer(fingerprint)
+        self._records.record_answer(traits.content)
 
     async def broke_off(self, broken: BrokenAnswer) -> bool:
         """Return whether an endpoint that broke off an answer has ended, and record it if so.
@@ -132,14 +136,16 @@
         ended = listening is Listening.NO and not broken.planned
         if ended:
             self._on_end(broken.service)
-            self._records.record_end(broken.fingerprint, broken.lifetime)
+            self._records.record_end(broken.traits.content, broken.lifetime)
         logger.bind(
             request=broken.request,
-            content=broken.fingerprint.hex(),
+            content=broken.traits.content.hex(),
+            parts=broken.traits.logged_parts,
+            events=broken.events,
             endpoint=broken.endpoint,
             listening=listening.value,
             planned=broken.planned,
-            ends=self._records.ends(broken.fingerprint),
+            ends=self._records.ends(broken.traits.content),
             seconds=round(self._clock.monotonic() - broken.sent_at, 3),
         ).info("endpoint ended under a request" if ended else "answer broke off")
         return ended
--- a/carawayhub/entry/calls.py
+++ b/carawayhub/entry/calls.py
@@ -23,7 +23,7 @@
     TICKET_HEADER,
 )
 from carawayhub.errors import RequestError
-from carawayhub.limits.fingerprint import fingerprint
+from carawayhub.limits.fingerprint import RequestTraits, fingerprint
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -104,9 +104,11 @@
     ticket: str
 
     @property
-    def fingerprint(self) -> bytes:
-        """Hash of the content of the call, see ``fingerprint``; computed on each access."""
-        return fingerprint(self.organisation.name, self.method, "", self.path.encode(), self.body)
+    def traits(self) -> RequestTraits:
+        """What the call may have in common with others; computed on each access."""
+        return RequestTraits(
+            fingerprint(self.organisation.name, self.method, "", self.path.encode(), self.body)
+        )
 
     @property
     def repeatable(self) -> bool:
--- a/carawayhub/entry/ends.py
+++ b/carawayhub/entry/ends.py
@@ -8,6 +8,7 @@
 from carawayhub.config.model import Endpoint
 from carawayhub.endpoints.endings import BrokenAnswer, Endings
 from carawayhub.entry.calls import Call
+from carawayhub.limits.fingerprint import RequestTraits
 
 SAME_END_WINDOW_SECONDS = 1.0
 """Interrupted answers of an endpoint within this window count as one end: the answers in flight
@@ -45,13 +46,13 @@
         self._ends: dict[str, tuple[float, int]] = {}
 
     async def has_ended(
-        self, call: Call, fingerprint: bytes, endpoint: Endpoint, sent_at: float
+        self, call: Call, traits: RequestTraits, endpoint: Endpoint, sent_at: float
     ) -> bool:
         """Return whether the endpoint that interrupted the answer to a call has ended."""
         return await self.endings.broke_off(
             BrokenAnswer(
                 request=call.request_id,
-                fingerprint=fingerprint,
+                traits=traits,
                 endpoint=endpoint.name,
                 service=call.target.name,
                 address=Address.parse(endpoint.url.split("//", 1)[-1].split("/", 1)[0]),
--- a/carawayhub/entry/relay.py
+++ b/carawayhub/entry/relay.py
@@ -33,6 +33,7 @@
 from carawayhub.entry.prompts import prompt_blocks
 from carawayhub.entry.stream import StreamCheck
 from carawayhub.errors import RequestError
+from carawayhub.limits.fingerprint import RequestTraits
 from carawayhub.limits.retries import RetryBudget, RetryQuery
 from carawayhub.output.metrics import Metrics
 from carawayhub.routing.query import InFlight, RouteQuery, Target, TargetKind
@@ -79,7 +80,7 @@
     endpoint: str
     timeouts: UpstreamTimeouts
     token: InFlight
-    fingerprint: bytes
+    traits: RequestTraits
     sent_at: float
 
 
@@ -137,27 +138,27 @@
             RequestError: The call has no complete answer. If ``answer.started`` is set, the caller
                 has received a part of one and its connection must be aborted.
         """
-        fingerprint = call.fingerprint
-        self._ends.endings.check(fingerprint)
+        traits = call.traits
+        self._ends.endings.check(traits)
         tried: frozenset[str] = frozenset()
         failure: RequestError | None = None
         attempts = 0
         while True:
             endpoint = self._choose(call, tried, failure)
             try:
-                await self._attempt(call, answer, endpoint, fingerprint)
+                await self._attempt(call, answer, endpoint, traits)
             except RequestError as exc:
                 failure = _worse(failure, exc)
                 tried |= {endpoint}
                 attempts += 1
-                if not self._ends.endings.may_resend(fingerprint, attempts):
+                if not self._ends.endings.may_resend(traits, attempts):
                     raise failure from exc
                 await self._before_retry(call, answer, exc, failure, attempts)
                 logger.bind(request=call.request_id, endpoint=endpoint, code=int(exc.code)).info(
                     "attempt failed; retrying"
                 )
                 continue
-            self._ends.endings.answered(fingerprint)
+            self._ends.endings.answered(traits)
             return
 
     def _choose(self, call: Call, tried: frozenset[str], failure: RequestError | None) -> str:
@@ -202,7 +203,9 @@
             raise worst
         await anyio.sleep(max(0.0, decision.at - self._clock.monotonic()))
 
-    async def _attempt(self, call: Call, answer: Answer, endpoint: str, fingerprint: bytes) -> None:
+    async def _attempt(
+        self, call: Call, answer: Answer, endpoint: str, traits: RequestTraits
+    ) -> None:
         left = call.deadline - self._clock.monotonic()
         if left <= 0:
             raise RequestError(Code.DEADLINE_PASSED)
@@ -213,7 +216,7 @@
             endpoint,
             UpstreamTimeouts.waiting(wait),
             self._router.begin(endpoint),
-            fingerprint,
+            traits,
             self._clock.monotonic(),
         )
         ok = False
@@ -252,7 +255,7 @@
         found = self._cfg.endpoints.get(attempt.endpoint) if self._cfg is not None else None
         if found is None:
             return False
-        return await self._ends.has_ended(call, attempt.fingerprint, found, attempt.sent_at)
+        return await self._ends.has_ended(call, attempt.traits, found, attempt.sent_at)
 
     def _may_resume(
         self, answer: Answer, attempt: _Attempt, exc: RequestError, resumes: int
--- a/carawayhub/entry/runonce.py
+++ b/carawayhub/entry/runonce.py
@@ -28,6 +28,7 @@
 from carawayhub.entry.services import check_allowed
 from carawayhub.errors import PeerError, RequestError
 from carawayhub.headers import as_bytes, as_text, without
+from carawayhub.limits.fingerprint import RequestTraits
 from carawayhub.peers.calls import CallClient
 from carawayhub.peers.messages import EndpointReport, RunReply, RunRequest
 from carawayhub.peers.methods import RUN
@@ -160,8 +161,8 @@
         Raises:
             RequestError: The call has no answer; the code tells whether it may have run.
         """
-        fingerprint = call.fingerprint
-        self._ends.endings.check(fingerprint)
+        traits = call.traits
+        self._ends.endings.check(traits)
         destination = self._by_ticket(call) if call.ticket else self._by_key(call)
         answer.dispatched()
         sent_at = self._clock.monotonic()
@@ -169,9 +170,9 @@
         if reply.code == Code.ANSWER_CUT and not reply.replayed:
             # The ledger identifies requests by key and not by content. A caller that repeats a
             # poison request under new keys would otherwise end one endpoint after the other.
-            await self._has_ended(call, fingerprint, destination, sent_at)
+            await self._has_ended(call, traits, destination, sent_at)
         if reply.code == Code.OK and not reply.replayed:
-            self._ends.endings.answered(fingerprint)
+            self._ends.endings.answered(traits)
         if reply.code != Code.OK:
             raise LedgerError(Code(reply.code), reply.detail, reply.retry_after or None)
         headers = as_bytes(reply.headers)
@@ -180,11 +181,11 @@
         await answer.complete(reply.status, headers, reply.body, Code.OK)
 
     async def _has_ended(
-        self, call: Call, fingerprint: bytes, destination: _Destination, sent_at: float
+        self, call: Call, traits: RequestTraits, destination: _Destination, sent_at: float
     ) -> None:
         found = None if self._cfg is None else self._cfg.endpoints.get(destination.endpoint)
         if found is not None:
-            await self._ends.has_ended(call, fingerprint, found, sent_at)
+            await self._ends.has_ended(call, traits, found, sent_at)
 
     def _serving_reports(
         self, scope: str, name: str, organisation: Organisation
--- a/carawayhub/gateway/admission.py
+++ b/carawayhub/gateway/admission.py
@@ -12,7 +12,7 @@
 from carawayhub.gateway.model import Organisation, Route, RouteTable
 from carawayhub.gateway.returns import ReturnDetector
 from carawayhub.gateway.view import FleetView
-from carawayhub.limits.fingerprint import fingerprint
+from carawayhub.limits.fingerprint import RequestTraits, fingerprint
 
 VIEW_AGE_MARGIN_SECONDS = 0.4
 """Time before the revocation bound at which a view is considered too old. It covers the transfer of
@@ -94,13 +94,7 @@
             ends_at=arrived_at + min(waits, route.timeout),
             returned=self._returns.has_returned(route.name, waits),
             work=Work(1, req.prompt_tokens, req.prompt_tokens + req.answer_tokens),
-            fingerprint=fingerprint(
-                organisation.name if organisation is not None else "",
-                req.method,
-                req.host,
-                req.target,
-                req.body,
-            ),
+            traits=_traits(req, organisation),
             version=table.version,
         )
 
@@ -143,3 +137,9 @@
     def refused(self) -> None:
         """Record that a caller was refused and asked to come back."""
         self._returns.refused()
+
+
+def _traits(req: CallerRequest, organisation: Organisation | None) -> RequestTraits:
+    caller = organisation.name if organisation is not None else ""
+    content = fingerprint(caller, req.method, req.host, req.target, req.body)
+    return RequestTraits(content, req.prompt_parts)
--- a/carawayhub/gateway/app.py
+++ b/carawayhub/gateway/app.py
@@ -156,7 +156,7 @@
         self._tally.ended(route, organisation, code, answer.status, seconds)
         logger.bind(
             request=req.id.decode("latin-1") if req else "",
-            content=call.fingerprint.hex() if call else "",
+            content=call.traits.content.hex() if call else "",
             route=route,
             service=call.service if call else "",
             version=call.version if call else 0,
--- a/carawayhub/gateway/calls.py
+++ b/carawayhub/gateway/calls.py
@@ -5,6 +5,7 @@
 
 from carawayhub.gateway.loads import Work
 from carawayhub.gateway.model import Organisation, Route
+from carawayhub.limits.fingerprint import RequestTraits
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -25,6 +26,7 @@
         prompt_tokens: Tokens of the prompt, 0 for a plain service.
         answer_tokens: Maximum tokens of the answer, 0 for a plain service.
         last_event_id: Event after which a resumed stream continues, empty for a new one.
+        prompt_parts: Fingerprints of the parts of its prompt that other prompts may share.
         deadline: When the caller gives up, by this process's clock.
         body: The complete body.
     """
@@ -40,6 +42,7 @@
     prompt_tokens: int
     answer_tokens: int
     last_event_id: bytes
+    prompt_parts: tuple[bytes, ...] = ()
     deadline: float = 0.0
     body: bytes = b""
 
@@ -57,7 +60,7 @@
         ends_at: Time at which the caller or the route gives up, whichever is first.
         returned: Whether the caller was refused before and is trying again.
         work: Load that it adds to an endpoint.
-        fingerprint: Identifies the content of the request; see ``fingerprint``.
+        traits: What the request may have in common with others.
         version: Version of the configuration that admitted it.
     """
 
@@ -69,7 +72,7 @@
     ends_at: float
     returned: bool
     work: Work
-    fingerprint: bytes = b""
+    traits: RequestTraits = RequestTraits()
     version: int = 0
 
     @property
--- a/carawayhub/gateway/events.py
+++ b/carawayhub/gateway/events.py
@@ -17,9 +17,11 @@
 
     Attributes:
         last_id: ID of the last complete event, empty before the first.
+        complete: Number of complete events since the stream was last started.
     """
 
     last_id: bytes = b""
+    complete: int = 0
     _partial: bytes = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -30,6 +32,7 @@
         while (end := _event_end(pending, start)) > 0:
             event = pending[start:end]
             start = end
+            self.complete += 1
             if self._accept(event):
                 events.append(event)
         self._partial = pending[start:]
@@ -38,6 +41,7 @@
     def restart(self) -> None:
         """Discard the incomplete event before the stream is resumed on a new connection."""
         self._partial = b""
+        self.complete = 0
 
     @property
     def unfinished(self) -> bool:
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -125,7 +125,7 @@
             RequestError: The request has no answer. If ``answer.started``, the connection must be
                 closed.
         """
-        self._parts.endings.check(call.fingerprint)
+        self._parts.endings.check(call.traits)
         progress = _Progress(call, answer)
         pool = self._parts.pool(call.service)
         pool.retries.arrived()
@@ -136,7 +136,7 @@
         raise self._timeout_error(progress, pool)
 
     async def _try_endpoints(self, progress: _Progress, pool: ServicePool) -> None:
-        with self._parts.endings.waiting(progress.call.fingerprint):
+        with self._parts.endings.waiting(progress.call.traits):
             slot: Slot | None = await pool.acquire(progress.call, self._now())
         while slot is not None:
             refused = False
@@ -166,7 +166,7 @@
 
     def _may_resend(self, progress: _Progress) -> bool:
         """Return whether a request may be sent again, given the endpoints that ended running it."""
-        return self._parts.endings.may_resend(progress.call.fingerprint, progress.sends)
+        return self._parts.endings.may_resend(progress.call.traits, progress.sends)
 
     async def _wait_for_slot(self, progress: _Progress, pool: ServicePool) -> Slot | None:
         """Wait for a slot for a request that endpoints refused, and return it.
@@ -179,7 +179,7 @@
         if not self._may_resend(progress):
             return None
         full = len(progress.sent_to) >= progress.call.route.attempts
-        with self._parts.endings.waiting(progress.call.fingerprint):
+        with self._parts.endings.waiting(progress.call.traits):
             slot = await pool.wait_for_retry(progress.call, progress.sent_to if full else None)
         if slot is None:
             return None
@@ -211,13 +211,14 @@
         ended = await self._parts.endings.broke_off(
             BrokenAnswer(
                 request=call.req.id.decode("latin-1"),
-                fingerprint=call.fingerprint,
+                traits=call.traits,
                 endpoint=endpoint.id,
                 service=call.service,
                 address=endpoint.address,
                 lifetime=work_key(endpoint.id),
                 planned=view.endpoint(endpoint.id) is None,
                 sent_at=sent_at,
+                events=progress.events.complete,
             )
         )
         if ended:
@@ -275,7 +276,7 @@
             else:
                 await self._relay_complete_answer(progress, slot, sent_at, head, response)
             if response.framed:
-                self._parts.endings.answered(progress.call.fingerprint)
+                self._parts.endings.answered(progress.call.traits)
 
     def _check_answer(self, progress: _Progress, head: AnswerHead) -> None:
         """Raise if an answer must not reach the caller.
@@ -400,7 +401,7 @@
         load = self._parts.load(endpoint_id)
         logger.bind(
             request=call.req.id.decode("latin-1"),
-            content=call.fingerprint.hex(),
+            content=call.traits.content.hex(),
             endpoint=endpoint_id,
             attempt=progress.sends,
             waited=round(self._now() - call.arrived_at, 4),
@@ -431,7 +432,7 @@
             if last.outcome is Outcome.NOT_RUN:
                 return RequestError(Code.ANSWER_CUT, last.detail)
             return last
-        self._parts.endings.check(progress.call.fingerprint)
+        self._parts.endings.check(progress.call.traits)
         code = last.code if last is not None else Code.NO_ENDPOINT
         return pool.rejection(progress.call, self._now(), code)
 
--- a/carawayhub/platform/headers.py
+++ b/carawayhub/platform/headers.py
@@ -1,6 +1,7 @@
 """Maps requests and answers to the headers of the platform."""
 
 import re
+from itertools import islice
 from typing import Any
 
 from carawayhub.codes import Code
@@ -15,9 +16,12 @@
     RequestedBackoff,
     UnreadableValue,
 )
+from carawayhub.limits.fingerprint import MAX_PARTS, part_fingerprint
 
 REQUEST_ID = b"carawayhub-request-id"
 DEADLINE = b"carawayhub-request-deadline"
+PROMPT_PARTS = b"carawayhub-prompt-prefix"
+MODEL = b"carawayhub-model"
 TOKEN_COUNTS = b"carawayhub-token-counts"
 EXPECT_INSTANCE = b"carawayhub-expect-instance"
 ORGANISATION = b"carawayhub-tenant"
@@ -80,6 +84,7 @@
             prompt_tokens=prompt,
             answer_tokens=answer,
             last_event_id=found.get(LAST_EVENT_ID, b""),
+            prompt_parts=_shared_parts(headers, found.get(MODEL, b"")),
         )
 
     def dispatch(self, req: CallerRequest, dispatch: Dispatch) -> Headers:
@@ -170,6 +175,18 @@
         raise RequestError(Code.BODY_MALFORMED, "token counts are not two numbers") from exc
 
 
+def _shared_parts(headers: Headers, model: bytes) -> tuple[bytes, ...]:
+    """Return the fingerprints of the parts of a prompt, without the last, which is its own.
+
+    The same id is the same part, whatever its place or token count. An entry without an id is
+    skipped.
+    """
+    entries = b",".join(_values(headers, PROMPT_PARTS)).split(b",")[:-1]
+    ids = (entry.partition(b":")[0].strip().lower() for entry in entries)
+    found = dict.fromkeys(filter(None, ids))
+    return tuple(part_fingerprint(model, part) for part in islice(found, MAX_PARTS))
+
+
 def _wait_seconds(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/tests/test_relay_poison.py
+++ b/tests/test_relay_poison.py
@@ -69,7 +69,7 @@
         """
         bench = Bench({"m1": [ENDS, GONE] * 6, "m2": [ENDS, GONE] * 6})
         codes = [await self.again(bench) for _ in range(5)]
-        self.assertEqual(bench.records.ends(model_call(bench.clock).fingerprint), 3)
+        self.assertEqual(bench.records.ends(model_call(bench.clock).traits.content), 3)
         self.assertEqual([each.code for each in codes[-2:]], [Code.POISON_REQUEST] * 2)
         self.assertIsNone(codes[-1].retry_after)
         tried = len(bench.network.connects)
@@ -85,7 +85,7 @@
     async def test_whole_answer_clears_the_call(self) -> None:
         bench = Bench({"m1": [ENDS, GONE, WHOLE] * 3, "m2": [WHOLE] * 9})
         self.assertIsNone(await self.again(bench))
-        self.assertEqual(bench.records.ends(model_call(bench.clock).fingerprint), 0)
+        self.assertEqual(bench.records.ends(model_call(bench.clock).traits.content), 0)
 
 
 class RunOnceCalls(unittest.IsolatedAsyncioTestCase):
