--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -67,6 +67,7 @@
         in_touch: Whether that entry was in touch.
         content: Its body.
         replica: Id of the replica.
+        parts: Ids of the parts of its prompt.
     """
 
     at: float
@@ -74,6 +75,7 @@
     in_touch: bool
     content: bytes
     replica: str
+    parts: tuple[bytes, ...] = ()
 
 
 @dataclass(slots=True)
@@ -210,7 +212,8 @@
 
     def take(self, line: Line, head: bytes, body: bytes) -> None:
         """Take a whole request."""
-        self.fleet.note_sent(self, line, body)
+        parts = _parts(head)
+        self.fleet.note_sent(self, line, body, parts)
         if self._stands_still():
             self.fleet.wasted += 1
             if self.fleet.stalls:
@@ -222,18 +225,21 @@
         if self.fleet.stated.turns_away(self.id, self.fleet.rng):
             line.send(REFUSAL % self._stated_lines(line, refusal=True))
             return
-        self.fleet.start(self._serve, line, found.group(1) if found else b"", body)
+        self.fleet.start(self._serve, line, found.group(1) if found else b"", body, parts)
 
     async def _refuse_late(self, line: Line) -> None:
         """Refuse a request once the group has noticed its loss."""
         await anyio.sleep(max(0.0, self.fleet.stalled_until[self.group] - _now()))
         line.send(NOT_RUN)
 
-    async def _serve(self, line: Line, request: bytes, body: bytes) -> None:
+    async def _serve(
+        self, line: Line, request: bytes, body: bytes, parts: tuple[bytes, ...]
+    ) -> None:
         self.running[line] = body
-        if body in self.fleet.ending:
+        if body in self.fleet.ending or self.fleet.ending_parts.intersection(parts):
             await anyio.sleep(RUN_SECONDS)
             if line in self.running and not self._stands_still():
+                self.fleet.note_part_ends(parts)
                 self.end()
             return
         if self.fleet.plain:
@@ -442,6 +448,8 @@
         tells_groups: Whether ranks register whether their group stands.
         plain: Whether the replicas are those of a plain service and not ranks.
         ending: Contents that end each replica that begins them.
+        ending_parts: Parts of prompts that end each replica that begins a request with them.
+        part_ends: When replicas ended for one of these parts.
         cut: Entries whose datagrams are all lost.
         sent: Requests that reached replicas.
         ends: When replicas ended, by each content that they were running.
@@ -467,6 +475,8 @@
     tells_groups: bool = False
     plain: bool = False
     ending: set[bytes] = field(default_factory=set)
+    ending_parts: set[bytes] = field(default_factory=set)
+    part_ends: dict[bytes, list[float]] = field(default_factory=dict)
     cut: set[str] = field(default_factory=set)
     sent: list[Sent] = field(default_factory=list)
     ends: dict[bytes, list[float]] = field(default_factory=dict)
@@ -593,15 +603,22 @@
                 Published(revision=Revision(0, self.revision), changes=changes)
             )
 
-    def note_sent(self, replica: Replica, line: Line, content: bytes) -> None:
+    def note_sent(
+        self, replica: Replica, line: Line, content: bytes, parts: tuple[bytes, ...]
+    ) -> None:
         """Note that a request reached a replica."""
         now = _now()
         live = self.live.get(line.entry)
         in_touch = live is not None and now >= live.disturbed_until
-        self.sent.append(Sent(now, line.entry, in_touch, content, replica.id))
+        self.sent.append(Sent(now, line.entry, in_touch, content, replica.id, parts))
         arrival = StatedArrival(now, line.run, replica.id, content.decode())
         self.stated.arrivals.append(arrival)
 
+    def note_part_ends(self, parts: tuple[bytes, ...]) -> None:
+        """Note that a replica ends for a part of a prompt."""
+        for part in self.ending_parts.intersection(parts):
+            self.part_ends.setdefault(part, []).append(_now())
+
     def note_ended(self, replica: Replica) -> None:
         """Note that a replica ended, and break its group."""
         now = _now()
@@ -639,6 +656,7 @@
         path: bytes = b"/songs/1",
         deadline: float = 8.0,
         patience: float = math.inf,
+        parts: tuple[bytes, ...] = (),
     ) -> Told:
         """Send a request to an entry, any one that lives if none is named.
 
@@ -648,6 +666,7 @@
             path: Its path.
             deadline: Seconds for which the caller says that it waits.
             patience: Seconds without an event after which it leaves.
+            parts: Ids of the parts of its prompt, before its own.
         """
         told = Told(content, _now())
         self.told.append(told)
@@ -662,7 +681,7 @@
         async def serve() -> None:
             try:
                 await entry.process._app(
-                    self._scope(content, path, deadline), call.receive, call.send
+                    self._scope(content, path, deadline, parts), call.receive, call.send
                 )
             finally:
                 done.set()
@@ -678,8 +697,11 @@
         told.seconds = _now() - told.asked_at
         return told
 
-    def _scope(self, content: bytes, path: bytes, deadline: float) -> dict[str, Any]:
+    def _scope(
+        self, content: bytes, path: bytes, deadline: float, parts: tuple[bytes, ...]
+    ) -> dict[str, Any]:
         request = f"{self.rng.getrandbits(64):016x}".encode()
+        prompt = b",".join(b"%s:40" % part for part in (*parts, request))
         return {
             "type": "http",
             "method": "POST",
@@ -690,6 +712,7 @@
                 (b"carawayhub-request-id", request),
                 (b"carawayhub-request-deadline", b"%d" % (deadline * 1000)),
                 (b"carawayhub-token-counts", b"600,140"),
+                (b"carawayhub-prompt-prefix", prompt),
                 (b"authorization", b"Bearer " + KEY.encode()),
                 (b"content-length", str(len(content)).encode()),
             ],
@@ -711,6 +734,22 @@
             if each.content == content and each.at > since and each.in_touch
         ]
 
+    def late_part_sends(self, part: bytes, after: int = 5, slack: float = IN_TOUCH) -> list[Sent]:
+        """Return the sends by entries in touch, ``slack`` after the fifth end for a part."""
+        ends = self.part_ends.get(part, [])
+        if len(ends) < after:
+            return []
+        since = ends[after - 1] + slack
+        return [
+            each for each in self.sent if part in each.parts and each.at > since and each.in_touch
+        ]
+
+
+def _parts(head: bytes) -> tuple[bytes, ...]:
+    found = re.search(rb"carawayhub-prompt-prefix: (\S+)", head, re.IGNORECASE)
+    entries = found.group(1).split(b",") if found else []
+    return tuple(each.partition(b":")[0] for each in entries)
+
 
 def _now() -> float:
     return anyio.current_time()
