Refuse requests with a part of the prompt under which replicas ended

Callers saw replica after replica end, each under another request: no two were alike but for one part of their prompts. Cause: what an entry learns of an end was kept with the whole content of a request, so nothing was ever seen twice. Class: what is learned of a failure is kept with something more special than what the failures have in common.

Ends are now kept for each trait of a request, its content and the parts of its prompt, and told to all entries as before. A request is refused if one of its traits has three ends that no trait of another request explains: traits that were always together are refused only together, so sound requests with some of them are served. A complete answer clears all traits; an answer that an endpoint which lives broke off after it had outlasted an end clears its parts. A part that was answered completely before needs six ends, and entries tell each other so. A part is refused for ten minutes and then tried again.

Ruled out on the way: the share of requests that meet an end by chance as a bound for parts (the part itself raises it to six), the most events before an end as a bound for survivors (popular parts were blamed after 30 s).

--- a/benchmarks/link_parts.py
+++ b/benchmarks/link_parts.py
@@ -18,7 +18,7 @@
 from carawayhub.fleet.membership import Member
 from carawayhub.fleet.sync import ConfigSync
 from carawayhub.limits.admission import Admission
-from carawayhub.limits.poison import EndsRow
+from carawayhub.limits.evidence import EndsRow
 from carawayhub.output.audit import AuditTrail
 from carawayhub.peers.calls import CallClient
 from carawayhub.peers.links import Intervals, Peer
--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -32,7 +32,7 @@
 )
 from carawayhub.gateway.process import GatewayProcess
 from carawayhub.gateway.revision import Eras, Revision
-from carawayhub.limits.fingerprint import fingerprint
+from carawayhub.limits.fingerprint import RequestTraits, fingerprint
 from carawayhub.platform.headers import PlatformWire
 from carawayhub.standins.stated import Stated, StatedArrival
 from tests.gateway_world import KEY, endpoint, entry_options, route, table
@@ -718,9 +718,10 @@
             ],
         }
 
-    def fingerprint(self, content: bytes) -> bytes:
-        """Return how entries name a request with this body."""
-        return fingerprint("armor", "POST", "caraway.example", b"/songs/1", content)
+    def traits(self, content: bytes) -> RequestTraits:
+        """Return how entries name a request with this body and no shared parts."""
+        found = fingerprint("armor", "POST", "caraway.example", b"/songs/1", content)
+        return RequestTraits(found)
 
     def late_sends(self, content: bytes, after: int = 3, slack: float = IN_TOUCH) -> list[Sent]:
         """Return the sends by entries in touch, ``slack`` after a content's third end."""
--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -23,7 +23,7 @@
 from carawayhub.endpoints.watch import EngineWatch, ServiceWatch
 from carawayhub.groups.lease import Holder
 from carawayhub.http import HttpServer
-from carawayhub.limits.poison import EndsRow
+from carawayhub.limits.evidence import EndsRow
 from carawayhub.output.audit import Subject
 from carawayhub.peers.links import Peer
 from carawayhub.peers.messages import (
--- a/carawayhub/endpoints/endings.py
+++ b/carawayhub/endpoints/endings.py
@@ -13,7 +13,7 @@
 from carawayhub.endpoints.upstream import Listening, Upstream
 from carawayhub.errors import RequestError
 from carawayhub.limits.fingerprint import RequestTraits
-from carawayhub.limits.poison import POISON_THRESHOLD, PoisonRecords
+from carawayhub.limits.poison import PoisonRecords
 
 PROBE_ATTEMPTS = 2
 """Maximum probes of an endpoint that broke off an answer, made while none is answered: on a link
@@ -70,8 +70,8 @@
         self._records = records
         self._clock = clock
         self._on_end = on_end
-        self._waiting: dict[bytes, set[anyio.CancelScope]] = {}
-        records.on_poison = self._cancel_waiting
+        self._waiting: dict[RequestTraits, set[anyio.CancelScope]] = {}
+        records.on_update = self._cancel_waiting
 
     def check(self, traits: RequestTraits) -> None:
         """Reject a poison request before it is queued.
@@ -79,10 +79,10 @@
         Raises:
             RequestError: POISON_REQUEST.
         """
-        if not self._records.is_poison(traits.content):
+        if not self._records.is_poison(traits):
             return
-        self._records.record_repeat(traits.content)
-        raise self._rejection(traits.content)
+        self._records.record_repeat(traits)
+        raise self._rejection(traits)
 
     def may_resend(self, traits: RequestTraits, sends: int) -> bool:
         """Return whether a request may be sent again within one attempt of its caller.
@@ -96,9 +96,9 @@
             traits: What the request may have in common with others.
             sends: Number of times this attempt was sent.
         """
-        if self._records.is_poison(traits.content):
+        if self._records.is_poison(traits):
             return False
-        return not sends or self._records.ends(traits.content) < POISON_THRESHOLD - 1
+        return not sends or not self._records.may_become_poison(traits)
 
     @contextmanager
     def waiting(self, traits: RequestTraits) -> Iterator[None]:
@@ -107,8 +107,7 @@
         Raises:
             RequestError: POISON_REQUEST, as soon as a peer reports it.
         """
-        fingerprint = traits.content
-        scopes = self._waiting.setdefault(fingerprint, set())
+        scopes = self._waiting.setdefault(traits, set())
         scope = anyio.CancelScope()
         scopes.add(scope)
         try:
@@ -117,13 +116,13 @@
         finally:
             scopes.discard(scope)
             if not scopes:
-                self._waiting.pop(fingerprint, None)
+                self._waiting.pop(traits, None)
         if scope.cancelled_caught:
-            raise self._rejection(fingerprint)
+            raise self._rejection(traits)
 
     def answered(self, traits: RequestTraits) -> None:
         """Record a complete answer."""
-        self._records.record_answer(traits.content)
+        self._records.record_answer(traits)
 
     async def broke_off(self, broken: BrokenAnswer) -> bool:
         """Return whether an endpoint that broke off an answer has ended, and record it if so.
@@ -136,7 +135,9 @@
         ended = listening is Listening.NO and not broken.planned
         if ended:
             self._on_end(broken.service)
-            self._records.record_end(broken.traits.content, broken.lifetime)
+            self._records.record_end(broken.traits, broken.lifetime, broken.events)
+        elif listening is Listening.YES:
+            self._records.record_survival(broken.traits, broken.events)
         logger.bind(
             request=broken.request,
             content=broken.traits.content.hex(),
@@ -145,7 +146,7 @@
             endpoint=broken.endpoint,
             listening=listening.value,
             planned=broken.planned,
-            ends=self._records.ends(broken.traits.content),
+            ends=self._records.ends(broken.traits),
             seconds=round(self._clock.monotonic() - broken.sent_at, 3),
         ).info("endpoint ended under a request" if ended else "answer broke off")
         return ended
@@ -157,10 +158,13 @@
                 return found
         return Listening.UNKNOWN
 
-    def _cancel_waiting(self, fingerprint: bytes) -> None:
-        for scope in self._waiting.get(fingerprint, ()):
-            scope.cancel()
+    def _cancel_waiting(self) -> None:
+        for traits, scopes in self._waiting.items():
+            if not self._records.is_poison(traits):
+                continue
+            for scope in scopes:
+                scope.cancel()
 
-    def _rejection(self, fingerprint: bytes) -> RequestError:
-        ends = self._records.ends(fingerprint)
+    def _rejection(self, traits: RequestTraits) -> RequestError:
+        ends = self._records.ends(traits)
         return RequestError(Code.POISON_REQUEST, f"{ends} endpoints ended under it")
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -22,7 +22,8 @@
 from carawayhub.fleet.neighbours import entry_nodes, gossip_neighbours
 from carawayhub.http import HttpServer, bind
 from carawayhub.limits.admission import Admission
-from carawayhub.limits.poison import EndsRow, PoisonRecords
+from carawayhub.limits.evidence import EndsRow
+from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.poisonnews import PoisonUpdates
 from carawayhub.limits.retries import RetryBudget
 from carawayhub.output.audit import Subject
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from carawayhub.gateway.revision import Revision
-from carawayhub.limits.poison import EndsRow
+from carawayhub.limits.evidence import EndsRow
 from carawayhub.limits.replicarate import RateRow
 
 
--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -2,70 +2,51 @@
 
 A poison request crashes each endpoint that starts to run it. Its caller takes that for a failure
 of the endpoint and retries through any entry under a new request id, so one endpoint after another
-ends. Each entry therefore records for each request the endpoints that ended while running it (its
-ends) and announces the records to its peers; a request with three ends is rejected from then on.
+ends. The cause may also be a part of the prompt that requests share which differ otherwise. Each
+entry therefore records for each trait of a request, its whole content and the parts of its prompt,
+the endpoints that ended while running it (its ends) and announces the records to its peers; after
+three ends, requests with that trait are rejected.
 
-Other requests that run at the same endpoints end with them. Three rules distinguish them. A
-complete answer clears all ends of a request. An end counts against a request only if no other
-request at that end has as many ends: innocent requests have fewer, and two requests that always
-ran together are both allowed until a further end separates them. If endpoints end so often that
-requests meet three ends by chance, more ends are needed.
+Other requests that run at the same endpoints end with them. Four rules distinguish them. A complete
+answer clears all ends of the request's traits; for its parts, so does an answer that went on at an
+endpoint which survived. An end counts against a request only if no other request at that end has a
+trait with as many ends; see ``blame``. A part that was answered completely before needs more ends.
+If endpoints end so often that requests meet three ends by chance, more ends are needed as well.
 
 Records of several entries are merged by union, so the order, number of deliveries and path do not
 matter. Nothing here outlives the process.
 """
 
-import math
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-import msgspec
 from loguru import logger
 
 from carawayhub.clock import Clock
-from carawayhub.limits.fingerprint import FINGERPRINT_BYTES
-
-POISON_THRESHOLD = 3
-"""Ends after which a request is rejected. Two may be chance: an endpoint fails for its own reasons,
-and so does the next one, at which the request was retried."""
-
-MAX_POISON_THRESHOLD = 6
-"""Upper bound of the threshold while endpoints end constantly: a higher one would end more
-endpoints than it prevents wrong rejections."""
-
-FALSE_POSITIVE_PROBABILITY = 0.001
-"""Accepted probability that a harmless request meets as many ends as the threshold by chance."""
-
-PRIOR_ANSWERS = 30.0
-"""Answers added to those that an entry observed, since two or three observations prove nothing."""
+from carawayhub.limits.blame import Suspects, is_part
+from carawayhub.limits.endrate import (
+    MAX_POISON_THRESHOLD,
+    POISON_THRESHOLD,
+    RATE_HALF_LIFE_SECONDS,
+    EndRate,
+    ends_needed,
+)
+from carawayhub.limits.evidence import End, EndsRow, Evidence, is_valid, read_row
+from carawayhub.limits.fingerprint import RequestTraits
+from carawayhub.limits.soundparts import SoundParts
 
 PRIOR_ANSWERED_REQUESTS = 4.0
 """Requests answered after a first end that are added to those in the records, which may be few."""
 
-RATE_HALF_LIFE_SECONDS = 20.0
-"""Half-life of a request's weight in the share of requests whose endpoint ended: long enough to
-cover some dozens of requests at an entry of a large fleet, short compared with incidents of a
-minute."""
-
-MAX_RECORDS = 256
-"""Maximum number of recorded requests, 0.3 MB: enough for twenty ends with a dozen requests each.
-Beyond it, the requests with the fewest ends are evicted first, the oldest of them before others."""
-
-END_DEDUPLICATION_SECONDS = 1.0
-"""Time within which reports about an endpoint count as one end: entries detect and announce it
-within tenths of a second, and a process takes longer than this to restart and accept requests."""
+MAX_RECORDS = 512
+"""Maximum number of recorded traits, 0.4 MB: enough for twenty ends with a dozen requests each.
+Beyond it, the traits with the fewest ends are evicted first, the oldest of them before others."""
 
 RECENT_RECORD_SECONDS = 2.0
 """Age up to which a peer's record says something about the present state of endpoints: later they
 are available again or known to be gone."""
 
-LIFETIME_KEY_BOUND = 2**32
-"""Exclusive upper bound of the keys that identify endpoints' lifetimes."""
-
-MAX_ENDS = 8
-"""Maximum number of ends recorded per request; more would change no decision."""
-
 SUSPECT_SECONDS = 600.0
 """Time since its latest end for which a request below the threshold is remembered. Automatic
 retries follow within seconds, manual ones within minutes."""
@@ -74,30 +55,15 @@
 """Time since it was last sent after which a rejected request is forgotten. By then its cause may
 have been fixed; if it was not, three more ends identify it again."""
 
+PART_POISON_SECONDS = 600.0
+"""Time since its latest end after which a rejected part is forgotten, also if it is still sent:
+other callers may depend on a part, and a wrong rejection must not last while they ask."""
+
 RENEWAL_FRACTION = 0.25
 """Fraction of ``POISON_SECONDS`` after which a repeated request renews its record, which is then
 announced to peers: this limits the number of messages, however often the request is repeated."""
 
 
-_NONE: frozenset[int] = frozenset()
-
-
-class EndsRow(msgspec.Struct, array_like=True, frozen=True):
-    """A record as it is announced to peers.
-
-    Attributes:
-        fingerprint: Identifies the request.
-        series: Number of complete answers that cleared it.
-        ends: Keys of the endpoints that ended while running it since then.
-        age: Seconds between the record's last change and the writing of the row.
-    """
-
-    fingerprint: bytes
-    series: int
-    ends: list[int]
-    age: float
-
-
 @dataclass(frozen=True, slots=True)
 class Changes:
     """Records that changed after a given change.
@@ -113,47 +79,29 @@
 
 @dataclass(slots=True)
 class _Record:
-    series: int
-    ends: frozenset[int]
+    evidence: Evidence
     changed_at: float
     number: int
 
+    @property
+    def ends(self) -> dict[int, End]:
+        return self.evidence.ends
 
-class EndRate:
-    """The share of this entry's recent requests whose endpoint ended while running them.
-
-    Args:
-        clock: Source of time.
-    """
-
-    __slots__ = ("_answered", "_clock", "_ended", "_updated_at")
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._answered = self._ended = 0.0
-        self._updated_at = clock.monotonic()
 
-    def record_answer(self) -> None:
-        """Count a complete answer."""
-        self._decay()
-        self._answered += 1.0
+@dataclass(frozen=True, slots=True)
+class PoisonCounts:
+    """Numbers of decisions for the metrics.
 
-    def record_end(self) -> None:
-        """Count a request whose endpoint ended."""
-        self._decay()
-        self._ended += 1.0
+    Attributes:
+        rejected: Requests rejected for a trait, by whether that was a part of the prompt.
+        cleared: Suspected traits that an answer cleared.
+        suspects: Traits with several ends at present.
+    """
 
-    def ends_needed(self) -> int:
-        """Return the number of ends after which a request is considered their cause."""
-        self._decay()
-        return _ends_needed(self._ended / (self._answered + self._ended + PRIOR_ANSWERS))
-
-    def _decay(self) -> None:
-        now = self._clock.monotonic()
-        kept = 0.5 ** ((now - self._updated_at) / RATE_HALF_LIFE_SECONDS)
-        self._answered *= kept
-        self._ended *= kept
-        self._updated_at = now
+    rejected: int
+    rejected_parts: int
+    cleared: int
+    suspects: int
 
 
 class PoisonRecords:
@@ -164,76 +112,128 @@
 
     Attributes:
         number: Number of the latest change; peers receive the changes after the last one they have.
-        on_poison: Called with the fingerprint of a request that is rejected from now on.
+        on_update: Called when requests that were allowed may now be rejected.
         on_ends: Called with the keys of endpoints that peers have just reported as ended.
     """
 
-    __slots__ = ("_by_fingerprint", "_clock", "_poison", "_rate", "number", "on_ends", "on_poison")
+    __slots__ = (
+        "_by_trait",
+        "_clock",
+        "_counts",
+        "_needed",
+        "_poison",
+        "_rate",
+        "_sound",
+        "_suspects",
+        "number",
+        "on_ends",
+        "on_update",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._by_fingerprint: dict[bytes, _Record] = {}
+        self._by_trait: dict[bytes, _Record] = {}
+        self._suspects = Suspects({})
         self._poison: frozenset[bytes] = frozenset()
+        self._needed = POISON_THRESHOLD
         self._rate = EndRate(clock)
+        self._sound = SoundParts(clock)
+        self._counts: Counter[str] = Counter()
         self.number = 0
-        self.on_poison: Callable[[bytes], None] = _ignore
+        self.on_update: Callable[[], None] = _ignore
         self.on_ends: Callable[[frozenset[int]], None] = _ignore_ends
 
     def __len__(self) -> int:
-        return len(self._by_fingerprint)
+        return len(self._by_trait)
 
     @property
     def poison(self) -> frozenset[bytes]:
-        """Fingerprints of the requests that are rejected."""
-        return self._poison
+        """Traits for each of which alone a request is rejected."""
+        return frozenset(
+            each for each in self._suspects if self._is_cause(each, RequestTraits(each))
+        )
 
-    def is_poison(self, fingerprint: bytes) -> bool:
-        """Return whether a request must be rejected."""
-        return fingerprint in self._poison
+    @property
+    def counts(self) -> PoisonCounts:
+        """Numbers of decisions so far."""
+        return PoisonCounts(
+            rejected=self._counts["content"],
+            rejected_parts=self._counts["part"],
+            cleared=self._counts["cleared"],
+            suspects=len(self._suspects),
+        )
 
-    def ends(self, fingerprint: bytes) -> int:
-        """Return how many endpoints ended under a request since its last complete answer."""
-        record = self._by_fingerprint.get(fingerprint)
-        return len(record.ends) if record is not None else 0
+    def is_poison(self, traits: RequestTraits) -> bool:
+        """Return whether a request must be rejected."""
+        return self._cause(traits) is not None
+
+    def ends(self, traits: RequestTraits) -> int:
+        """Return the most endpoints that ended under one trait of a request."""
+        return max(len(self._ends(each)) for each in traits.all)
+
+    def may_become_poison(self, traits: RequestTraits) -> bool:
+        """Return whether one more end may suffice to reject a request."""
+        if len(self._ends(traits.content)) >= POISON_THRESHOLD - 1:
+            return True
+        return any(
+            self._suspects.counted_ends(each, traits) >= self._ends_needed(each) - 1
+            for each in traits.parts
+            if each in self._suspects
+        )
 
-    def record_end(self, fingerprint: bytes, endpoint: int) -> None:
+    def record_end(self, traits: RequestTraits, endpoint: int, events: int = 0) -> None:
         """Record that an endpoint ended while running a request.
 
         Args:
-            fingerprint: Identifies the request.
+            traits: Traits of the request.
             endpoint: Key of this lifetime of the endpoint.
+            events: Number of events of the answer that had come.
         """
-        known = self._by_fingerprint.get(fingerprint)
-        series, ends = (known.series, known.ends) if known is not None else (0, frozenset())
-        if not ends:
+        if not self._ends(traits.content):
             # Counting further ends of the same request would overestimate the share of requests
             # that meet an end.
             self._rate.record_end()
         now = self._clock.monotonic()
-        if known is not None and now - known.changed_at > END_DEDUPLICATION_SECONDS:
-            # The endpoint restarted under the same id and does not report its start time.
-            while endpoint in ends:
-                endpoint = (endpoint + 1) % LIFETIME_KEY_BOUND
-        if endpoint in ends or len(ends) >= MAX_ENDS:
-            return
-        self._store(fingerprint, series, ends | {endpoint}, now)
-        self._update_poison()
+        for each in traits.all:
+            self._add_end(each, endpoint, now, events)
+        self._update_suspects()
 
-    def record_answer(self, fingerprint: bytes) -> None:
+    def record_answer(self, traits: RequestTraits) -> None:
         """Record a complete answer, which shows that the request does not end its endpoint."""
         self._rate.record_answer()
-        known = self._by_fingerprint.get(fingerprint)
-        if known is None or not known.ends:
-            return
-        self._store(fingerprint, known.series + 1, frozenset(), self._clock.monotonic())
-        self._update_poison()
+        for each in traits.parts:
+            self._sound.add(each)
+        self._clear(traits.all, answered=True)
+
+    def record_survival(self, traits: RequestTraits, events: int) -> None:
+        """Record that an endpoint broke an answer off but did not end under it.
+
+        That speaks for the parts of the prompt if the answer went on for longer than others did
+        before an end. Nothing is said of the whole request, whose next event may be the cause.
+        """
+        self._clear(
+            [
+                each
+                for each in traits.parts
+                if (known := self._by_trait.get(each)) is not None
+                and known.evidence.is_outlasted_by(events)
+            ],
+            answered=False,
+        )
 
-    def record_repeat(self, fingerprint: bytes) -> None:
-        """Record that a rejected request was sent again, which prolongs its record."""
-        known = self._by_fingerprint[fingerprint]
+    def record_repeat(self, traits: RequestTraits) -> None:
+        """Record that a rejected request was sent again, which prolongs the record of its content.
+
+        A part is not prolonged: it is rejected for a limited time.
+        """
+        cause = self._cause(traits)
+        if cause is None:
+            return
+        self._counts["part" if is_part(cause) else "content"] += 1
+        known = self._by_trait[cause]
         now = self._clock.monotonic()
-        if now - known.changed_at > RENEWAL_FRACTION * POISON_SECONDS:
-            self._store(fingerprint, known.series, known.ends, now)
+        if not is_part(cause) and now - known.changed_at > RENEWAL_FRACTION * POISON_SECONDS:
+            self._store(cause, known.evidence, now)
 
     def after(self, number: int, max_rows: int) -> Changes:
         """Return the records that changed after a given change, earliest first.
@@ -244,10 +244,13 @@
         """
         if number >= self.number:
             return Changes([], self.number)
-        newer = [each for each in self._by_fingerprint.items() if each[1].number > number]
+        newer = [each for each in self._by_trait.items() if each[1].number > number]
         newer.sort(key=lambda each: each[1].number)
         now = self._clock.monotonic()
-        rows = [_row(name, record, now) for name, record in newer[:max_rows]]
+        rows = [
+            each.evidence.row(trait, max(0.0, now - each.changed_at), now)
+            for trait, each in newer[:max_rows]
+        ]
         return Changes(
             rows, newer[max_rows - 1][1].number if len(newer) > max_rows else self.number
         )
@@ -257,126 +260,160 @@
         before = self.number
         now = self._clock.monotonic()
         for row in rows:
-            if _is_valid(row):
+            if is_valid(row):
                 self._merge_row(row, now)
         if self.number != before:
-            self._update_poison()
+            self._update_suspects()
 
     def expire(self) -> None:
         """Drop expired records."""
         now = self._clock.monotonic()
         old = [
-            name
-            for name, each in self._by_fingerprint.items()
-            if now - each.changed_at > _retention_seconds(len(each.ends))
+            trait
+            for trait, each in self._by_trait.items()
+            if now - each.changed_at > _retention_seconds(trait, len(each.ends))
         ]
-        for name in old:
-            del self._by_fingerprint[name]
-        self._update_poison()
+        for trait in old:
+            del self._by_trait[trait]
+        self._update_suspects()
+
+    def _ends(self, trait: bytes) -> dict[int, End]:
+        record = self._by_trait.get(trait)
+        return record.ends if record is not None else {}
+
+    def _cause(self, traits: RequestTraits) -> bytes | None:
+        """Return the trait for which a request must be rejected, None if it is allowed.
+
+        Of several, it is the last one: the first parts of prompts are shared the most.
+        """
+        for each in reversed(traits.all):
+            if each in self._suspects and self._is_cause(each, traits):
+                self._note_cause(each)
+                return each
+        return None
+
+    def _is_cause(self, trait: bytes, traits: RequestTraits) -> bool:
+        return self._suspects.counted_ends(trait, traits) >= self._ends_needed(trait)
+
+    def _ends_needed(self, trait: bytes) -> int:
+        if trait in self._poison:
+            return POISON_THRESHOLD
+        if not is_part(trait):
+            return self._needed
+        return MAX_POISON_THRESHOLD if self._was_answered(trait) else POISON_THRESHOLD
+
+    def _was_answered(self, part: bytes) -> bool:
+        known = self._by_trait.get(part)
+        return part in self._sound or (known is not None and known.evidence.answered)
+
+    def _note_cause(self, trait: bytes) -> None:
+        if trait in self._poison:
+            return
+        needed = self._ends_needed(trait)
+        self._poison = self._poison | {trait}
+        logger.bind(
+            content=trait.hex() if not is_part(trait) else "",
+            part=trait.hex() if is_part(trait) else "",
+            ends=len(self._ends(trait)),
+            ends_needed=needed,
+            answered_before=self._was_answered(trait),
+            requests_known=len(self._by_trait),
+        ).warning(
+            "a part of prompts ends endpoints; rejecting requests with it from now on"
+            if is_part(trait)
+            else "request ends the endpoints that run it; rejecting it from now on"
+        )
+
+    def _add_end(self, trait: bytes, endpoint: int, now: float, events: int) -> None:
+        known = self._by_trait.get(trait)
+        before = known.evidence if known is not None else Evidence()
+        evidence = before.with_end(endpoint, now, events)
+        evidence = replace(evidence, answered=evidence.answered or trait in self._sound)
+        if not evidence.differs(before):
+            return
+        self._store(trait, evidence, now)
+        if len(before.ends) < len(evidence.ends) == POISON_THRESHOLD and is_part(trait):
+            logger.bind(
+                part=trait.hex(), ends=len(evidence.ends), answered_before=evidence.answered
+            ).info("a part of prompts is suspected of ending endpoints")
+
+    def _clear(self, traits: Iterable[bytes], *, answered: bool) -> None:
+        now = self._clock.monotonic()
+        cleared = [each for each in traits if self._ends(each)]
+        for each in cleared:
+            if each in self._suspects:
+                self._counts["cleared"] += 1
+                logger.bind(trait=each.hex(), ends=len(self._ends(each))).info(
+                    "an answer cleared what was suspected of ending endpoints"
+                )
+            evidence = self._by_trait[each].evidence
+            self._store(each, evidence.cleared(answered=answered and is_part(each)), now)
+        if cleared:
+            self._update_suspects()
 
     def _merge_row(self, row: EndsRow, now: float) -> None:
         changed_at = now - row.age
-        if row.age > _retention_seconds(len(row.ends)):
+        if row.age > _retention_seconds(row.fingerprint, len(row.ends)):
             return
-        ends = frozenset(row.ends)
-        known = self._by_fingerprint.get(row.fingerprint)
+        known = self._by_trait.get(row.fingerprint)
+        received = read_row(row, now)
+        if row.fingerprint in self._sound:
+            received = replace(received, answered=True)
         if row.age < RECENT_RECORD_SECONDS and (
-            new := ends - (known.ends if known is not None else _NONE)
+            new := frozenset(row.ends) - self._ends(row.fingerprint).keys()
         ):
             self.on_ends(new)
         if known is None:
-            self._store(row.fingerprint, row.series, ends, changed_at)
+            self._store(row.fingerprint, received, changed_at)
             return
-        if row.series < known.series:
-            return
-        if row.series == known.series:
-            ends = frozenset(sorted(ends | known.ends)[:MAX_ENDS])
+        merged = known.evidence.merged(received)
         is_later = changed_at - known.changed_at > RENEWAL_FRACTION * POISON_SECONDS / 2
-        if (row.series, ends) == (known.series, known.ends) and not is_later:
+        if not merged.differs(known.evidence) and not is_later:
             return
-        self._store(row.fingerprint, row.series, ends, max(changed_at, known.changed_at))
+        self._store(row.fingerprint, merged, max(changed_at, known.changed_at))
 
-    def _store(self, name: bytes, series: int, ends: frozenset[int], changed_at: float) -> None:
+    def _store(self, trait: bytes, evidence: Evidence, changed_at: float) -> None:
         self.number += 1
-        self._by_fingerprint[name] = _Record(series, ends, changed_at, self.number)
-        if len(self._by_fingerprint) > MAX_RECORDS:
-            least = min(self._by_fingerprint.items(), key=lambda each: _retention_key(each[1]))
-            del self._by_fingerprint[least[0]]
-
-    def _update_poison(self) -> None:
-        """Recompute which requests are rejected."""
-        attributable = self._attributable_ends()
-        needed = max(self._rate.ends_needed(), _ends_needed(self._repeated_share()))
-        found = frozenset(
-            name
-            for name, count in attributable.items()
-            if count >= (POISON_THRESHOLD if name in self._poison else needed)
+        self._by_trait[trait] = _Record(evidence, changed_at, self.number)
+        if len(self._by_trait) > MAX_RECORDS:
+            least = min(self._by_trait.items(), key=lambda each: _retention_key(each[1]))
+            del self._by_trait[least[0]]
+
+    def _update_suspects(self) -> None:
+        """Compare all traits anew, and remember how many ends are needed at present."""
+        ends = {trait: each.ends for trait, each in self._by_trait.items()}
+        self._poison = frozenset(
+            each for each in self._poison if len(self._ends(each)) >= POISON_THRESHOLD
         )
-        new, self._poison = found - self._poison, found
-        for name in new:
-            logger.bind(
-                content=name.hex(),
-                ends=len(self._by_fingerprint[name].ends),
-                ends_needed=needed,
-                requests_known=len(self._by_fingerprint),
-            ).warning("request ends the endpoints that run it; rejecting it from now on")
-            self.on_poison(name)
+        self._suspects = Suspects(ends, self._poison)
+        self._needed = max(self._rate.ends_needed(), ends_needed(self._repeated_share()))
+        for each in self._suspects:
+            if self._is_cause(each, RequestTraits(each)):
+                self._note_cause(each)
+        if self._suspects:
+            self.on_update()
 
     def _repeated_share(self) -> float:
         """Return the share of requests with an end that met another one when they were retried.
 
         The others were answered then. While replicas end by themselves, this shows within seconds:
         the records are those of all entries, and each entry alone sees too few requests. Requests
-        that may be poison are left out.
+        that may be poison are left out, and so are parts, which are in many requests.
         """
         oldest = self._clock.monotonic() - RATE_HALF_LIFE_SECONDS
         recent = Counter(
-            len(each.ends) for each in self._by_fingerprint.values() if each.changed_at >= oldest
+            len(each.ends)
+            for trait, each in self._by_trait.items()
+            if each.changed_at >= oldest and not is_part(trait)
         )
         again, answered = recent[POISON_THRESHOLD - 1], recent[0]
         return again / (again + answered + PRIOR_ANSWERED_REQUESTS)
 
-    def _attributable_ends(self) -> dict[bytes, int]:
-        """Return how many ends count against each request that has enough of them.
-
-        Prevents the rejection of a request that merely ran at the same endpoints: an end does not
-        count against it if another request at that end has as many ends.
-        """
-        suspects = {
-            name: each.ends
-            for name, each in self._by_fingerprint.items()
-            if len(each.ends) >= POISON_THRESHOLD
-        }
-        # All other requests have fewer ends than these and so do not affect the result.
-        requests_at_end = Counter((end, len(ends)) for ends in suspects.values() for end in ends)
-        return {name: _unshared_ends(ends, requests_at_end) for name, ends in suspects.items()}
-
 
-def _ends_needed(share: float) -> int:
-    """Return the ends after which a request is poison if a share of requests meets one by chance.
-
-    If replicas end every second for other reasons and callers retry until they are served, a fixed
-    threshold of three ends rejects 3 of 400 such requests permanently.
-    """
-    if share <= 0.0:
-        return POISON_THRESHOLD
-    needed = math.ceil(math.log(FALSE_POSITIVE_PROBABILITY) / math.log(share))
-    return min(MAX_POISON_THRESHOLD, max(POISON_THRESHOLD, needed))
-
-
-def _unshared_ends(ends: frozenset[int], requests_at_end: Counter[tuple[int, int]]) -> int:
-    """Return the number of ends that no other request with at least as many ends shares.
-
-    Args:
-        ends: The ends of a request.
-        requests_at_end: Number of requests by end and by how many ends these requests have.
-    """
-    counts = range(len(ends), MAX_ENDS + 1)
-    return sum(1 for end in ends if sum(requests_at_end[end, count] for count in counts) == 1)
-
-
-def _retention_seconds(ends: int) -> float:
-    return POISON_SECONDS if ends >= POISON_THRESHOLD else SUSPECT_SECONDS
+def _retention_seconds(trait: bytes, ends: int) -> float:
+    if ends < POISON_THRESHOLD:
+        return SUSPECT_SECONDS
+    return PART_POISON_SECONDS if is_part(trait) else POISON_SECONDS
 
 
 def _retention_key(record: _Record) -> tuple[int, float]:
@@ -384,21 +421,7 @@
     return len(record.ends), record.changed_at
 
 
-def _row(name: bytes, record: _Record, now: float) -> EndsRow:
-    return EndsRow(name, record.series, sorted(record.ends), max(0.0, now - record.changed_at))
-
-
-def _is_valid(row: EndsRow) -> bool:
-    return (
-        len(row.fingerprint) == FINGERPRINT_BYTES
-        and row.series >= 0
-        and len(row.ends) <= MAX_ENDS
-        and math.isfinite(row.age)
-        and row.age >= 0.0
-    )
-
-
-def _ignore(fingerprint: bytes) -> None:
+def _ignore() -> None:
     return
 
 
--- a/carawayhub/limits/poisonnews.py
+++ b/carawayhub/limits/poisonnews.py
@@ -9,7 +9,8 @@
 from collections.abc import Set
 from dataclasses import dataclass, field
 
-from carawayhub.limits.poison import EndsRow, PoisonRecords
+from carawayhub.limits.evidence import EndsRow
+from carawayhub.limits.poison import PoisonRecords
 
 MAX_ROWS = 32
 """Records in one datagram, 2 KB: usually all that one end produces. The rest follow in later
--- a/carawayhub/peers/messages.py
+++ b/carawayhub/peers/messages.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from carawayhub.limits.poison import EndsRow
+from carawayhub.limits.evidence import EndsRow
 
 
 class ServingState(Enum):
--- a/carawayhub/process/role.py
+++ b/carawayhub/process/role.py
@@ -6,7 +6,7 @@
 
 from carawayhub.config.model import Configuration
 from carawayhub.fleet.membership import Member
-from carawayhub.limits.poison import EndsRow
+from carawayhub.limits.evidence import EndsRow
 from carawayhub.peers.links import Peer
 from carawayhub.peers.messages import (
     EndpointReport,
--- a/tests/test_parts_that_end_replicas.py
+++ b/tests/test_parts_that_end_replicas.py
@@ -1,4 +1,4 @@
-"""Requests that differ but share a part of their prompts that ends each replica which begins them."""
+"""A part of prompts that ends each replica which begins a request with it."""
 
 import unittest
 from collections.abc import Awaitable, Callable
@@ -83,6 +83,99 @@
         """One group of 12 ranks, which each end breaks for seconds."""
         self.play(RequestFleet(entries=7), 60.0, 0.7)
 
+    def test_request_with_the_part_every_quarter_of_a_second(self) -> None:
+        self.play(RequestFleet(entries=6, groups=2, ranks=12), 40.0, 0.25)
+
+    def test_request_with_the_part_every_three_seconds(self) -> None:
+        self.play(RequestFleet(entries=6, groups=2, ranks=12), 60.0, 3.0)
+
+    def test_plain_service_without_groups(self) -> None:
+        fleet = RequestFleet(entries=6, groups=12, ranks=1, plain=True, first_seconds=0.2)
+        self.play(fleet, 40.0, 0.7)
+
+    def test_45_entries_that_lose_datagrams(self) -> None:
+        fleet = RequestFleet(entries=45, groups=3, ranks=24, lost=0.03)
+        self.play(fleet, 30.0, 0.7, rate=20.0)
+
+    def test_98_entries_before_192_replicas_that_lose_datagrams(self) -> None:
+        fleet = RequestFleet(entries=98, groups=3, ranks=64, lost=0.03)
+        self.play(fleet, 20.0, 0.25, rate=40.0)
+
+    def test_entries_that_start_anew_one_after_the_other(self) -> None:
+        fleet = RequestFleet(groups=2, ranks=12, lost=0.03)
+
+        async def restart() -> None:
+            while True:
+                for ip in fleet.ips:
+                    fleet.restart_entry(ip)
+                    await anyio.sleep(1.5)
+
+        self.play(fleet, 40.0, 0.7, restart)
+
+    def test_entries_that_were_cut_off_are_told_when_they_are_back(self) -> None:
+        fleet = RequestFleet(groups=2, ranks=12, lost=0.03)
+
+        async def cut() -> None:
+            while True:
+                await fleet.cut_entry(fleet.rng.choice(fleet.ips), 4.0)
+                await anyio.sleep(1.0)
+
+        self.play(fleet, 40.0, 0.7, cut)
+
+    def test_replicas_that_end_of_themselves_meanwhile(self) -> None:
+        """The first part of a third of the requests is at most of these ends."""
+        fleet = RequestFleet(groups=3, ranks=8, events=20)
+
+        async def end_replicas() -> None:
+            while True:
+                await anyio.sleep(2.0)
+                fleet.rng.choice(list(fleet.by_host.values())).end()
+
+        self.play(fleet, 60.0, 0.7, end_replicas)
+
+
+class Innocent(unittest.TestCase):
+    """Parts of requests that were at replicas which ended of themselves."""
+
+    def play(self, fleet: RequestFleet, gap: float, seconds: float, count: int = 1) -> None:
+        """End replicas again and again, and check that no request is refused for good."""
+
+        async def end_replicas() -> None:
+            while True:
+                await anyio.sleep(gap)
+                for each in fleet.rng.sample(sorted(fleet.by_host), count):
+                    fleet.by_host[each].end()
+
+        async def insist(at: int) -> None:
+            parts = (b"c0", b"a%d" % (at % 3), b"b%d" % (at % 20))
+            for _ in range(4):
+                if (await fleet.ask(b"sound %d" % at, parts=parts)).served:
+                    return
+                await anyio.sleep(0.3)
+
+        async def story() -> None:
+            fleet.start(end_replicas)
+            for at in range(int(seconds * 10)):
+                fleet.start(insist, at)
+                await anyio.sleep(0.1)
+
+        fleet.play(story)
+        self.assertNotIn(REFUSED_FOR_GOOD, {each.status for each in fleet.told})
+
+    def test_one_group_that_breaks_every_four_seconds_with_a_part_in_every_request(self) -> None:
+        for seed in range(4):
+            self.play(RequestFleet(groups=1, ranks=12, events=30, seed=seed), 4.3, 60.0)
+
+    def test_groups_that_break_every_two_seconds(self) -> None:
+        for seed in range(2):
+            self.play(RequestFleet(groups=3, ranks=8, events=30, seed=seed), 2.0, 40.0)
+
+    def test_replicas_that_end_together(self) -> None:
+        """Four of twelve replicas end at one moment, as those of a failure domain do."""
+        for seed in range(4):
+            fleet = RequestFleet(groups=12, ranks=1, events=30, seed=seed)
+            self.play(fleet, 5.0, 40.0, count=4)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_poison_records.py
+++ b/tests/test_poison_records.py
@@ -7,14 +7,13 @@
 from loguru import logger
 
 from carawayhub.clock import ManualClock
-from carawayhub.limits.fingerprint import FINGERPRINT_BYTES, fingerprint
+from carawayhub.limits.evidence import MAX_ENDS, EndsRow
+from carawayhub.limits.fingerprint import FINGERPRINT_BYTES, RequestTraits, fingerprint
 from carawayhub.limits.poison import (
-    MAX_ENDS,
     MAX_RECORDS,
     POISON_SECONDS,
     RENEWAL_FRACTION,
     SUSPECT_SECONDS,
-    EndsRow,
     PoisonRecords,
 )
 from carawayhub.limits.poisonnews import MAX_ROWS, PoisonUpdates
@@ -28,8 +27,8 @@
     logger.enable("carawayhub")
 
 
-def name(number: int) -> bytes:
-    return number.to_bytes(FINGERPRINT_BYTES, "big")
+def name(number: int) -> RequestTraits:
+    return RequestTraits(number.to_bytes(FINGERPRINT_BYTES, "big"))
 
 
 POISON, BYSTANDER = name(1), name(2)
@@ -61,14 +60,14 @@
         self.records = PoisonRecords(self.clock)
 
     def test_three_ends_make_a_request_refused_and_two_do_not(self) -> None:
-        rejected = []
-        self.records.on_poison = rejected.append
+        updates = []
+        self.records.on_update = lambda: updates.append(self.records.is_poison(POISON))
         for endpoint in (7, 8, 8, 7):
             self.records.record_end(POISON, endpoint)
         self.assertFalse(self.records.is_poison(POISON))
         self.records.record_end(POISON, 9)
         self.assertTrue(self.records.is_poison(POISON))
-        self.assertEqual(rejected, [POISON])
+        self.assertEqual((sum(updates), updates[-1]), (1, True))
 
     def test_endpoint_that_starts_again_under_its_id_counts_each_time(self) -> None:
         """Guards against counting the ends of a service's last replica as one.
@@ -88,7 +87,7 @@
             self.records.record_end(POISON, endpoint)
         for endpoint in (1, 2, 9):
             self.records.record_end(BYSTANDER, endpoint)
-        self.assertEqual(self.records.poison, {POISON})
+        self.assertEqual(self.records.poison, {POISON.content})
 
     def test_two_that_were_always_together_are_let_go_until_an_end_parts_them(self) -> None:
         for endpoint in (1, 2, 3):
@@ -96,7 +95,7 @@
             self.records.record_end(BYSTANDER, endpoint)
         self.assertEqual(self.records.poison, frozenset())
         self.records.record_end(POISON, 4)
-        self.assertEqual(self.records.poison, {POISON})
+        self.assertEqual(self.records.poison, {POISON.content})
 
     def test_whole_answer_clears_and_ends_after_it_count_anew(self) -> None:
         for endpoint in (1, 2, 3):
@@ -181,7 +180,7 @@
         second.merge(old)
         self.assertFalse(second.is_poison(POISON))
         third = PoisonRecords(clock)
-        third.merge([EndsRow(POISON, 0, [1, 2, 3], POISON_SECONDS + 1.0)])
+        third.merge([EndsRow(POISON.content, 0, [1, 2, 3], POISON_SECONDS + 1.0)])
         self.assertEqual(len(third), 0)
 
     def test_rows_that_make_no_sense_are_passed_over(self) -> None:
@@ -189,11 +188,11 @@
         records.merge(
             [
                 EndsRow(b"short", 0, [1, 2, 3], 0.0),
-                EndsRow(POISON, -1, [1, 2, 3], 0.0),
-                EndsRow(POISON, 0, list(range(99)), 0.0),
-                EndsRow(POISON, 0, [1, 2, 3], -5.0),
-                EndsRow(POISON, 0, [1, 2, 3], float("nan")),
-                EndsRow(POISON, 0, [1, 2, 3], float("inf")),
+                EndsRow(POISON.content, -1, [1, 2, 3], 0.0),
+                EndsRow(POISON.content, 0, list(range(99)), 0.0),
+                EndsRow(POISON.content, 0, [1, 2, 3], -5.0),
+                EndsRow(POISON.content, 0, [1, 2, 3], float("nan")),
+                EndsRow(POISON.content, 0, [1, 2, 3], float("inf")),
             ]
         )
         self.assertEqual(len(records), 0)
--- a/tests/test_relay_poison.py
+++ b/tests/test_relay_poison.py
@@ -16,6 +16,7 @@
 from carawayhub.codes import Code
 from carawayhub.entry.process import EntryProcess
 from carawayhub.errors import RequestError
+from carawayhub.limits.fingerprint import RequestTraits
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.poisonnews import PoisonUpdates
 from carawayhub.peers.links import Peer
@@ -37,7 +38,7 @@
 WHOLE = [STREAM_HEAD + chunk(event(0)), chunk(DONE) + LAST_CHUNK]
 GONE = None
 APART = 5.0
-CONTENT = b"0" * 12
+CONTENT = RequestTraits(b"0" * 12)
 
 
 def setUpModule() -> None:
@@ -69,7 +70,7 @@
         """
         bench = Bench({"m1": [ENDS, GONE] * 6, "m2": [ENDS, GONE] * 6})
         codes = [await self.again(bench) for _ in range(5)]
-        self.assertEqual(bench.records.ends(model_call(bench.clock).traits.content), 3)
+        self.assertEqual(bench.records.ends(model_call(bench.clock).traits), 3)
         self.assertEqual([each.code for each in codes[-2:]], [Code.POISON_REQUEST] * 2)
         self.assertIsNone(codes[-1].retry_after)
         tried = len(bench.network.connects)
@@ -85,7 +86,7 @@
     async def test_whole_answer_clears_the_call(self) -> None:
         bench = Bench({"m1": [ENDS, GONE, WHOLE] * 3, "m2": [WHOLE] * 9})
         self.assertIsNone(await self.again(bench))
-        self.assertEqual(bench.records.ends(model_call(bench.clock).traits.content), 0)
+        self.assertEqual(bench.records.ends(model_call(bench.clock).traits), 0)
 
 
 class RunOnceCalls(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_requests_that_end_replicas.py
+++ b/tests/test_requests_that_end_replicas.py
@@ -214,7 +214,7 @@
             async def find_out() -> None:
                 await anyio.sleep(0.1)
                 for at in range(3):
-                    first._records.record_end(fleet.fingerprint(b"spoilt"), at)
+                    first._records.record_end(fleet.traits(b"spoilt"), at)
 
             fleet.start(find_out)
             told = await fleet.ask(b"spoilt", second)
@@ -291,7 +291,7 @@
         fleet = RequestFleet(groups=3, ranks=4)
 
         async def story() -> None:
-            name = fleet.fingerprint(b"sound")
+            name = fleet.traits(b"sound")
             for at in range(2):
                 fleet.live[fleet.ips[at]].process._records.record_end(name, at)
             await anyio.sleep(0.5)
