Do not deliver an answer as complete whose end is that of its endpoint

An answer with neither a length nor chunks ends with its connection. One whose endpoint crashed was delivered as complete, a stream with its end and a booking with a length, and the end was not noticed, so what caused it went on to the next endpoint; and no such answer ever spoke for a request. Now an entry opens a connection to the endpoint before it ends such an answer: if nothing listens and no leaving is known, the answer was cut off, the end is recorded and a stream goes on elsewhere; if it listens, the answer is complete and clears what it holds. A stream of this kind without any event is no answer. Cost: one connection for each answer of the kind. The scripted endpoint closes its listener first when it ends, as a process does.

--- a/carawayhub/endpoints/endings.py
+++ b/carawayhub/endpoints/endings.py
@@ -151,6 +151,24 @@
         ).info("endpoint ended under a request" if ended else "answer broke off")
         return ended
 
+    async def verify_end(self, address: Address, *, planned: bool) -> bool:
+        """Return whether an answer that ended with its connection is known to be complete.
+
+        An endpoint that crashes closes its connections as well, but it accepts no further ones.
+        One that leaves as planned may stop right after its last answer.
+
+        Args:
+            address: Address of the endpoint.
+            planned: Whether the endpoint is known to be leaving.
+
+        Raises:
+            RequestError: ANSWER_CUT, the endpoint ended.
+        """
+        listening = await self._probe(address)
+        if listening is Listening.NO and not planned:
+            raise RequestError(Code.ANSWER_CUT, "the endpoint ended with its connection")
+        return listening is Listening.YES or planned
+
     async def _probe(self, address: Address) -> Listening:
         for _ in range(PROBE_ATTEMPTS):
             found = await self._upstream.probe(address)
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -272,10 +272,12 @@
             self._parts.statements.evaluate(progress.call, pool, slot.endpoint, head, sent_at)
             self._check_answer(progress, head)
             if head.is_stream and head.status == OK_STATUS:
-                await self._relay_stream(progress, pool, slot, sent_at, head, response)
+                complete = await self._relay_stream(progress, pool, slot, sent_at, head, response)
             else:
-                await self._relay_complete_answer(progress, slot, sent_at, head, response)
-            if response.framed:
+                complete = await self._relay_complete_answer(
+                    progress, slot, sent_at, head, response
+                )
+            if complete:
                 self._parts.endings.answered(progress.call.traits)
 
     def _check_answer(self, progress: _Progress, head: AnswerHead) -> None:
@@ -312,13 +314,27 @@
         sent_at: float,
         head: AnswerHead,
         response: UpstreamResponse,
-    ) -> None:
+    ) -> bool:
+        """Relay an answer in one piece; return whether it is known to be complete."""
         body = bytearray()
         async for part in response.aiter_stream():
             body += part
+        complete = await self._verify_end(slot.endpoint, response)
         ok = head.status < SERVER_ERROR
         self._parts.health.answered(slot.endpoint.id, self._now() - sent_at, ok=ok)
         await progress.answer.whole(head.status, head.headers, bytes(body))
+        return complete
+
+    async def _verify_end(self, endpoint: Endpoint, response: UpstreamResponse) -> bool:
+        """Return whether the end of an answer is known to be its own end.
+
+        Raises:
+            RequestError: ANSWER_CUT.
+        """
+        if response.framed:
+            return True
+        planned = self._parts.view.endpoint(endpoint.id) is None
+        return await self._parts.endings.verify_end(endpoint.address, planned=planned)
 
     async def _relay_stream(
         self,
@@ -328,7 +344,8 @@
         sent_at: float,
         head: AnswerHead,
         response: UpstreamResponse,
-    ) -> None:
+    ) -> bool:
+        """Relay a stream event by event; return whether it is known to be complete."""
         events = progress.events
         events.restart()
         event_at = sent_at
@@ -348,9 +365,13 @@
             await progress.answer.part(whole)
         if events.unfinished:
             raise RequestError(Code.ANSWER_CUT, "the stream ended in the middle of an event")
+        if not response.framed and not events.complete and not events.last_id:
+            raise RequestError(Code.ANSWER_CUT, "the stream ended before its first event")
+        complete = await self._verify_end(slot.endpoint, response)
         if not progress.answer.started:
             await progress.answer.start(head.status, head.headers)
         await progress.answer.end()
+        return complete
 
     def _upstream_request(
         self, progress: _Progress, pool: ServicePool, slot: Slot
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -110,6 +110,7 @@
         )
         self.tally = Tally()
         upstream = Upstream()
+        self.records = PoisonRecords(self.clock)
         parts = RelayParts(
             clock=self.clock,
             view=self.view,
@@ -119,9 +120,7 @@
             pool=lambda name: pool,
             entries=lambda: 1,
             load=loads.total,
-            endings=Endings(
-                upstream, PoisonRecords(self.clock), self.clock, self.tally.endpoint_ended
-            ),
+            endings=Endings(upstream, self.records, self.clock, self.tally.endpoint_ended),
             statements=ReplicaStatements(rates(self.clock), self.view),
         )
         desk = AdmissionControl(self.view, self.clock, rng, 5.0)
--- a/tests/scripted_endpoint.py
+++ b/tests/scripted_endpoint.py
@@ -1,7 +1,9 @@
 """An endpoint on a loopback port that answers each request as a test says."""
 
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 from anyio.abc import SocketStream
@@ -51,9 +53,11 @@
         self.connections = 0
         self.address = ""
         self._scope: anyio.CancelScope | None = None
+        self._socket: Any = None
 
     async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self._socket = listener.extra(anyio.abc.SocketAttribute.raw_socket)
         bound = listener.extra(anyio.abc.SocketAttribute.local_address)
         self.address = f"{bound[0]}:{bound[1]}"
         task_status.started()
@@ -62,8 +66,9 @@
                 await listener.serve(self._connection)
 
     def end(self) -> None:
-        """End as a crashed process does: all connections close and further ones are refused."""
+        """End as a crashed process does: further connections are refused, and all close."""
         assert self._scope is not None
+        self._socket.shutdown(socket.SHUT_RDWR)
         self._scope.cancel()
 
     async def _connection(self, stream: SocketStream) -> None:
