Take an answer that ends with its connection as cut off if its group stands still

The ranks of a group that lost another one break off what they ran and go on listening, so a stream without chunks that they closed between two events was delivered as complete.

--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -91,6 +91,7 @@
         asked_at: When it asked.
         retry_after: Seconds after which it is told to come back, negative where it is not.
         first_at: When the first part of its body came, 0 for never.
+        events: Events of a stream that came.
     """
 
     content: bytes
@@ -101,6 +102,7 @@
     seconds: float = 0.0
     retry_after: float = -1.0
     first_at: float = 0.0
+    events: int = 0
 
     @property
     def served(self) -> bool:
@@ -247,17 +249,24 @@
             return
         line.send(
             b"HTTP/1.1 200 OK\r\ncarawayhub-request-id: %s\r\ncarawayhub-response-seal: s\r\n%s"
-            b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-            % (request, self._limit_line(line.entry) + self._stated_lines(line))
+            b"content-type: text/event-stream\r\n%s\r\n"
+            % (
+                request,
+                self._limit_line(line.entry) + self._stated_lines(line),
+                b"" if self.fleet.unframed else b"transfer-encoding: chunked\r\n",
+            )
         )
         await anyio.sleep(self.fleet.first_seconds)
         for number in range(1, self.fleet.events + 1):
             await anyio.sleep(self.fleet.event_seconds)
             if line not in self.running or self._stands_still():
                 return
-            line.send(chunk(event(number)))
+            line.send(event(number) if self.fleet.unframed else chunk(event(number)))
         del self.running[line]
-        line.send(chunk(b""))
+        if self.fleet.unframed:
+            line.cut()
+        else:
+            line.send(chunk(b""))
 
     async def _answer_whole(self, line: Line, request: bytes) -> None:
         """Answer as a plain service does."""
@@ -425,6 +434,7 @@
             return
         if message["body"] and not told.first_at:
             told.first_at = _now()
+        told.events += message["body"].count(b"id: ")
         told.whole = not message.get("more_body", False)
 
 
@@ -446,6 +456,7 @@
         wasted: Requests that reached a group which stood still.
         stalls: Whether ranks hold what comes until their group has noticed its loss.
         tells_groups: Whether ranks register whether their group stands.
+        unframed: Whether streams have neither a length nor chunks and end with their connection.
         plain: Whether the replicas are those of a plain service and not ranks.
         ending: Contents that end each replica that begins them.
         ending_parts: Parts of prompts that end each replica that begins a request with them.
@@ -473,6 +484,7 @@
     wasted: int = 0
     stalls: bool = False
     tells_groups: bool = False
+    unframed: bool = False
     plain: bool = False
     ending: set[bytes] = field(default_factory=set)
     ending_parts: set[bytes] = field(default_factory=set)
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -333,6 +333,9 @@
         """
         if response.framed:
             return True
+        if not self._parts.view.is_group_available(endpoint):
+            # Ranks of a group that stands still break off their answers and go on listening.
+            raise RequestError(Code.ANSWER_CUT, "the group stands still")
         planned = self._parts.view.endpoint(endpoint.id) is None
         return await self._parts.endings.verify_end(endpoint.address, planned=planned)
 
--- a/tests/test_parts_that_end_replicas.py
+++ b/tests/test_parts_that_end_replicas.py
@@ -133,6 +133,12 @@
 
         self.play(fleet, 60.0, 0.7, end_replicas)
 
+    def test_streams_that_end_with_their_connection(self) -> None:
+        fleet = RequestFleet(groups=2, ranks=12, unframed=True)
+        self.play(fleet, 40.0, 0.7)
+        served = {each.events for each in fleet.told if each.served}
+        self.assertEqual(served, {fleet.events})
+
 
 class Innocent(unittest.TestCase):
     """Parts of requests that were at replicas which ended of themselves."""
