Identify messages that calls of the own interface share

The same cause elsewhere: the product's own entries knew a call by its whole body, so calls that differ but share a message which ends engines were sent to one engine after the other. The messages of a model call but the last are its parts now; their hashes do not depend on what stands before them, unlike those of prompt blocks. The test failed before: seven calls, an end each time that an engine was there, none refused; now three ends.

--- a/carawayhub/entry/calls.py
+++ b/carawayhub/entry/calls.py
@@ -22,6 +22,7 @@
     REQUEST_ID_HEADER,
     TICKET_HEADER,
 )
+from carawayhub.entry.prompts import prompt_parts
 from carawayhub.errors import RequestError
 from carawayhub.limits.fingerprint import RequestTraits, fingerprint
 
@@ -106,9 +107,11 @@
     @property
     def traits(self) -> RequestTraits:
         """What the call may have in common with others; computed on each access."""
-        return RequestTraits(
-            fingerprint(self.organisation.name, self.method, "", self.path.encode(), self.body)
+        content = fingerprint(
+            self.organisation.name, self.method, "", self.path.encode(), self.body
         )
+        is_model_call = isinstance(self.target, ModelTarget)
+        return RequestTraits(content, prompt_parts(self.body) if is_model_call else ())
 
     @property
     def repeatable(self) -> bool:
--- a/carawayhub/entry/prompts.py
+++ b/carawayhub/entry/prompts.py
@@ -1,4 +1,4 @@
-"""Hashes the prefix blocks of a prompt in the way engines identify their cache blocks.
+"""Hashes of prompts: blocks in the way engines identify their cache blocks, and messages.
 
 The prompt's text is split into blocks of 64 characters; messages are written as ``role: text`` and
 joined by newlines. Each block's hash is BLAKE2b (8 bytes) over the previous hash and the block, so
@@ -7,9 +7,12 @@
 """
 
 import hashlib
+from itertools import islice
 
 import msgspec
 
+from carawayhub.limits.fingerprint import MAX_PARTS, part_fingerprint
+
 BLOCK_CHARS = 64
 HASH_BYTES = 8
 MAX_BLOCKS = 64
@@ -25,6 +28,11 @@
     prompt: str | list[msgspec.Raw] | None = None
 
 
+class _Conversation(msgspec.Struct):
+    model: str = ""
+    messages: list[msgspec.Raw] = []
+
+
 def prompt_blocks(body: bytes) -> tuple[int, ...]:
     """Return the hashes of the leading full blocks of a model call's prompt, at most 64.
 
@@ -38,6 +46,21 @@
     return _hashes(_text(fields))
 
 
+def prompt_parts(body: bytes) -> tuple[bytes, ...]:
+    """Return the fingerprints of the messages of a model call that other calls may share.
+
+    That is all but the last one. Unlike the hash of a block, that of a message does not depend on
+    what is before it.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=_Conversation)
+    except (msgspec.DecodeError, RecursionError):
+        return ()
+    shared = dict.fromkeys(bytes(each) for each in fields.messages[:-1])
+    model = fields.model.encode()
+    return tuple(part_fingerprint(model, each) for each in islice(shared, MAX_PARTS))
+
+
 def _text(fields: _Prompt) -> str:
     if fields.messages is None:
         return fields.prompt if isinstance(fields.prompt, str) else ""
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -504,6 +504,7 @@
     @given(BODIES)
     def test_a_prompt_of_any_bytes_has_blocks_or_none(self, body: bytes) -> None:
         self.assertIsInstance(prompts.prompt_blocks(body), tuple)
+        self.assertIsInstance(prompts.prompt_parts(body), tuple)
 
     def test_json_that_is_nested_without_end_is_refused(self) -> None:
         """A request ends in an internal error without an error code.
@@ -517,6 +518,7 @@
             anyio.run(Desk().ask, caller)
             self.assertEqual(caller.code, Code.BODY_MALFORMED)
             self.assertEqual(prompts.prompt_blocks(body), ())
+            self.assertEqual(prompts.prompt_parts(body), ())
 
 
 if __name__ == "__main__":
--- a/tests/test_relay_poison.py
+++ b/tests/test_relay_poison.py
@@ -6,6 +6,7 @@
 """
 
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 import msgspec
@@ -14,6 +15,7 @@
 from carawayhub.addresses import Address
 from carawayhub.clock import ManualClock
 from carawayhub.codes import Code
+from carawayhub.entry.calls import Call
 from carawayhub.entry.process import EntryProcess
 from carawayhub.errors import RequestError
 from carawayhub.limits.fingerprint import RequestTraits
@@ -77,6 +79,29 @@
         await self.again(bench)
         self.assertEqual(len(bench.network.connects), tried)
 
+    async def test_calls_that_share_a_message_are_refused_for_it(self) -> None:
+        """Guards against calls that differ, each of which ends an engine by the same message."""
+
+        def call(bench: Bench, shared: str, number: int) -> Call:
+            messages = [
+                {"role": "system", "content": "tempo"},
+                {"role": "user", "content": shared},
+                {"role": "user", "content": f"line {number}"},
+            ]
+            body = msgspec.json.encode({"model": "cat", "stream": True, "messages": messages})
+            return replace(model_call(bench.clock), body=body)
+
+        bench = Bench({name: [ENDS, GONE] * 9 for name in NAMES})
+        codes = []
+        for at in range(7):
+            bench.clock.advance(APART)
+            for name in NAMES:
+                bench.report(name)
+            codes.append((await bench.failure(call(bench, "the message", at))).code)
+        self.assertEqual(codes[-2:], [Code.POISON_REQUEST] * 2)
+        self.assertEqual(bench.records.ends(call(bench, "the message", 9).traits), 3)
+        self.assertFalse(bench.records.is_poison(call(bench, "another", 0).traits))
+
     async def test_engine_that_breaks_connections_and_lives_ends_under_nothing(self) -> None:
         bench = Bench({"m1": [ENDS] * 9, "m2": [ENDS] * 9})
         for _ in range(4):
