--- a/tests/test_parts_that_end_replicas.py
+++ b/tests/test_parts_that_end_replicas.py
@@ -2,13 +2,17 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest.mock import patch
 
 import anyio
 from loguru import logger
 
 from benchmarks.request_fleet import RequestFleet
+from carawayhub.limits.blame import Suspects
 from carawayhub.limits.endrate import POISON_THRESHOLD
 from carawayhub.limits.fingerprint import part_fingerprint
+from carawayhub.limits.parthistory import PartHistory
+from carawayhub.platform import headers
 
 LATE_SENDS_ALLOWED = 3
 """Requests with a part that may reach replicas after its fifth end."""
@@ -180,6 +184,25 @@
         self.assertLessEqual(len(fleet.late_part_sends(b"bad1")), LATE_SENDS_ALLOWED)
 
 
+class Variants(unittest.TestCase):
+    """Variants of the product that blame too much or too little fail the plays above."""
+
+    def test_variant_that_knows_whole_requests_only_is_found(self) -> None:
+        with (
+            patch.object(headers, "_shared_parts", lambda *args: ()),
+            self.assertRaisesRegex(AssertionError, "not less than or equal to 3"),
+        ):
+            Shared().play(RequestFleet(entries=7), 40.0, 0.7)
+
+    def test_variant_that_blames_every_part_of_the_request_is_found(self) -> None:
+        with (
+            patch.object(Suspects, "_explains", lambda *args: False),
+            patch.object(PartHistory, "was_answered", lambda *args: False),
+            self.assertRaisesRegex(AssertionError, "400 unexpectedly found"),
+        ):
+            Shared().play(RequestFleet(entries=7), 40.0, 0.7)
+
+
 class Lifted(unittest.TestCase):
     """An operator lifts a rejection."""
 
