Resume streams that have begun though a part of their prompt was never answered

Requests with a part that nothing speaks for yet are not sent again within one attempt once an end is known under it. That broke streams which were under way at a replica that ended of itself: of 30 two, where all went on before. The cause of an end acts as an answer begins, so a stream that has begun is resumed as before.

--- a/carawayhub/endpoints/endings.py
+++ b/carawayhub/endpoints/endings.py
@@ -93,7 +93,7 @@
         self._records.record_repeat(traits)
         raise self._rejection(traits)
 
-    def may_resend(self, traits: RequestTraits, sends: int) -> bool:
+    def may_resend(self, traits: RequestTraits, sends: int, *, begun: bool = False) -> bool:
         """Return whether a request may be sent again within one attempt of its caller.
 
         Where one more end would make the request poison, an attempt is sent to one endpoint only
@@ -104,10 +104,16 @@
         Args:
             traits: What the request may have in common with others.
             sends: Number of times this attempt was sent.
+            begun: Whether a part of the answer came. Such a stream is resumed unless its whole
+                content is suspected, since causes act when an answer begins.
         """
         if self._records.is_poison(traits):
             return False
-        return not sends or not self._records.may_become_poison(traits)
+        if not sends:
+            return True
+        return not self._records.may_become_poison(
+            RequestTraits(traits.content) if begun else traits
+        )
 
     @contextmanager
     def waiting(self, traits: RequestTraits) -> Iterator[None]:
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -166,7 +166,9 @@
 
     def _may_resend(self, progress: _Progress) -> bool:
         """Return whether a request may be sent again, given the endpoints that ended running it."""
-        return self._parts.endings.may_resend(progress.call.traits, progress.sends)
+        return self._parts.endings.may_resend(
+            progress.call.traits, progress.sends, begun=bool(progress.events.last_id)
+        )
 
     async def _wait_for_slot(self, progress: _Progress, pool: ServicePool) -> Slot | None:
         """Wait for a slot for a request that endpoints refused, and return it.
--- a/tests/test_parts_that_end_replicas.py
+++ b/tests/test_parts_that_end_replicas.py
@@ -184,6 +184,27 @@
         self.assertLessEqual(len(fleet.late_part_sends(b"bad1")), LATE_SENDS_ALLOWED)
 
 
+class Beside(unittest.TestCase):
+    """Requests with a part that was never answered, at a replica that ends of itself."""
+
+    def test_stream_that_has_begun_goes_on_at_another_group(self) -> None:
+        """Guards against broken streams for a part of which nothing is known yet."""
+        fleet = RequestFleet(groups=2, ranks=6, events=30)
+
+        async def story() -> None:
+            for at in range(30):
+                fleet.start(self.ask, fleet, at)
+            await anyio.sleep(0.5)
+            max(fleet.by_host.values(), key=lambda each: len(each.running)).end()
+            await anyio.sleep(6.0)
+
+        fleet.play(story)
+        self.assertEqual([each.served for each in fleet.told], [True] * 30)
+
+    async def ask(self, fleet: RequestFleet, at: int) -> None:
+        await fleet.ask(b"sound %d" % at, parts=(b"new%d" % at,))
+
+
 class Variants(unittest.TestCase):
     """Variants of the product that blame too much or too little fail the plays above."""
 
