--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -10,9 +10,9 @@
 Other requests that run at the same endpoints end with them. Four rules distinguish them. A complete
 answer clears all ends of the request's traits; for its parts, so does an answer that went on at an
 endpoint which survived. An end counts against a request only if no other request at that end has a
-trait with as many ends; see ``blame``. A part that was answered completely before, or that most
-requests have, needs more ends, and one that is both is never rejected.
-If endpoints end so often that requests meet three ends by chance, more ends are needed as well.
+trait with as many ends; see ``blame``. More ends are needed for a part that was answered completely
+before or that most requests have, while one that is both is never rejected, and if endpoints end so
+often that requests meet three ends by chance.
 
 Records of several entries are merged by union, so the order, number of deliveries and path do not
 matter. Nothing here outlives the process.
@@ -250,9 +250,7 @@
         ends = self._ends(trait).keys()
         if not ends:
             return False
-        logger.bind(trait=trait.hex(), ends=len(self._ends(trait))).warning(
-            "an operator cleared what was suspected of ending endpoints"
-        )
+        logger.bind(trait=trait.hex(), ends=len(ends)).warning("an operator lifted a rejection")
         self._clear([each for each in self._by_trait if ends & self._ends(each).keys()])
         return True
 
@@ -378,7 +376,7 @@
             if each in self._suspects:
                 self._counts["cleared"] += 1
                 logger.bind(trait=each.hex(), ends=len(self._ends(each))).info(
-                    "an answer cleared what was suspected of ending endpoints"
+                    "what was suspected of ending endpoints is cleared"
                 )
             evidence = self._by_trait[each].evidence
             self._store(each, evidence.cleared(answered=answered and is_part(each)), now)
