Tell callers and logs which part of a prompt a request is refused for

A request that was never run was told that endpoints ended each time they ran it, where a part of its prompt is the reason. The text of 2034 names both cases and how long each lasts; the detail in the log names the part's fingerprint, which an operator can look up or lift.

--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -282,8 +282,8 @@
     Code.POISON_REQUEST: Meaning(
         _NOT_RUN,
         400,
-        "endpoints ended each time they ran this request, it is not run again",
-        "change the request; the same one is refused until nobody has sent it for an hour",
+        "endpoints ended each time they ran this request or others with a part of it",
+        "change the request; it is refused until nobody has sent it for an hour, a part for 10 min",
     ),
     Code.ANSWER_CUT: Meaning(
         _UNKNOWN, 502, "the answer broke off before its end", "repeat it if it may be repeated"
--- a/carawayhub/endpoints/endings.py
+++ b/carawayhub/endpoints/endings.py
@@ -200,4 +200,6 @@
 
     def _rejection(self, traits: RequestTraits) -> RequestError:
         ends = self._records.ends(traits)
-        return RequestError(Code.POISON_REQUEST, f"{ends} endpoints ended under it")
+        cause = self._records.cause(traits)
+        what = f"part {cause.hex()}" if cause in traits.parts else "it"
+        return RequestError(Code.POISON_REQUEST, f"{ends} endpoints ended under {what}")
--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -167,7 +167,18 @@
 
     def is_poison(self, traits: RequestTraits) -> bool:
         """Return whether a request must be rejected."""
-        return self._cause(traits) is not None
+        return self.cause(traits) is not None
+
+    def cause(self, traits: RequestTraits) -> bytes | None:
+        """Return the trait for which a request must be rejected, None if it is allowed.
+
+        Of several, it is the last one: the first parts of prompts are shared the most.
+        """
+        for each in reversed(traits.all):
+            if each in self._suspects and self._is_cause(each, traits):
+                self._note_cause(each)
+                return each
+        return None
 
     def ends(self, traits: RequestTraits) -> int:
         """Return the most endpoints that ended under one trait of a request."""
@@ -230,7 +241,7 @@
 
         A part is not prolonged: it is rejected for a limited time.
         """
-        cause = self._cause(traits)
+        cause = self.cause(traits)
         if cause is None:
             return
         self._counts["part" if is_part(cause) else "content"] += 1
@@ -300,17 +311,6 @@
         record = self._by_trait.get(trait)
         return record.ends if record is not None else {}
 
-    def _cause(self, traits: RequestTraits) -> bytes | None:
-        """Return the trait for which a request must be rejected, None if it is allowed.
-
-        Of several, it is the last one: the first parts of prompts are shared the most.
-        """
-        for each in reversed(traits.all):
-            if each in self._suspects and self._is_cause(each, traits):
-                self._note_cause(each)
-                return each
-        return None
-
     def _is_cause(self, trait: bytes, traits: RequestTraits) -> bool:
         return self._suspects.counted_ends(trait, traits) >= self._ends_needed(trait)
 
--- a/tests/test_parts_that_end_replicas.py
+++ b/tests/test_parts_that_end_replicas.py
@@ -229,6 +229,11 @@
 
     def test_part_that_an_operator_lists_is_allowed_at_all_entries(self) -> None:
         fleet = RequestFleet(groups=4, ranks=3, ending_parts={SPOILT})
+        logger.enable("carawayhub")
+        self.addCleanup(logger.disable, "carawayhub")
+        found = []
+        sink = logger.add(lambda each: found.append(each.record["extra"].get("detail", "")))
+        self.addCleanup(logger.remove, sink)
 
         async def ask(number: int) -> int:
             return (await fleet.ask(b"%d" % number, parts=(b"a0", SPOILT))).status
@@ -238,6 +243,7 @@
                 await ask(number)
                 await anyio.sleep(1.0)
             self.assertEqual(await ask(90), REFUSED_FOR_GOOD)
+            self.assertIn(part_fingerprint(b"", SPOILT).hex(), " ".join(found))
             fleet.ending_parts.clear()
             fleet.lifted = frozenset({part_fingerprint(b"", SPOILT)})
             fleet.live[fleet.ips[0]].process._reload()
