--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -13,6 +13,7 @@
 from benchmarks.soak_callers import Callers
 from benchmarks.soak_deciders import beside_each_other
 from benchmarks.soak_groups import GroupSoak
+from benchmarks.soak_parts import PartSoak
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -161,6 +162,14 @@
         checker=Soak._check_announced,
         variants=("ignores-announced",),
     ),
+    Promise(
+        name="part of prompts that ends replicas is refused, and nothing else",
+        seen="arrivals and ends at replicas, statuses at callers",
+        bound="3 from 3 s after the fifth end; no 400 for sound requests, half of them served",
+        excused="entries that restarted or froze within 3 s",
+        checker=PartSoak._check,
+        variants=("knows-whole-requests", "blames-every-part"),
+    ),
     Promise(
         name="rate limits of replicas",
         seen="arrivals in windows of 4 s",
--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -41,7 +41,7 @@
 """Requests answered after a first end that are added to those in the records, which may be few."""
 
 MAX_RECORDS = 512
-"""Maximum number of recorded traits, 0.4 MB: enough for twenty ends with a dozen requests each.
+"""Maximum number of recorded traits, 1 MB: enough for twenty ends with a dozen requests each.
 Beyond it, the traits with the fewest ends are evicted first, the oldest of them before others."""
 
 RECENT_RECORD_SECONDS = 2.0
@@ -305,7 +305,8 @@
         ]
         for trait in old:
             del self._by_trait[trait]
-        self._update_suspects()
+        if old or self._suspects:
+            self._update_suspects()
 
     def _ends(self, trait: bytes) -> dict[int, End]:
         record = self._by_trait.get(trait)
--- a/tests/broken_entries.py
+++ b/tests/broken_entries.py
@@ -18,7 +18,10 @@
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.revision import Eras, Revision
 from carawayhub.gateway.view import FleetView
-from carawayhub.platform import mirror, published
+from carawayhub.limits.blame import Suspects, is_part
+from carawayhub.limits.parthistory import PartHistory
+from carawayhub.limits.poison import PoisonRecords
+from carawayhub.platform import headers, mirror, published
 from carawayhub.platform.__main__ import main
 
 VARIABLE = "CARAWAYHUB_TEST_BROKEN"
@@ -139,6 +142,23 @@
     Eras.accept_from_peer = lambda self, era, peer: True  # type: ignore[method-assign]
 
 
+def _knows_whole_requests() -> None:
+    """Take no notice of the parts of prompts."""
+    headers._shared_parts = lambda *args: ()
+
+
+def _blames_every_part() -> None:
+    """Blame each part that was at several ends, also the first one that all callers share."""
+    clear = PoisonRecords._clear
+
+    def clear_contents(self: PoisonRecords, traits: Any, *, answered: bool = False) -> None:
+        clear(self, [each for each in traits if not is_part(each)], answered=answered)
+
+    PoisonRecords._clear = clear_contents  # type: ignore[method-assign]
+    Suspects._explains = lambda self, rival, trait: False  # type: ignore[method-assign]
+    PartHistory.was_answered = lambda self, part: False  # type: ignore[method-assign]
+
+
 _WAITING: dict[int, list[tuple[float, Any]]] = {}
 
 VARIANTS: dict[str, Callable[[], None]] = {
@@ -151,6 +171,8 @@
     "ignores-backoff": _ignores_backoff,
     "ignores-announced": _ignores_announced,
     "one-era": _one_era,
+    "knows-whole-requests": _knows_whole_requests,
+    "blames-every-part": _blames_every_part,
 }
 
 
