Count only the events that an endpoint sent itself before its answer broke off

An attempt that broke off before its head was counted with the events of the attempt before: it could clear a part that it said nothing about. Found on reading the change; the test failed before (2 and 2 for 2 and 0).

--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -267,6 +267,7 @@
         self, progress: _Progress, pool: ServicePool, slot: Slot, sent_at: float
     ) -> None:
         req = self._upstream_request(progress, pool, slot)
+        progress.events.restart()
         async with self._parts.upstream.open(req) as response:
             head = self._parts.wire.answer(response.status, list(response.headers))
             if head.misdirected:
@@ -352,7 +353,6 @@
     ) -> bool:
         """Relay a stream event by event; return whether it is known to be complete."""
         events = progress.events
-        events.restart()
         event_at = sent_at
         async for data in response.aiter_stream():
             whole = events.feed(data)
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -13,6 +13,7 @@
 )
 from carawayhub.platform.headers import PlatformWire
 from tests.entry_harness import EntryHarness
+from tests.scripted_endpoint import ClosedError, chunk, event, stream_head
 
 
 def parts_of(*values: bytes, model: bytes = b"m") -> tuple[bytes, ...]:
@@ -80,6 +81,23 @@
         self.assertEqual(line["parts"], [part_fingerprint(b"", b"5c1e07a2").hex()])
         self.assertEqual(line["events"], 0)
 
+    def test_attempt_without_an_event_does_not_inherit_those_of_the_one_before(self) -> None:
+        """Guards against blame or clearing by events that another endpoint sent."""
+        found = []
+        sink = logger.add(lambda each: found.append(each.record["extra"]), level="INFO")
+
+        async def breaks(stream, taken) -> None:
+            if "last-event-id" not in taken.headers:
+                await stream.send(stream_head(taken) + chunk(event(1)) + chunk(event(2)))
+            raise ClosedError
+
+        async def scenario(harness: EntryHarness) -> None:
+            await harness.ask()
+
+        EntryHarness([breaks, breaks], attempts=2).run(scenario)
+        logger.remove(sink)
+        self.assertEqual([each["events"] for each in found if "listening" in each], [2, 0])
+
 
 if __name__ == "__main__":
     unittest.main()
