Tell an entry again of an answer that it has forgotten

An entry that evicted or never had the record of an answer counts ends from before it, and its peers ignored these for good: a request that it saw end three more endpoints was not refused elsewhere. Found on reading the change; the test failed before. A row with an older count now makes the receiver announce its own record again, once for each such row.

--- a/carawayhub/limits/poison.py
+++ b/carawayhub/limits/poison.py
@@ -399,6 +399,10 @@
         if known is None:
             self._store(row.fingerprint, received, changed_at)
             return
+        if received.series < known.evidence.series:
+            # The peer does not know of an answer, so what it records would be ignored.
+            self._store(row.fingerprint, known.evidence, known.changed_at)
+            return
         merged = known.evidence.merged(received)
         is_later = changed_at - known.changed_at > RENEWAL_FRACTION * POISON_SECONDS / 2
         if not merged.differs(known.evidence) and not is_later:
--- a/tests/test_poison_records.py
+++ b/tests/test_poison_records.py
@@ -363,6 +363,22 @@
         third.merge([EndsRow(POISON.content, 0, [1, 2, 3], POISON_SECONDS + 1.0)])
         self.assertEqual(len(third), 0)
 
+    def test_entry_that_forgot_an_answer_is_told_of_it_again(self) -> None:
+        """Guards against ends that peers ignore since the entry counts from before the answer."""
+        clock = ManualClock(5.0)
+        first, second = PoisonRecords(clock), PoisonRecords(clock)
+        first.record_end(POISON, 1)
+        first.record_answer(POISON)
+        second.record_end(POISON, 2)
+        known = first.number
+        first.merge(second.after(0, 9).rows)
+        second.merge(first.after(known, 9).rows)
+        for endpoint in (3, 4, 5):
+            clock.advance(3.0)
+            second.record_end(POISON, endpoint)
+        first.merge(second.after(0, 9).rows)
+        self.assertTrue(first.is_poison(POISON))
+
     def test_rows_that_make_no_sense_are_passed_over(self) -> None:
         records = PoisonRecords(ManualClock(5.0))
         records.merge(
