Clear nothing by an answer whose endpoint has left since

An answer without a length that ended with its connection counted as complete if its endpoint was known to be leaving and listened no more. Whether it ended by itself or with its endpoint cannot be told then: it is delivered as before, and clears nothing it held. Found on reading the change; the test failed before.

--- a/carawayhub/endpoints/endings.py
+++ b/carawayhub/endpoints/endings.py
@@ -182,7 +182,7 @@
         listening = await self._probe(address)
         if listening is Listening.NO and not planned:
             raise RequestError(Code.ANSWER_CUT, "the endpoint ended with its connection")
-        return listening is Listening.YES or planned
+        return listening is Listening.YES
 
     async def _probe(self, address: Address) -> Listening:
         for _ in range(PROBE_ATTEMPTS):
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -2,10 +2,16 @@
 
 import unittest
 
+import anyio
 from loguru import logger
 
+from carawayhub.addresses import Address
+from carawayhub.clock import SystemClock
+from carawayhub.endpoints.endings import Endings
+from carawayhub.endpoints.upstream import Listening
 from carawayhub.gateway.model import Repeat
 from carawayhub.limits.fingerprint import part_fingerprint
+from carawayhub.limits.poison import PoisonRecords
 from tests.entry_harness import EntryHarness
 from tests.scripted_endpoint import SEAL, ClosedError, Taken, event
 
@@ -43,7 +49,7 @@
 class Unframed(unittest.TestCase):
     """What callers get, and what is learned of the request."""
 
-    def ask(self, script, repeat: Repeat = Repeat.STREAM, ends: bool = False):
+    def ask(self, script, repeat: Repeat = Repeat.STREAM, ends: bool = False, extra: bytes = b""):
         """Send a request with a part that two endpoints ended under; return the reply."""
         found = []
 
@@ -54,7 +60,7 @@
                 harness.endpoints[0].end()
 
         async def scenario(harness: EntryHarness) -> None:
-            found.append(await harness.ask(harness.request(extra=PARTS)))
+            found.append(await harness.ask(harness.request(extra=PARTS + extra)))
 
         harness = EntryHarness([and_end if ends else script], repeat=repeat)
         harness.run(scenario)
@@ -102,6 +108,22 @@
         self.assertNotIn(b"li\n", reply.body)
         self.assertFalse(self.harness.records._was_answered(PART))
 
+    def test_answer_of_an_endpoint_that_left_speaks_for_nothing(self) -> None:
+        """Guards against clearing by an answer that may have ended with its endpoint."""
+        records, found = PoisonRecords(SystemClock()), []
+
+        class Refusing:
+            async def probe(self, address: Address) -> Listening:
+                return Listening.NO
+
+        endings = Endings(Refusing(), records, SystemClock(), lambda service: None)
+
+        async def verify() -> None:
+            found.append(await endings.verify_end(Address("127.0.0.1", 1), planned=True))
+
+        anyio.run(verify)
+        self.assertEqual(found, [False])
+
     def test_stream_without_an_event_is_no_answer(self) -> None:
         self.assertEqual(self.ask(sends_and_closes()).status, 502)
         self.assertFalse(self.harness.records._was_answered(PART))
