Deliver a resumed stream that has no event left

A stream without a length and without an event is no answer, unless its caller resumed it after the last event: such a caller was told 502 though it had everything. Found on reading the change; the test failed before.

--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -370,7 +370,8 @@
             await progress.answer.part(whole)
         if events.unfinished:
             raise RequestError(Code.ANSWER_CUT, "the stream ended in the middle of an event")
-        if not response.framed and not events.complete and not events.last_id:
+        resumed = events.last_id or progress.call.req.last_event_id
+        if not response.framed and not events.complete and not resumed:
             raise RequestError(Code.ANSWER_CUT, "the stream ended before its first event")
         complete = await self._verify_end(slot.endpoint, response)
         if not progress.answer.started:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -124,6 +124,11 @@
         anyio.run(verify)
         self.assertEqual(found, [False])
 
+    def test_resumed_stream_that_has_nothing_left_is_delivered(self) -> None:
+        """Guards against a caller who has all events and is told that the stream broke off."""
+        reply = self.ask(sends_and_closes(), extra=b"Last-Event-Id: 2\r\n")
+        self.assertEqual((reply.status, reply.whole), (200, True))
+
     def test_stream_without_an_event_is_no_answer(self) -> None:
         self.assertEqual(self.ask(sends_and_closes()).status, 502)
         self.assertFalse(self.harness.records._was_answered(PART))
