--- a/carawayhub/gateway/freshness.py
+++ b/carawayhub/gateway/freshness.py
@@ -1,5 +1,6 @@
 """Ages of the newest proof at which an entry reads the store, derived from the fleet's bounds."""
 
+import math
 from dataclasses import dataclass
 
 KEY_BOUND_FRACTION = 0.5
@@ -26,16 +27,19 @@
         config_apply: Until a configuration is in force.
         drain: Until a draining endpoint gets no new requests.
         revoke_after: Until a revoked key is rejected.
+        evacuate: Until an evacuated failure domain gets no requests, infinite if not stated.
     """
 
     config_apply: float
     drain: float
     revoke_after: float
+    evacuate: float = math.inf
 
     @property
     def shortest(self) -> float:
         """Seconds within which every change must have reached every entry."""
-        return min(self.config_apply, self.drain, self.revoke_after * KEY_BOUND_FRACTION)
+        keys = self.revoke_after * KEY_BOUND_FRACTION
+        return min(self.config_apply, self.drain, self.evacuate, keys)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/carawayhub/gateway/model.py
+++ b/carawayhub/gateway/model.py
@@ -63,6 +63,7 @@
         resumable: Whether a stream may be resumed at another endpoint after its last complete
             event.
         shares: Services that receive its requests.
+        regions: Regions in which its requests may run, empty for any.
     """
 
     name: str
@@ -77,6 +78,7 @@
     public: bool
     resumable: bool
     shares: tuple[Share, ...]
+    regions: frozenset[str] = frozenset()
 
     @property
     def stream_timeout(self) -> float:
@@ -160,12 +162,16 @@
         health_path: Path of the health check.
         connections: Maximum number of connections to one endpoint from all entries together.
         engine: Performance profile of its engines, None for a plain service.
+        cold_seconds: Seconds for which an endpoint is cold after its start, 0 if it never is.
+        cold_rate: Requests per second that a cold endpoint accepts from all entries together.
     """
 
     name: str
     health_path: str
     connections: int
     engine: EngineProfile | None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,10 +181,12 @@
     Attributes:
         name: Name of the organisation.
         priority: Priority that overrides the route's, or None.
+        regions: Regions in which its requests may run, empty for any.
     """
 
     name: str
     priority: int | None
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -294,6 +302,7 @@
         state: Registered state.
         membership: Membership in a lock-step group, None if it belongs to none.
         registered: Revision at which it registered; later ones are greater.
+        cold_left: Seconds for which it stays cold, as of the writing of the registration.
     """
 
     id: str
@@ -305,6 +314,7 @@
     state: EndpointState
     membership: GroupMembership | None = None
     registered: Revision = Revision()
+    cold_left: float = 0.0
 
 
 def superseded(endpoints: Iterable[Endpoint]) -> frozenset[str]:
--- a/carawayhub/gateway/ports.py
+++ b/carawayhub/gateway/ports.py
@@ -52,7 +52,38 @@
     revision: Revision
 
 
-Change = TablePublished | EndpointPublished | EndpointRemoved | EndpointUnreadable
+@dataclass(frozen=True, slots=True)
+class DomainEvacuated:
+    """Operators requested that the endpoints of a failure domain get no more requests.
+
+    Attributes:
+        domain: The failure domain.
+        revision: Revision at which the request was written.
+    """
+
+    domain: str
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationEnded:
+    """Operators withdrew the evacuation of a failure domain.
+
+    Attributes:
+        domain: The failure domain.
+    """
+
+    domain: str
+
+
+Change = (
+    TablePublished
+    | EndpointPublished
+    | EndpointRemoved
+    | EndpointUnreadable
+    | DomainEvacuated
+    | EvacuationEnded
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -3,8 +3,8 @@
 import random
 import signal
 from collections import Counter
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 import anyio
 from loguru import logger
@@ -65,6 +65,21 @@
 """Fraction of the grace period after which connections are closed with their next answer."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmResources:
+    """Resources of the VM of an entry; 0 stands for unknown.
+
+    Attributes:
+        cores: Processor time that the process gets, in cores.
+        memory: Bytes of memory that the process may use.
+        descriptors: Maximum number of open files and sockets.
+    """
+
+    cores: float = 0.0
+    memory: int = 0
+    descriptors: int = 0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GatewayOptions:
     """Options of a gateway entry.
@@ -83,6 +98,13 @@
         retry_ratio: Retries allowed per request of a service.
         retry_extra: Additional retries allowed per window, over all entries.
         retry_window: Length of the window in seconds.
+        region: Region of the VM, empty if unknown.
+        regions: Region of each failure domain, empty if unknown.
+        resources: Resources of the VM.
+        cold_overage: Factor on the rate that a cold endpoint accepts, up to which it gets requests.
+        cold_slack: Additional requests that a cold endpoint may get in one second.
+        domain_margin: Relative load by which endpoints of the entry's own failure domain may be
+            fuller than others before these get its requests, 0 to ignore failure domains.
     """
 
     callers: Address
@@ -98,6 +120,12 @@
     retry_ratio: float
     retry_extra: float
     retry_window: float
+    region: str = ""
+    regions: Mapping[str, str] = field(default_factory=dict)
+    resources: VmResources = VmResources()
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    domain_margin: float = 0.0
 
 
 class GatewayProcess:
--- a/carawayhub/platform/changes.py
+++ b/carawayhub/platform/changes.py
@@ -7,9 +7,11 @@
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.ports import (
     Change,
+    DomainEvacuated,
     EndpointPublished,
     EndpointRemoved,
     EndpointUnreadable,
+    EvacuationEnded,
     Published,
     TablePublished,
 )
@@ -17,6 +19,9 @@
 from carawayhub.platform.published import CONFIG_KEY, decode_route_table
 from carawayhub.platform.registrations import ENDPOINT_PREFIX, decode_endpoint
 
+EVACUATION_PREFIX = "op/evacuate/"
+"""Keys of evacuations, followed by the failure domain; their values mean nothing."""
+
 
 class Event(msgspec.Struct, array_like=True, frozen=True):
     """One write or removal of a key.
@@ -60,14 +65,25 @@
 
 
 def _change(event: Event, era: int) -> Change | None:
-    """Decode an event; None if its key is neither an endpoint nor the configuration."""
+    """Decode an event; None if its key names nothing that the gateway reads."""
     if event.key.startswith(ENDPOINT_PREFIX):
         return _endpoint_change(event, era)
+    if event.key.startswith(EVACUATION_PREFIX):
+        return _evacuation_change(event, era)
     if event.key == CONFIG_KEY and not event.deleted:
         return TablePublished(decode_route_table(event.content))
     return None
 
 
+def _evacuation_change(event: Event, era: int) -> Change | None:
+    domain = event.key.removeprefix(EVACUATION_PREFIX)
+    if not domain:
+        return None
+    if event.deleted:
+        return EvacuationEnded(domain)
+    return DomainEvacuated(domain, Revision(era, event.rev))
+
+
 def _endpoint_change(event: Event, era: int) -> Change:
     replica = event.key.removeprefix(ENDPOINT_PREFIX)
     if event.deleted:
--- a/carawayhub/platform/entry.py
+++ b/carawayhub/platform/entry.py
@@ -9,7 +9,7 @@
 from carawayhub.errors import CommandError
 from carawayhub.gateway.freshness import Bounds
 from carawayhub.gateway.ports import ReloadableSettings
-from carawayhub.gateway.process import GatewayOptions, GatewayProcess
+from carawayhub.gateway.process import GatewayOptions, GatewayProcess, VmResources
 from carawayhub.http import HttpServer, bind
 from carawayhub.platform.headers import PlatformWire
 from carawayhub.platform.probes import METRICS_PORT, probe_app
@@ -69,11 +69,22 @@
             config_apply=bounds.config_apply,
             drain=bounds.drain,
             revoke_after=bounds.revoke_after,
+            evacuate=bounds.evacuate,
         ),
         grace=bounds.grace,
         retry_ratio=bounds.retry_ratio,
         retry_extra=bounds.retry_extra,
         retry_window=bounds.retry_window,
+        region=settings.region,
+        regions=settings.regions,
+        resources=VmResources(
+            cores=settings.limits.cores,
+            memory=settings.limits.memory,
+            descriptors=settings.limits.descriptors,
+        ),
+        cold_overage=bounds.cold_overage,
+        cold_slack=bounds.cold_slack,
+        domain_margin=settings.domain_margin,
     )
 
 
--- a/carawayhub/platform/published.py
+++ b/carawayhub/platform/published.py
@@ -51,6 +51,7 @@
         "public": "Public",
         "resumable": "Resumable",
         "gap_ms": "GapTargetMs",
+        "regions": "AllowedRegions",
     },
 ):
     name: str
@@ -66,6 +67,7 @@
     public: bool = False
     resumable: bool = False
     gap_ms: float = 0.0
+    regions: list[str] = []
 
 
 class _Usual(msgspec.Struct, frozen=True):
@@ -114,12 +116,16 @@
         "health": "HealthPath",
         "connections": "MaxConns",
         "engine": "Engine",
+        "cold_s": "ColdS",
+        "cold_per_s": "ColdPerS",
     },
 ):
     name: str
     health: str = "/health"
     connections: int = 100
     engine: _Engine | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(
@@ -142,6 +148,7 @@
     name: str
     keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] = []
 
 
 class _Config(msgspec.Struct, frozen=True, rename="pascal"):
@@ -204,6 +211,7 @@
         public=wire.public,
         resumable=wire.resumable,
         shares=shares or (Share(wire.service, 1.0),),
+        regions=frozenset(wire.regions),
     )
 
 
@@ -213,6 +221,8 @@
         health_path=wire.health,
         connections=wire.connections,
         engine=_engine(wire.engine) if wire.engine is not None else None,
+        cold_seconds=wire.cold_s,
+        cold_rate=wire.cold_per_s,
     )
 
 
@@ -256,5 +266,7 @@
 
 def _organisations(tenants: list[_Tenant]) -> dict[str, Organisation]:
     return {
-        key: Organisation(tenant.name, tenant.priority) for tenant in tenants for key in tenant.keys
+        key: Organisation(tenant.name, tenant.priority, frozenset(tenant.allowed_regions))
+        for tenant in tenants
+        for key in tenant.keys
     }
--- a/carawayhub/platform/registrations.py
+++ b/carawayhub/platform/registrations.py
@@ -20,6 +20,7 @@
 from carawayhub.platform.answers import UNREADABLE
 
 ENDPOINT_PREFIX = "servers/"
+MS_PER_SECOND = 1000.0
 
 UNREGISTERED = Revision()
 
@@ -108,6 +109,7 @@
         state=_lookup("State", beat.state, _STATES),
         membership=_seat(beat.group, beat.size),
         registered=registered,
+        cold_left=beat.cold_left_ms / MS_PER_SECOND,
     )
 
 
--- a/carawayhub/platform/settings.py
+++ b/carawayhub/platform/settings.py
@@ -1,9 +1,11 @@
 """Decodes the settings file that the platform writes for a process."""
 
+import math
 import tomllib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -15,7 +17,16 @@
 """Environment variable that holds the path of the settings file."""
 
 MS_PER_SECOND = 1000.0
+
+DOMAINS_CONTRACT = "places"
+"""Contract of deployments whose operators act on whole failure domains."""
+
+DEFAULT_DOMAIN_MARGIN = 0.2
+"""``DomainMargin`` of these deployments: one slot of five. It absorbs differences of demand between
+failure domains and is too small to delay the first event of a stream."""
+
 BYTES_PER_MEGABIT = 125_000.0
+BYTES_PER_MEGABYTE = 1_000_000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,6 +41,9 @@
         retry_ratio: Retries per request of a service.
         retry_extra: Additional retries of a service in one window, over all VMs.
         retry_window: Length of that window.
+        evacuate: Time until an evacuated failure domain gets no requests, infinite if not stated.
+        cold_overage: Factor on the rate that a cold endpoint accepts, up to which it gets requests.
+        cold_slack: Additional requests that it may get in one second.
     """
 
     revoke_after: float
@@ -39,6 +53,26 @@
     retry_ratio: float
     retry_extra: float
     retry_window: float
+    evacuate: float = math.inf
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmLimits:
+    """Resources of the VM of a process; 0 stands for unknown.
+
+    Attributes:
+        cores: Processor time that the process gets, in cores.
+        memory: Bytes of memory that the process may use.
+        descriptors: Maximum number of open files and sockets.
+        link_rate: Bytes per second that the link of the VM carries.
+    """
+
+    cores: float = 0.0
+    memory: int = 0
+    descriptors: int = 0
+    link_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -59,8 +93,10 @@
         endpoint: The replica on the same VM, None for an entry.
         service: The service of that replica.
         heartbeat: Seconds between two heartbeats of an endpoint in the store.
-        link_rate: Bytes per second that the link of the VM carries, 0 if unknown.
+        limits: Resources of the VM.
         bounds: Bounds that the fleet guarantees.
+        regions: Region of each failure domain, empty if not stated.
+        domain_margin: See ``GatewayOptions``.
         lifted: Fingerprints of requests or parts of prompts that an operator allows again.
     """
 
@@ -77,10 +113,17 @@
     endpoint: Address | None
     service: str
     heartbeat: float
-    link_rate: float
+    limits: VmLimits
     bounds: GuaranteeBounds
+    regions: Mapping[str, str] = field(default_factory=dict)
+    domain_margin: float = 0.0
     lifted: frozenset[bytes] = frozenset()
 
+    @property
+    def link_rate(self) -> float:
+        """Bytes per second that the link of the VM carries, 0 if unknown."""
+        return self.limits.link_rate
+
 
 class _Listen(
     msgspec.Struct,
@@ -103,6 +146,9 @@
         "budget_ratio": "BudgetRatio",
         "budget_extra": "BudgetExtra",
         "budget_window_s": "BudgetWindowS",
+        "evacuate_ms": "EvacuateMs",
+        "cold_overage": "ColdOverage",
+        "cold_slack": "ColdSlack",
     },
 ):
     revoke_ms: float = 5000.0
@@ -112,9 +158,26 @@
     budget_ratio: float = 0.2
     budget_extra: float = 20.0
     budget_window_s: float = 10.0
+    evacuate_ms: float = math.inf
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
-class _Limits(msgspec.Struct, frozen=True, rename={"link_mbps": "LinkMbps"}):
+class _Limits(
+    msgspec.Struct,
+    frozen=True,
+    rename={
+        "cpu_share": "CpuShare",
+        "cores": "Cores",
+        "memory_mb": "MemoryMb",
+        "descriptors": "MaxFds",
+        "link_mbps": "LinkMbps",
+    },
+):
+    cpu_share: float = 0.0
+    cores: float = 1.0
+    memory_mb: float = 0.0
+    descriptors: int = 0
     link_mbps: float = 0.0
 
 
@@ -139,6 +202,9 @@
         "service": "Service",
         "beat_ms": "BeatIntervalMs",
         "lifted": "LiftedRejections",
+        "zones": "Zones",
+        "contracts": "Contracts",
+        "domain_margin": "DomainMargin",
     },
 ):
     node: str
@@ -155,6 +221,9 @@
     service: str = ""
     beat_ms: float = 1000.0
     lifted: list[str] = []
+    zones: dict[str, str] = {}
+    contracts: list[str] = []
+    domain_margin: Annotated[float, msgspec.Meta(ge=0.0)] | None = None
 
 
 def load_node_settings(path: Path) -> NodeSettings:
@@ -200,7 +269,12 @@
         endpoint=_address(wire.app),
         service=wire.service,
         heartbeat=wire.beat_ms / MS_PER_SECOND,
-        link_rate=wire.limits.link_mbps * BYTES_PER_MEGABIT,
+        limits=VmLimits(
+            cores=wire.limits.cpu_share * wire.limits.cores,
+            memory=int(wire.limits.memory_mb * BYTES_PER_MEGABYTE),
+            descriptors=wire.limits.descriptors,
+            link_rate=wire.limits.link_mbps * BYTES_PER_MEGABIT,
+        ),
         bounds=GuaranteeBounds(
             revoke_after=bounds.revoke_ms / MS_PER_SECOND,
             drain=bounds.drain_ms / MS_PER_SECOND,
@@ -209,11 +283,22 @@
             retry_ratio=bounds.budget_ratio,
             retry_extra=bounds.budget_extra,
             retry_window=bounds.budget_window_s,
+            evacuate=bounds.evacuate_ms / MS_PER_SECOND,
+            cold_overage=bounds.cold_overage,
+            cold_slack=bounds.cold_slack,
         ),
+        regions=wire.zones,
+        domain_margin=_domain_margin(wire),
         lifted=frozenset(_fingerprint(text) for text in wire.lifted),
     )
 
 
+def _domain_margin(wire: _Settings) -> float:
+    if wire.domain_margin is not None:
+        return wire.domain_margin
+    return DEFAULT_DOMAIN_MARGIN if DOMAINS_CONTRACT in wire.contracts else 0.0
+
+
 def _fingerprint(text: str) -> bytes:
     try:
         return bytes.fromhex(text)
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -17,9 +17,8 @@
 from carawayhub.gateway.ports import Published
 from carawayhub.gateway.revision import Eras, Revision
 from carawayhub.platform.answers import decode_answer
-from carawayhub.platform.changes import Event, decode_published
+from carawayhub.platform.changes import EVACUATION_PREFIX, Event, decode_published
 from carawayhub.platform.mirror import StoreMirror
-from carawayhub.platform.published import CONFIG_KEY
 from carawayhub.platform.registrations import ENDPOINT_PREFIX
 
 OK_STATUS = 200
@@ -33,8 +32,14 @@
 LISTING_ATTEMPTS = 3
 """Attempts to list everything within one era."""
 
-KEY_AFTER_CONFIG = "op/~"
-"""A key that sorts after the configuration: a listing from it is empty but has the revision."""
+OPERATOR_PREFIX = "op/"
+"""Keys that operators write: the configuration and evacuations."""
+
+KEY_AFTER_OPERATORS = "op/~"
+"""A key that sorts after these: a listing from it is empty but has the revision."""
+
+TOLERATED_PREFIXES = (ENDPOINT_PREFIX, EVACUATION_PREFIX)
+"""Keys that count although their value cannot be decoded."""
 
 
 class _Item(msgspec.Struct, rename="pascal"):
@@ -137,7 +142,7 @@
 
     async def _list_all(self) -> list[_Answer[_Listing]]:
         pages = []
-        for prefix in (CONFIG_KEY, ENDPOINT_PREFIX):
+        for prefix in (OPERATOR_PREFIX, ENDPOINT_PREFIX):
             after = ""
             while True:
                 query = {"Prefix": prefix} | ({"After": after} if after else {})
@@ -163,12 +168,12 @@
 
     async def revision(self) -> Revision:
         """Return the newest revision; see ``PublishedState``."""
-        query = {"Prefix": "op/", "After": KEY_AFTER_CONFIG}
+        query = {"Prefix": OPERATOR_PREFIX, "After": KEY_AFTER_OPERATORS}
         return (await self._get("/v1/kv-range", query, 0.0, _Listing)).revision
 
     async def check_reachable(self) -> None:
         """Check that the store answers; see ``PublishedState``. The answer may be seconds old."""
-        query = {"Prefix": "op/", "After": KEY_AFTER_CONFIG, "StaleOk": 1}
+        query = {"Prefix": OPERATOR_PREFIX, "After": KEY_AFTER_OPERATORS, "StaleOk": 1}
         response = await self._request("/v1/kv-range", query, 0.0)
         # Its era may be a former one, which says nothing.
         decode_answer(response.content, _Listing)
@@ -243,11 +248,11 @@
         try:
             content = base64.b64decode(each.value, validate=True)
         except ValueError as exc:
-            if not each.key.startswith(ENDPOINT_PREFIX):
+            if not each.key.startswith(TOLERATED_PREFIXES):
                 unreadable.append(f"{each.key}: {exc}")
                 continue
             # Empty content is never a valid entry, so the endpoint is reported as unreadable and
-            # no longer used.
+            # no longer used. An evacuation needs no content.
             content = b""
         found.append(Event(each.key, each.rev, each.created_rev, each.deleted, content))
     return found, unreadable
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -218,7 +218,7 @@
     """Calls to the store."""
 
     def pages(self, query: dict, body: object) -> tuple[int, dict]:
-        if query["Prefix"] == "op/config":
+        if query["Prefix"] == "op/":
             return 200, {"Items": [item("op/config", CONFIG)], "HasMore": False, "CurrentRev": 9}
         if "After" not in query:
             items = [item("servers/i-1", BEAT), item("servers/i-2", "no object")]
