--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -106,6 +106,7 @@
         queue: Requests that wait for a slot.
         retries: This entry's share of the service's retry budget.
         backoff_rejections: Requests rejected since all endpoints had requested a backoff.
+        evacuation_rejections: Requests rejected since all endpoints are evacuated.
     """
 
     __slots__ = (
@@ -126,6 +127,7 @@
         "_slots",
         "_view",
         "backoff_rejections",
+        "evacuation_rejections",
         "queue",
         "retries",
     )
@@ -152,6 +154,7 @@
         self._refusals = Refusals(clock)
         self._backoffs = Backoffs(clock)
         self.backoff_rejections = 0
+        self.evacuation_rejections = 0
         self._outages = ServiceOutages(name, view, clock)
         self._claims = Claims(clock, rng)
         self._propagation_delay = propagation_delay
@@ -502,12 +505,15 @@
         ).info("request rejected: no slot expected in time")
 
     def _log_no_endpoint(self, call: Admitted, away: float | None, longest: float) -> None:
+        evacuated = self._view.has_evacuated(self._name)
+        self.evacuation_rejections += evacuated
         logger.bind(
             request=call.req.id.decode("latin-1"),
             service=self._name,
             standing_still=len(self._view.standing_still(self._name)),
             away=None if away is None else round(away, 3),
             longest=round(longest, 3),
+            evacuated=sorted(self._view.evacuated_domains()) if evacuated else [],
         ).info("request rejected: no endpoint available before the caller gives up")
 
     def _log_backoff_rejection(self, call: Admitted, backoff: float, longest: float) -> None:
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -456,6 +456,10 @@
             reads=self._gossip.is_reader(),
             era_changes=self._eras.changes,
             era_rejections=self._eras.rejections,
+            evacuated=view.evacuated_domains(),
+            evacuation_rejections={
+                name: each.evacuation_rejections for name, each in self._pools.items()
+            },
         )
 
     def _connection_limits(self) -> ConnectionLimits:
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -218,7 +218,7 @@
                 service=call.service,
                 address=endpoint.address,
                 lifetime=work_key(endpoint.id),
-                planned=view.endpoint(endpoint.id) is None,
+                planned=view.is_departing(endpoint.id),
                 sent_at=sent_at,
                 events=progress.events.complete,
             )
@@ -339,7 +339,7 @@
         if not self._parts.view.is_group_available(endpoint):
             # Ranks of a group that stands still break off their answers and go on listening.
             raise RequestError(Code.ANSWER_CUT, "the group stands still")
-        planned = self._parts.view.endpoint(endpoint.id) is None
+        planned = self._parts.view.is_departing(endpoint.id)
         return await self._parts.endings.verify_end(endpoint.address, planned=planned)
 
     async def _relay_stream(
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -36,6 +36,8 @@
         era_rejections: Stated eras that were not believed.
         age: Seconds since this revision was last proved to be the newest.
         reads: Whether this entry reads the store for its peers.
+        evacuated: Evacuated failure domains with the revisions of the requests.
+        evacuation_rejections: Requests rejected since all endpoints are evacuated, by service.
     """
 
     version: int = 0
@@ -44,6 +46,8 @@
     reads: bool = False
     era_changes: int = 0
     era_rejections: int = 0
+    evacuated: Mapping[str, Revision] = field(default_factory=dict)
+    evacuation_rejections: Mapping[str, int] = field(default_factory=dict)
 
 
 class Tally:
@@ -185,4 +189,24 @@
             f"carawayhub_gateway_reads_for_peers {int(seen.reads)}",
             f"# TYPE {name} summary",
             *summary_lines(name, "", self._table_delays),
+            *_evacuation_lines(seen),
         ]
+
+
+def _evacuation_lines(seen: ViewStatus) -> list[str]:
+    domains, rejections = (
+        "carawayhub_gateway_evacuated_domains",
+        "carawayhub_gateway_evacuation_rejections_total",
+    )
+    return [
+        f"# TYPE {domains} gauge",
+        *(
+            f'{domains}{{domain="{domain}",revision="{revision.number}"}} 1'
+            for domain, revision in sorted(seen.evacuated.items())
+        ),
+        f"# TYPE {rejections} counter",
+        *(
+            f'{rejections}{{service="{service}"}} {count}'
+            for service, count in sorted(seen.evacuation_rejections.items())
+        ),
+    ]
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -2,21 +2,24 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from loguru import logger
 
 from carawayhub.clock import Clock
 from carawayhub.gateway.departures import Departures
+from carawayhub.gateway.evacuations import Evacuations
 from carawayhub.gateway.groupavailability import GroupAvailability
 from carawayhub.gateway.loads import work_key
 from carawayhub.gateway.model import Endpoint, EndpointState, RouteTable, superseded
 from carawayhub.gateway.ports import (
     Change,
+    DomainEvacuated,
     EndpointPublished,
     EndpointRemoved,
     EndpointUnreadable,
+    EvacuationEnded,
     Published,
     Source,
     TablePublished,
@@ -65,6 +68,7 @@
             newest. Anything published later is not in its answer.
         on_table: Called when a configuration comes into force, with the longest time in seconds
             since it was published; infinite for the first configuration.
+        on_evacuation_ended: Called with the endpoints of a failure domain that is used again.
     """
 
     __slots__ = (
@@ -74,6 +78,7 @@
         "_current",
         "_departures",
         "_endpoints",
+        "_evacuations",
         "_failing_since",
         "_misdirected",
         "_heartbeat",
@@ -87,6 +92,7 @@
         "_unproved_until",
         "_unreadable",
         "confirmed_at",
+        "on_evacuation_ended",
         "on_table",
         "revision",
         "table",
@@ -107,6 +113,7 @@
         self._misdirected: set[str] = set()
         self._leaving_since: dict[str, float] = {}
         self._departures = Departures(heartbeat)
+        self._evacuations = Evacuations(clock)
         self._superseded: frozenset[str] = frozenset()
         self.confirmed_at = float("-inf")
         self._awaited: dict[Revision, float] = {}
@@ -117,6 +124,7 @@
         self.revision = Revision()
         self.unreadable_entries = 0
         self.on_table: Callable[[float], None] = _ignore_delay
+        self.on_evacuation_ended: Callable[[Sequence[Endpoint]], None] = _ignore_endpoints
 
     @property
     def age(self) -> float:
@@ -198,7 +206,11 @@
             for change in published.changes
             if isinstance(change, EndpointPublished)
         }
-        gone = [EndpointRemoved(each) for each in self._current if each not in named]
+        gone: list[Change] = [EndpointRemoved(each) for each in self._current if each not in named]
+        evacuated = frozenset(
+            change.domain for change in published.changes if isinstance(change, DomainEvacuated)
+        )
+        gone += map(EvacuationEnded, self._evacuations.missing(evacuated))
         listed = {
             change.replica for change in published.changes if isinstance(change, EndpointUnreadable)
         }
@@ -218,6 +230,7 @@
         if source is Source.LISTING:
             self.distrust_removals(LAPSE_GRACE_SECONDS)
         held_out = self._departures.enter_era(self._clock.monotonic(), self._endpoints.values())
+        self._evacuations.enter_era()
         self._lapsed = {
             each: max(until, self._removals_trusted_from) for each, until in self._lapsed.items()
         }
@@ -267,6 +280,29 @@
         """Return the current run of a replica, None if it may not get requests."""
         return self.endpoint(self._current.get(replica, ""))
 
+    def is_departing(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint is leaving or gone.
+
+        One whose failure domain is evacuated isn't: if it ends, it did not end as planned.
+        """
+        found = self._endpoints.get(endpoint_id)
+        if found is None or self._has_lapsed(endpoint_id):
+            return True
+        return not self._is_in_service(found)
+
+    def evacuated_domains(self) -> Mapping[str, Revision]:
+        """Return the evacuated failure domains with the revisions of the requests."""
+        return self._evacuations.revisions()
+
+    def has_evacuated(self, service: str) -> bool:
+        """Return whether endpoints of a service get no requests only since they are evacuated."""
+        return any(
+            each.service == service
+            and each.failure_domain in self._evacuations
+            and self._is_in_service(each)
+            for each in self._endpoints.values()
+        )
+
     def ids(self) -> frozenset[str]:
         """Return the ids of all known endpoints, whatever their state."""
         return frozenset(self._endpoints)
@@ -341,6 +377,10 @@
             self._rebuild()
         if self._departures.release(now):
             self._rebuild()
+        expired = self._evacuations.expire()
+        if expired:
+            self._rebuild()
+            self._notify_evacuations_ended(expired)
 
     def _drop_lapsed(self) -> None:
         gone = [each for each in self._lapsed if self._has_lapsed(each)]
@@ -352,6 +392,7 @@
             self._rebuild()
 
     def _apply(self, changes: Iterable[Change], source: Source) -> None:
+        ended = []
         for change in changes:
             match change:
                 case TablePublished(table):
@@ -362,7 +403,20 @@
                     self._remove_or_hold(replica)
                 case EndpointUnreadable(replica, problem, revision):
                     self._drop_unreadable(replica, problem, revision)
+                case DomainEvacuated():
+                    self._evacuations.begin(change, source, self.age)
+                case EvacuationEnded(domain):
+                    if self._evacuations.end(domain, source, self.age):
+                        ended.append(domain)
         self._rebuild()
+        self._notify_evacuations_ended(ended)
+
+    def _notify_evacuations_ended(self, domains: Sequence[str]) -> None:
+        for domain in domains:
+            if domain not in self._evacuations:
+                self.on_evacuation_ended(
+                    [each for each in self._endpoints.values() if each.failure_domain == domain]
+                )
 
     def _apply_table(self, table: RouteTable, source: Source) -> None:
         """Put a configuration into force unless it is older than the current one.
@@ -484,7 +538,11 @@
         self._unavailable = {name: tuple(each) for name, each in unavailable.items()}
 
     def _may_get_requests(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint is in service, apart from its group and its heartbeats."""
+        """Return whether an endpoint may get requests, apart from its group and its heartbeats."""
+        return endpoint.failure_domain not in self._evacuations and self._is_in_service(endpoint)
+
+    def _is_in_service(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is neither leaving nor replaced by another one."""
         if endpoint.state is not EndpointState.READY:
             return False
         if self._departures.is_held_out(endpoint.id, self._clock.monotonic()):
@@ -513,3 +571,7 @@
 
 def _ignore_delay(seconds: float) -> None:
     return
+
+
+def _ignore_endpoints(endpoints: Sequence[Endpoint]) -> None:
+    return
--- a/carawayhub/platform/standin_store.py
+++ b/carawayhub/platform/standin_store.py
@@ -68,6 +68,7 @@
         self.listings = 0
         self._items: dict[str, StoreItem] = {}
         self._history: deque[dict[str, Any]] = deque(maxlen=MAX_HISTORY_EVENTS)
+        self._compacted = 0
         self._changed = anyio.Event()
 
     def put(self, key: str, value: object) -> None:
@@ -101,12 +102,13 @@
         self._items = dict(copy.items)
         self._history.clear()
         self._history.extend(copy.history)
+        self._compacted = 0
         self._notify()
 
     def compact(self) -> None:
         """Drop the history; watches from a former revision are rejected."""
         self._history.clear()
-        self._history.append({"Key": "dropped", "Rev": self.revision, "Deleted": True})
+        self._compacted = self.revision
         self._notify()
 
     async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
@@ -133,7 +135,7 @@
     def _lacks(self, after: int) -> bool:
         """Return whether the history does not reach back to a revision, or not up to it."""
         dropped = bool(self._history) and self._history[0]["Rev"] > after + 1
-        return dropped or after > self.revision
+        return dropped or after < self._compacted or after > self.revision
 
     def _range(self, query: dict[str, str]) -> dict[str, Any]:
         prefix, after = query.get("Prefix", ""), query.get("After", "")
--- a/carawayhub/platform/standins.py
+++ b/carawayhub/platform/standins.py
@@ -131,12 +131,14 @@
         await send({"type": "http.response.body", "body": b""})
 
 
-def registration(service: str, address: str, state: str = "ready") -> dict[str, Any]:
+def registration(
+    service: str, address: str, state: str = "ready", zone: str = "z1"
+) -> dict[str, Any]:
     """Return the entry that a replica writes to the store."""
     return {
         "Service": service,
         "Address": address,
-        "Zone": "z1",
+        "Zone": zone,
         "Version": "v1",
         "Slots": 6,
         "State": state,
