--- a/carawayhub/gateway/passbound.py
+++ b/carawayhub/gateway/passbound.py
@@ -1,4 +1,4 @@
-"""Bounds the requests in flight at a lock-step group so that its passes stay within callers' pauses.
+"""Bounds the requests in flight at a lock-step group so that its passes stay within the pause.
 
 Handles demand that swings within seconds around what a group can give. All streams of a group share
 each pass, so a group that is filled slightly past what its passes bear makes all of them late, by
@@ -8,7 +8,6 @@
 """
 
 from collections.abc import Sequence
-
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
