--- a/carawayhub/gateway/grouplimits.py
+++ b/carawayhub/gateway/grouplimits.py
@@ -18,7 +18,6 @@
 
 from carawayhub.clock import Clock
 from carawayhub.gateway.model import Endpoint, EngineProfile, Repeat, RouteTable
-from carawayhub.gateway.passbound import WINDOW_SECONDS, request_bound
 
 SAMPLE_SECONDS = 0.2
 """Time over which observed pauses are averaged: about two passes."""
@@ -239,17 +238,6 @@
         self._set_level(level, shape, stretches, arrivals)
         return self._level
 
-    def recent_stretches(self, seconds: float, windows: int) -> list[list[float]]:
-        """Return the samples of the latest windows of so many seconds, the latest window first."""
-        now = self._clock.monotonic() / SAMPLE_SECONDS
-        length = seconds / SAMPLE_SECONDS
-        found: list[list[float]] = [[] for _ in range(windows)]
-        for each in self._samples:
-            window = int((now - each.number) / length)
-            if window < windows:
-                found[window].append(each.stretch)
-        return found
-
     def _set_level(
         self, level: float, shape: GroupShape, stretches: Sequence[float], arrivals: float
     ) -> None:
@@ -316,23 +304,12 @@
         levels = {
             group: self._history(group).level(shape, per_slot) for group, shape in shapes.items()
         }
-        bounds = {
-            group: request_bound(
-                shape,
-                self._history(group).recent_stretches(WINDOW_SECONDS, 2),
-            )
-            for group, shape in shapes.items()
-        }
         if any(level <= 0.0 for level in levels.values()):
             usable = any(level > 0.0 for level in levels.values())
             unusable = UNUSABLE_LEVEL if usable else LEVELS[0]
             levels = {group: level or unusable for group, level in levels.items()}
-        found = {
+        return {
             group: max(1, int(level * shapes[group].slots))
             for group, level in levels.items()
             if level < LEVELS[0]
         }
-        for group, bound in bounds.items():
-            if bound is not None:
-                found[group] = min(bound, found.get(group, bound))
-        return found
--- a/carawayhub/gateway/serviceslots.py
+++ b/carawayhub/gateway/serviceslots.py
@@ -7,6 +7,7 @@
 from carawayhub.gateway.grouplimits import GroupLimits, GroupShape, group_shapes
 from carawayhub.gateway.loads import Loads
 from carawayhub.gateway.model import Endpoint, RouteTable
+from carawayhub.gateway.passbound import PassBounds
 
 
 class ServiceSlots:
@@ -25,6 +26,7 @@
 
     __slots__ = (
         "_accepting",
+        "_bounds",
         "_counted",
         "_counts",
         "_fleet_rate",
@@ -52,6 +54,7 @@
         self._fleet_rate = fleet_rate
         self._counts = FreeSlots(loads)
         self._limits = GroupLimits(clock)
+        self._bounds = PassBounds(clock)
         self._shapes: dict[str, GroupShape] = {}
         self._shapes_from: tuple[RouteTable | None, Sequence[Endpoint]] = (None, ())
 
@@ -61,7 +64,11 @@
 
     def group_limits(self) -> dict[str, int]:
         """Return the maximum number of requests in flight at each group that has a limit."""
-        return self._limits.limits(self._group_shapes(), self._fleet_rate())
+        shapes = self._group_shapes()
+        limits = self._limits.limits(shapes, self._fleet_rate())
+        for group, bound in self._bounds.bounds(shapes).items():
+            limits[group] = min(bound, limits.get(group, bound))
+        return limits
 
     def below_limits(self, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
         """Return the endpoints whose groups are below their limits, or all if there are none."""
@@ -89,6 +96,7 @@
             return
         group = endpoint.membership.group
         self._limits.record_pause(group, seconds, lambda: self._usual_pass_seconds(group))
+        self._bounds.record_pause(group, seconds, self._usual_pass_seconds(group))
 
     def _usual_pass_seconds(self, group: str) -> float:
         """Return the seconds of a pass by the profile, 0 if the group has no streams."""
