--- a/carawayhub/gateway/passbound.py
+++ b/carawayhub/gateway/passbound.py
@@ -16,17 +16,18 @@
 from carawayhub.clock import Clock
 from carawayhub.gateway.grouplimits import GroupShape
 
-WINDOW_SECONDS = 1.0
-"""Time over which passes are averaged. The bound follows from the shorter ones of the two latest
-windows: after a change of demand passes are long for about a second, until the expert map follows,
-and a bound would only refuse callers meanwhile."""
+WINDOW_SECONDS = 0.5
+"""Time over which passes are averaged: a few of them. The bound follows from the window with the
+shorter passes of the two latest: after a change of demand passes are long for about a second, until
+the expert map follows, and a bound would refuse callers for most of that time in vain."""
 
 WINDOWS = 2
 
-PASS_MARGIN = 0.05
-"""Fraction of the accepted pause that is left for passes which take longer than the mean."""
+PASS_MARGIN = 0.1
+"""Fraction of the accepted pause that is left for single passes, which differ from the mean by
+about that much: one long pass of twenty makes a stream late."""
 
-MIN_FRACTION = 0.6
+MIN_FRACTION = 0.5
 """Smallest bound as a fraction of the slots. If passes are so long that fewer requests were needed,
 something else than the requests makes them long, and a bound would leave slots empty in vain."""
 
