--- a/carawayhub/gateway/placement.py
+++ b/carawayhub/gateway/placement.py
@@ -3,7 +3,8 @@
 The ranks of a lock-step group execute each pass together and wait for the slowest, so a rank with
 twice the requests slows down the streams of all. The expected load is many short streams over equal
 ranks, with 40 to 100% of their slots in use. Ranks are therefore filled evenly: first by requests
-in flight, then by prompt tokens still to be processed.
+in flight, then by prompt tokens still to be processed. ``locality.py`` prefers the ranks of the
+entry's own failure domain where that is configured.
 """
 
 import random
@@ -12,6 +13,7 @@
 
 from carawayhub.gateway.health import MAX_SLOWNESS, MIN_SLOWNESS, Health
 from carawayhub.gateway.loads import Loads, Work
+from carawayhub.gateway.locality import Locality, Origin
 from carawayhub.gateway.model import Endpoint
 
 ERROR_PENALTY = 6.0
@@ -43,14 +45,23 @@
         loads: Work in flight.
         health: Failures, refusals and answer times of endpoints.
         rng: Breaks ties, so that entries with the same information do not all choose alike.
+        locality: Preference for the entry's own failure domain, None to ignore failure domains.
     """
 
-    __slots__ = ("_health", "_loads", "_rng")
+    __slots__ = ("_health", "_loads", "_locality", "_origin", "_rng")
 
-    def __init__(self, loads: Loads, health: Health, rng: random.Random) -> None:
+    def __init__(
+        self,
+        loads: Loads,
+        health: Health,
+        rng: random.Random,
+        locality: Locality | None = None,
+    ) -> None:
         self._loads = loads
         self._health = health
         self._rng = rng
+        self._locality = locality
+        self._origin = Origin.ABSENT
 
     def choose(
         self,
@@ -73,12 +84,75 @@
         if not usable:
             return None
         usual = self._median_seconds(usable) if kv_tokens == 0 else 0.0
-        sampled = self._rng.sample(usable, sample) if 0 < sample < len(usable) else usable
+        if self._locality is not None:
+            return self._choose_near(self._locality, usable, work, kv_tokens, usual, sample)
+        sampled = self._sample(usable, sample)
         best = min(sampled, key=lambda each: self._cost(each, work, kv_tokens, usual))
         if not self.is_free(best, work, kv_tokens) and len(sampled) < len(usable):
             best = min(usable, key=lambda each: self._cost(each, work, kv_tokens, usual))
         return Selection(best, self.is_free(best, work, kv_tokens))
 
+    def sent(self, endpoint: Endpoint) -> None:
+        """Count a request that is sent to the endpoint that was selected last."""
+        if self._locality is not None:
+            self._locality.sent(endpoint, self._origin)
+
+    def _choose_near(
+        self,
+        locality: Locality,
+        usable: Sequence[Endpoint],
+        work: Work,
+        kv_tokens: int,
+        usual: float,
+        sample: int,
+    ) -> Selection:
+        """Return the best endpoint of the own failure domain unless others have far less load.
+
+        The own and the other endpoints are sampled separately. The sample has the same size in
+        each: the own failure domain has a part of the endpoints and gets the same part of the
+        requests.
+        """
+        own, others = locality.split(usable)
+        for near, far in (
+            (self._sample(own, sample), self._sample(others, sample)),
+            (own, others),
+        ):
+            best, origin = self._better(locality, near, far, work, kv_tokens, usual)
+            if self.is_free(best, work, kv_tokens):
+                break
+        self._origin = origin
+        return Selection(best, self.is_free(best, work, kv_tokens))
+
+    def _better(
+        self,
+        locality: Locality,
+        near: Sequence[Endpoint],
+        far: Sequence[Endpoint],
+        work: Work,
+        kv_tokens: int,
+        usual: float,
+    ) -> tuple[Endpoint, Origin]:
+        """Return the better of the least loaded own endpoint and the least loaded other one."""
+        costs = {each.id: self._cost(each, work, kv_tokens, usual) for each in (*near, *far)}
+        best_near = min(near, key=lambda each: costs[each.id], default=None)
+        best_far = min(far, key=lambda each: costs[each.id], default=None)
+        if best_near is None:
+            assert best_far is not None
+            return best_far, Origin.ABSENT
+        if best_far is None:
+            return best_near, Origin.OWN
+        waits = not self.is_free(best_near, work, kv_tokens)
+        if waits and self.is_free(best_far, work, kv_tokens):
+            return best_far, Origin.OVERFLOW
+        if locality.prefers_own(costs[best_near.id][0], costs[best_far.id][0]):
+            return best_near, Origin.OWN
+        return best_far, Origin.OVERFLOW
+
+    def _sample(self, endpoints: Sequence[Endpoint], size: int) -> Sequence[Endpoint]:
+        if not 0 < size < len(endpoints):
+            return endpoints
+        return self._rng.sample(endpoints, size)
+
     def _usable(self, endpoints: Sequence[Endpoint], tried: Set[str]) -> Sequence[Endpoint]:
         """Return the endpoints that may get a request, avoided ones only if there are no others."""
         left = [each for each in endpoints if each.id not in tried] if tried else endpoints
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -16,6 +16,7 @@
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.line import RequestQueue, Requirements, Waiter
 from carawayhub.gateway.loads import Loads, Work, work_key
+from carawayhub.gateway.locality import Locality
 from carawayhub.gateway.model import Endpoint, Repeat
 from carawayhub.gateway.placement import Placement, Selection
 from carawayhub.gateway.refusals import Refusals
@@ -101,8 +102,11 @@
         propagation_delay: Returns the seconds after which entries know of each other's choices.
         rates: Rate limits announced by replicas; None for a separate set for this pool.
         known_share: Returns the share of all entries from which this one receives updates.
+        failure_domain: Failure domain of this entry.
+        domain_margin: See ``GatewayOptions``.
 
     Attributes:
+        locality: Preference for the failure domain of this entry, None if the margin is 0.
         queue: Requests that wait for a slot.
         retries: This entry's share of the service's retry budget.
         backoff_rejections: Requests rejected since all endpoints had requested a backoff.
@@ -128,6 +132,7 @@
         "_view",
         "backoff_rejections",
         "evacuation_rejections",
+        "locality",
         "queue",
         "retries",
     )
@@ -145,6 +150,8 @@
         propagation_delay: Callable[[], float] = lambda: 0.0,
         rates: ReplicaRates | None = None,
         known_share: Callable[[], float] = lambda: 1.0,
+        failure_domain: str = "",
+        domain_margin: float = 0.0,
     ) -> None:
         self._name = name
         self._view = view
@@ -158,7 +165,12 @@
         self._outages = ServiceOutages(name, view, clock)
         self._claims = Claims(clock, rng)
         self._propagation_delay = propagation_delay
-        self._placement = Placement(loads, health, rng)
+        self.locality = (
+            Locality(name, failure_domain, domain_margin, loads, clock, rng, self._accepting)
+            if domain_margin > 0.0
+            else None
+        )
+        self._placement = Placement(loads, health, rng, self.locality)
         self._slots = ServiceSlots(
             name,
             clock,
@@ -530,6 +542,7 @@
     def _begin(self, endpoint: Endpoint, work: Work) -> Slot:
         self._refusals.sent()
         self._limits.sent(endpoint)
+        self._placement.sent(endpoint)
         self._loads.begin(endpoint.id, work)
         return Slot(endpoint, work)
 
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -292,6 +292,8 @@
                 lambda: self._gossip.propagation_seconds,
                 self._rates,
                 self._gossip.reachable_fraction,
+                options.failure_domain,
+                options.domain_margin,
             )
         return found
 
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -38,6 +38,7 @@
     registered: Revision = UNREGISTERED,
     born: int = 0,
     membership: GroupMembership | None = None,
+    domain: str = "brest",
 ) -> Endpoint:
     """Return an endpoint."""
     incarnation = Incarnation(name, born)
@@ -46,7 +47,7 @@
         incarnation=incarnation,
         service=service,
         address=Address.parse(address),
-        failure_domain="brest",
+        failure_domain=domain,
         places=places,
         state=state,
         membership=membership,
