--- a/benchmarks/locality.py
+++ b/benchmarks/locality.py
@@ -1,4 +1,4 @@
-"""Ways to prefer replicas of an entry's own failure domain, on the same seeds and without a network.
+"""Ways to prefer replicas of an entry's own failure domain, on the same seeds, without a network.
 
 Entries select replicas by what they know of each other's requests, which is some tenths of a second
 old. Requests arrive at random at the entries of three failure domains and hold a slot for about a
@@ -334,7 +334,8 @@
         for way, each in compare(scenario, ways, seeds).items():
             print(
                 f"| {name} | {way} | {each.crossing:.3f} | {each.deviation:.2f} | {each.excess:.2f}"
-                f" | {each.domain_excess:.3f} | {each.waited:.3f} | {each.beyond:.3f} | {each.seconds:.3f} |"
+                f" | {each.domain_excess:.3f} | {each.waited:.3f}"
+                f" | {each.beyond:.3f} | {each.seconds:.3f} |"
             )
 
 
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -80,6 +80,8 @@
         rates: Replicas that report a rate limit, and its own requests to them.
         slow: Endpoints that agents reported to it as slow ranks.
         backing_off: Endpoints that requested a backoff of it.
+        capacity: Requests that it can have in flight, 0 if unknown.
+        in_flight: Requests that it has in flight, -1 if not stated.
     """
 
     ip: str
@@ -96,6 +98,8 @@
     rates: list[RateRow] = []
     slow: list[str] = []
     backing_off: list[str] = []
+    capacity: int = 0
+    in_flight: int = -1
 
 
 class MemberRow(msgspec.Struct, array_like=True):
@@ -107,6 +111,12 @@
     callers: str
     failure_domain: str
     reads: bool
+    capacity: int = 0
+    in_flight: int = -1
+
+    def lasting(self) -> "MemberRow":
+        """Return the row without the requests in flight, which change all the time."""
+        return msgspec.structs.replace(self, in_flight=-1)
 
 
 class Digest(msgspec.Struct, array_like=True, kw_only=True):
@@ -188,6 +198,8 @@
         heard_at: Time at which its last datagram was received.
         version: Version of its configuration, -1 if it is only known from reports.
         reported_until: Time until which a delegate's report of it is valid.
+        capacity: Requests that it can have in flight, 0 if unknown.
+        in_flight: Requests that it had in flight, -1 if not stated.
     """
 
     ip: str
@@ -202,9 +214,18 @@
     heard_at: float
     version: int = -1
     reported_until: float = float("-inf")
+    capacity: int = 0
+    in_flight: int = -1
 
     def row(self) -> MemberRow:
         """Return the row that a delegate sends about this entry."""
         return MemberRow(
-            self.ip, self.incarnation, self.phase, self.callers, self.failure_domain, self.reads
+            self.ip,
+            self.incarnation,
+            self.phase,
+            self.callers,
+            self.failure_domain,
+            self.reads,
+            self.capacity,
+            self.in_flight,
         )
--- a/carawayhub/gateway/loads.py
+++ b/carawayhub/gateway/loads.py
@@ -121,6 +121,10 @@
         """Return the work of this entry."""
         return self._own
 
+    def own_requests(self) -> int:
+        """Return the number of requests that this entry has in flight."""
+        return sum(each.requests for each in self._own.values())
+
     def total(self, endpoint_id: str) -> Work:
         """Return all known work at an endpoint."""
         return self._total.get(work_key(endpoint_id), NO_WORK)
--- a/carawayhub/gateway/peers.py
+++ b/carawayhub/gateway/peers.py
@@ -95,6 +95,8 @@
                 hello.news.reads,
                 now,
                 hello.news.version,
+                capacity=hello.capacity,
+                in_flight=hello.in_flight,
             ),
             now,
         )
@@ -142,6 +144,8 @@
             heard_at,
             version,
             until,
+            row.capacity,
+            row.in_flight,
         )
 
     def _put(self, entry: PeerEntry, now: float) -> None:
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -17,7 +17,13 @@
 from carawayhub.gateway.admission import AdmissionControl
 from carawayhub.gateway.app import GatewayApp
 from carawayhub.gateway.calls import CallerWire
-from carawayhub.gateway.directory import ANSWER_TTL_SECONDS, EntryDirectory
+from carawayhub.gateway.directory import (
+    ANSWER_TTL_SECONDS,
+    ANY_CALLER,
+    DirectoryQuery,
+    EntryDirectory,
+)
+from carawayhub.gateway.entrychoice import request_capacity
 from carawayhub.gateway.follower import Follower
 from carawayhub.gateway.freshness import Bounds, read_times
 from carawayhub.gateway.gossip import Gossip
@@ -31,7 +37,7 @@
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.statements import ReplicaStatements, StatementCounts
-from carawayhub.gateway.tally import ReplicaLimits, Tally, ViewStatus
+from carawayhub.gateway.tally import LocalityCounts, ReplicaLimits, Tally, ViewStatus
 from carawayhub.gateway.telling import OwnAddress
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
@@ -189,6 +195,7 @@
             self._view_seen,
             self._statements_met,
             lambda: self._records.counts,
+            self._locality_counts,
         )
         self._view.on_table = self._tally.table_applied
         own = OwnAddress(
@@ -196,6 +203,7 @@
             port=options.peer_port,
             callers=str(options.callers),
             failure_domain=options.failure_domain,
+            capacity=_capacity(options),
         )
         self._records = PoisonRecords(clock)
         self._records.on_ends = self._apply_peer_ends
@@ -235,7 +243,12 @@
         self._gossip.own.backing_off = self._backing_off
         self._gossip.on_backing_off = self._health.peer_backing_off
         self._handing.on_slow_ranks = self._report_slow
-        self._directory = EntryDirectory(self._gossip, str(options.callers), rng)
+        uses_domains = options.domain_margin > 0.0
+        if uses_domains:
+            self._gossip.own.in_flight = self._loads.own_requests
+        self._directory = EntryDirectory(
+            self._gossip, str(options.callers), rng, clock if uses_domains else None
+        )
         self._stopping = anyio.Event()
         relay = GatewayRelay(
             RelayParts(
@@ -264,9 +277,9 @@
         """Return whether this entry accepts callers."""
         return self._gossip.phase is Phase.READY
 
-    def addresses(self) -> list[str]:
+    def addresses(self, query: DirectoryQuery = ANY_CALLER) -> list[str]:
         """Return the addresses of entries that accept callers."""
-        return self._directory.addresses()
+        return self._directory.addresses(query)
 
     def metrics(self) -> str:
         """Return the metrics as text."""
@@ -448,6 +461,16 @@
         found = {name: each.backoff_rejections for name, each in self._pools.items()}
         return replace(self._statements.counts, rejections=Counter(found))
 
+    def _locality_counts(self) -> LocalityCounts:
+        if self._options.domain_margin <= 0.0:
+            return LocalityCounts()
+        requests = {
+            name: each.locality.counts()
+            for name, each in self._pools.items()
+            if each.locality is not None
+        }
+        return LocalityCounts(requests, self._directory.counts())
+
     def _view_seen(self) -> ViewStatus:
         view = self._view
         version = view.table.version if view.table is not None else 0
@@ -475,3 +498,11 @@
     def _limits(self) -> CallerLimits:
         table = self._view.table
         return table.limits if table is not None else CallerLimits()
+
+
+def _capacity(options: GatewayOptions) -> int:
+    """Return the requests that the entry can have in flight, 0 if it need not state them."""
+    if options.domain_margin <= 0.0:
+        return 0
+    vm = options.resources
+    return request_capacity(vm.cores, vm.memory, vm.descriptors, options.link_rate)
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -50,6 +50,19 @@
     evacuation_rejections: Mapping[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class LocalityCounts:
+    """Decisions by failure domain; empty where failure domains are ignored.
+
+    Attributes:
+        requests: Requests sent, by service and origin; see ``Locality``.
+        answers: Answers of the directory by kind; see ``EntryDirectory``.
+    """
+
+    requests: Mapping[str, Mapping[str, int]] = field(default_factory=dict)
+    answers: Mapping[str, int] = field(default_factory=dict)
+
+
 class Tally:
     """Metrics of one entry since it started.
 
@@ -59,11 +72,13 @@
         view_status: Returns the status of the view of the published state.
         statement_counts: Returns how often replicas stated something about themselves.
         poison_counts: Returns how many requests were rejected since they end endpoints.
+        locality_counts: Returns the decisions by failure domain.
     """
 
     __slots__ = (
         "_ended_under_requests",
         "_ends",
+        "_locality_counts",
         "_table_delays",
         "_poison_counts",
         "_replica_limits",
@@ -80,12 +95,14 @@
         view_status: Callable[[], ViewStatus] = ViewStatus,
         statement_counts: Callable[[], StatementCounts] = StatementCounts,
         poison_counts: Callable[[], PoisonCounts] = PoisonCounts,
+        locality_counts: Callable[[], LocalityCounts] = LocalityCounts,
     ) -> None:
         self._unreadable_entries = unreadable_entries
         self._replica_limits = replica_limits
         self._view_status = view_status
         self._statement_counts = statement_counts
         self._poison_counts = poison_counts
+        self._locality_counts = locality_counts
         self._table_delays = Recorder()
         self._ends: Counter[tuple[str, str, Code, int]] = Counter()
         self._times: dict[str, Recorder] = {}
@@ -137,6 +154,7 @@
         lines += self._poison_lines()
         lines += self._statement_lines()
         lines += self._view_lines()
+        lines += _locality_lines(self._locality_counts())
         lines.append("# TYPE carawayhub_gateway_milliseconds summary")
         for route, recorder in sorted(self._times.items()):
             labels = f'route="{route}"'
@@ -210,3 +228,20 @@
             for service, count in sorted(seen.evacuation_rejections.items())
         ),
     ]
+
+
+def _locality_lines(counts: LocalityCounts) -> list[str]:
+    requests, answers = (
+        "carawayhub_gateway_locality_requests_total",
+        "carawayhub_gateway_directory_answers_total",
+    )
+    return [
+        f"# TYPE {requests} counter",
+        *(
+            f'{requests}{{service="{service}",origin="{origin}"}} {count}'
+            for service, by_origin in sorted(counts.requests.items())
+            for origin, count in sorted(by_origin.items())
+        ),
+        f"# TYPE {answers} counter",
+        *(f'{answers}{{kind="{kind}"}} {count}' for kind, count in sorted(counts.answers.items())),
+    ]
--- a/carawayhub/gateway/telling.py
+++ b/carawayhub/gateway/telling.py
@@ -76,12 +76,14 @@
         port: UDP port that all entries use for gossip.
         callers: ``ip:port`` that accepts callers.
         failure_domain: Failure domain of this entry.
+        capacity: Requests that this entry can have in flight, 0 if unknown.
     """
 
     ip: str
     port: int
     callers: str
     failure_domain: str
+    capacity: int = 0
 
 
 class Part(Enum):
@@ -110,11 +112,13 @@
         told_slow: Endpoints that agents reported to other entries, by reporter.
         backing_off: Returns the endpoints that requested a backoff of this entry.
         told_backing_off: Endpoints that requested a backoff of other entries, by reporter.
+        in_flight: Returns the requests that this entry has in flight, -1 if it does not state them.
     """
 
     __slots__ = (
         "address",
         "backing_off",
+        "in_flight",
         "incarnation",
         "news",
         "phase",
@@ -136,6 +140,7 @@
         self.told_slow: dict[str, list[str]] = {}
         self.backing_off: Callable[[], list[str]] = list
         self.told_backing_off: dict[str, list[str]] = {}
+        self.in_flight: Callable[[], int] = _not_stated
 
     def row(self) -> MemberRow:
         """Return the row that a delegate sends about this entry."""
@@ -147,6 +152,8 @@
             address.callers,
             address.failure_domain,
             self.news().reads,
+            address.capacity,
+            self.in_flight(),
         )
 
 
@@ -325,9 +332,10 @@
 
     def _members_if_due(self, receivers: str, members: list[MemberRow]) -> list[MemberRow] | None:
         """Return the members if they have changed or are due to be sent again, otherwise None."""
-        if members == self._last_members.get(receivers) and not self._is_member_list_due():
+        lasting = [each.lasting() for each in members]
+        if lasting == self._last_members.get(receivers) and not self._is_member_list_due():
             return None
-        self._last_members[receivers] = members
+        self._last_members[receivers] = lasting
         return members
 
     def _is_member_list_due(self) -> bool:
@@ -387,6 +395,8 @@
             backing_off=own.backing_off()[:MAX_ENDPOINTS],
             works=works,
             rates=self._rates.rows(),
+            capacity=own.address.capacity,
+            in_flight=own.in_flight(),
         )
         return _NumberedHello(self._number, _raw(hello))
 
@@ -403,5 +413,9 @@
     return msgspec.Raw(msgspec.msgpack.encode(message))
 
 
+def _not_stated() -> int:
+    return -1
+
+
 def _no_news() -> News:
     return News(0, float("inf"), 0.0)
--- a/carawayhub/platform/probes.py
+++ b/carawayhub/platform/probes.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Awaitable, Callable
 from typing import Any
+from urllib.parse import parse_qs
 
 import msgspec
 
 from carawayhub.constants import JSON_TYPE
 from carawayhub.entry.calls import Receive, Send
-from carawayhub.gateway.directory import ANSWER_TTL_SECONDS
+from carawayhub.gateway.directory import ANSWER_TTL_SECONDS, DirectoryQuery
 
 OK_STATUS = 200
 UNAVAILABLE_STATUS = 503
@@ -28,13 +29,15 @@
 
 
 def probe_app(
-    ready: Callable[[], bool], addresses: Callable[[], list[str]], metrics: Callable[[], str]
+    ready: Callable[[], bool],
+    addresses: Callable[[DirectoryQuery], list[str]],
+    metrics: Callable[[], str],
 ) -> Application:
     """Return the ASGI application that serves readiness, directory and metrics.
 
     Args:
         ready: Returns whether this entry accepts callers.
-        addresses: Returns the addresses of entries that accept callers.
+        addresses: Returns the addresses of entries for a caller.
         metrics: Returns the metrics as text.
     """
 
@@ -43,7 +46,7 @@
             case "/v1/ready":
                 await _answer(send, OK_STATUS if ready() else UNAVAILABLE_STATUS, b"{}")
             case "/v1/resolve":
-                found = addresses()
+                found = addresses(_directory_query(scope))
                 body = msgspec.json.encode(_EntryList(found, ANSWER_TTL_SECONDS))
                 await _answer(send, OK_STATUS if found else UNAVAILABLE_STATUS, body)
             case _ if scope["path"] == METRICS_PATH:
@@ -54,6 +57,22 @@
     return app
 
 
+def _directory_query(scope: dict[str, Any]) -> DirectoryQuery:
+    """Return what a caller states; parameters that are missing or given twice are empty."""
+    try:
+        query = parse_qs(scope.get("query_string", b"").decode("latin-1"), max_num_fields=16)
+    except ValueError:
+        return DirectoryQuery()
+
+    def single(name: str) -> str:
+        values = query.get(name, [])
+        return values[0] if len(values) == 1 else ""
+
+    return DirectoryQuery(
+        host=single("Name"), region=single("Region"), failure_domain=single("Zone")
+    )
+
+
 def metrics_app(metrics: Callable[[], str]) -> Application:
     """Return the ASGI application that serves only metrics.
 
