--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from benchmarks.directory_choice import SCENARIOS, compare
+from benchmarks.request_fleet import _State
 from benchmarks.virtual_time import LoopClock
 from carawayhub.clock import ManualClock
 from carawayhub.gateway.directory import PLAN_SECONDS, DirectoryQuery, EntryDirectory
@@ -23,11 +24,14 @@
 from carawayhub.gateway.gossip import Gossip
 from carawayhub.gateway.hello import Hello, MemberRow, News, Phase
 from carawayhub.gateway.loads import Loads, Work
+from carawayhub.gateway.ports import ReloadableSettings
+from carawayhub.gateway.process import GatewayProcess, VmResources
 from carawayhub.gateway.tally import LocalityCounts, Tally
 from carawayhub.gateway.telling import OwnAddress
 from carawayhub.limits.poison import PoisonRecords
+from carawayhub.platform.headers import PlatformWire
 from carawayhub.platform.probes import probe_app
-from tests.gateway_world import rates
+from tests.gateway_world import entry_options, rates
 from tests.test_gateway_large import DOMAINS, ENTRIES, Fleet, run_scenario
 
 
@@ -298,6 +302,49 @@
     )
 
 
+class Wiring(unittest.IsolatedAsyncioTestCase):
+    """An entry as a process, with and without a margin."""
+
+    def process(self, margin: float) -> GatewayProcess:
+        options = replace(
+            entry_options("10.1.0.10", ["10.1.0.10"]),
+            domain_margin=margin,
+            resources=VmResources(cores=0.5),
+        )
+        return GatewayProcess(
+            options,
+            _State(),
+            PlatformWire(),
+            ManualClock(5.0),
+            random.Random(1),
+            lambda: ReloadableSettings(options.seeds),
+        )
+
+    async def test_margin_enables_selection_directory_and_statements(self) -> None:
+        process = self.process(0.2)
+        own = process._gossip.own
+        self.assertEqual((own.address.capacity, own.in_flight()), (100, 0))
+        process._loads.begin("i-1", Work(1, 5, 5))
+        self.assertEqual(own.in_flight(), 1)
+        self.assertIsNotNone(process.pool("llm").locality)
+        process._gossip.own.phase = Phase.READY
+        query = DirectoryQuery(failure_domain="1")
+        self.assertEqual(process.addresses(query), ["10.1.0.10:80"])
+        page = process.metrics().splitlines()
+        self.assertIn('carawayhub_gateway_directory_answers_total{kind="own"} 1', page)
+        name = "carawayhub_gateway_locality_requests_total"
+        self.assertIn(f'{name}{{service="llm",origin="own"}} 0', page)
+
+    async def test_entry_without_a_margin_states_nothing(self) -> None:
+        """Guards against other gossip or selections in deployments that ignore domains."""
+        process = self.process(0.0)
+        own = process._gossip.own
+        self.assertEqual((own.address.capacity, own.in_flight()), (0, -1))
+        self.assertIsNone(process.pool("llm").locality)
+        self.assertIsNone(process._directory._clock)
+        self.assertEqual(process._locality_counts(), LocalityCounts())
+
+
 class Queries(unittest.IsolatedAsyncioTestCase):
     """The directory query on the wire, and the counters."""
 
