--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -2,10 +2,15 @@
 
 import random
 import unittest
+from collections import Counter
+from dataclasses import replace
+from unittest import mock
 
+import anyio
 from loguru import logger
 
 from benchmarks.locality import SCENARIOS, compare
+from benchmarks.request_fleet import RequestFleet
 from carawayhub.clock import ManualClock
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Loads
@@ -13,11 +18,18 @@
 from carawayhub.gateway.model import Endpoint
 from carawayhub.gateway.placement import Placement, Selection
 from carawayhub.gateway.pool import ServicePool
-from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
+from carawayhub.gateway.ports import (
+    DomainEvacuated,
+    EndpointPublished,
+    EvacuationEnded,
+    Published,
+    TablePublished,
+)
+from carawayhub.gateway.process import GatewayOptions
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.view import FleetView
-from tests.gateway_world import endpoint, table, work
+from tests.gateway_world import endpoint, entry_options, table, work
 
 MARGIN = 0.2
 KV_TOKENS = 186_000
@@ -218,5 +230,77 @@
                 self.assertLess(margin.seconds, 1.03 * ignoring.seconds)
 
 
+class Fleets(unittest.TestCase):
+    """Entries in virtual time, with gossip that loses datagrams and requests through the relay."""
+
+    def fleet(self, entries: int, margin: float) -> RequestFleet:
+        """Return a fleet in which entries and replicas share three failure domains."""
+        fleet = RequestFleet(entries=entries, ranks=24, domains=3, lost=0.02)
+
+        def options(ip: str, ips: list[str]) -> GatewayOptions:
+            domain = f"d{ips.index(ip) % 3}"
+            return replace(entry_options(ip, ips), domain_margin=margin, failure_domain=domain)
+
+        patch = mock.patch("benchmarks.request_fleet.entry_options", options)
+        patch.start()
+        self.addCleanup(patch.stop)
+        return fleet
+
+    async def ask(self, fleet: RequestFleet, requests: int) -> None:
+        async with anyio.create_task_group() as tasks:
+            for at in range(requests):
+                tasks.start_soon(fleet.ask, b"%d" % at)
+                await anyio.sleep(0.01)
+
+    def crossing(self, fleet: RequestFleet) -> float:
+        crossed = sum(
+            fleet.domain_of(each.replica) != f"d{fleet.ips.index(each.entry) % 3}"
+            for each in fleet.sent
+        )
+        return crossed / len(fleet.sent)
+
+    def run_for(self, entries: int) -> None:
+        shares = []
+        for margin in (0.0, MARGIN):
+            fleet = self.fleet(entries, margin)
+
+            async def story(fleet: RequestFleet = fleet) -> None:
+                await self.ask(fleet, 300)
+
+            fleet.play(story)
+            self.assertTrue(all(each.served for each in fleet.told))
+            shares.append(self.crossing(fleet))
+        self.assertGreater(shares[0], 0.5)
+        self.assertLess(shares[1], 0.25)
+
+    def test_few_requests_cross_among_7_entries(self) -> None:
+        """Guards against a margin that reaches the selection, but not the requests."""
+        self.run_for(7)
+
+    def test_few_requests_cross_among_45_entries(self) -> None:
+        """Guards against loads that arrive through delegates too late to stay local."""
+        self.run_for(45)
+
+    def test_evacuated_domain_is_replaced_by_all_others_and_used_again(self) -> None:
+        """Guards against callers of an evacuated domain that fill one other domain."""
+        fleet = self.fleet(7, MARGIN)
+
+        async def story() -> None:
+            fleet.publish(DomainEvacuated("d1", Revision(0, fleet.revision + 1)))
+            await self.ask(fleet, 300)
+            used = Counter(fleet.domain_of(each.replica) for each in fleet.sent)
+            self.assertEqual(used["d1"], 0)
+            self.assertLess(max(used.values()), 0.65 * sum(used.values()))
+            pages = "".join(each.process.metrics() for each in fleet.live.values())
+            self.assertRegex(pages, r'locality_requests_total{service="llm",origin="absent"} [1-9]')
+            fleet.sent.clear()
+            fleet.publish(EvacuationEnded("d1"))
+            await self.ask(fleet, 300)
+            self.assertLess(self.crossing(fleet), 0.25)
+            self.assertTrue(all(each.served for each in fleet.told))
+
+        fleet.play(story)
+
+
 if __name__ == "__main__":
     unittest.main()
