--- a/carawayhub/gateway/entrychoice.py
+++ b/carawayhub/gateway/entrychoice.py
@@ -143,7 +143,7 @@
     """
     bounds = (
         cores / CORE_SECONDS_PER_REQUEST,
-        max(0, memory - BASE_MEMORY_BYTES) / MEMORY_BYTES_PER_REQUEST,
+        max(1, memory - BASE_MEMORY_BYTES) / MEMORY_BYTES_PER_REQUEST if memory > 0 else 0.0,
         descriptors / DESCRIPTORS_PER_REQUEST,
         link_rate / LINK_BYTES_PER_REQUEST,
     )
@@ -180,7 +180,7 @@
     """Return the capacity by address; unknown ones count as the median of the others."""
     known = [each.capacity for each in options if each.capacity > 0]
     usual = statistics.median(known) if known else 1.0
-    return {each.callers: float(each.capacity or usual) for each in options}
+    return {each.callers: float(each.capacity if each.capacity > 0 else usual) for each in options}
 
 
 def _weights(options: Sequence[EntryOption], capacities: dict[str, float]) -> dict[str, float]:
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 import anyio
+import msgspec
 from loguru import logger
 
 from benchmarks.directory_choice import SCENARIOS, compare
@@ -131,12 +132,15 @@
         chosen = self.listed(options, "a", 3_000)
         self.assertEqual(len(chosen), 6)
         self.assertLess(max(chosen.values()), 2 * min(chosen.values()))
+        strange = [EntryOption("a9", "a", -5, -7), *options]
+        self.assertEqual(len(self.listed(strange, "a")), 7)
         mixed = [EntryOption("a9", "a", 200, 0), *options]
         self.assertEqual(len(self.listed(mixed, "a")), 7)
 
     def test_capacity_is_that_of_the_scarcest_resource(self) -> None:
         self.assertEqual(request_capacity(0.0, 0, 0, 0.0), 0)
         self.assertEqual(request_capacity(2.15, 0, 0, 0.0), 430)
+        self.assertEqual(request_capacity(2.15, 30_000_000, 0, 0.0), 1)
         self.assertEqual(request_capacity(2.15, 552_000_000, 8_192, 1_750_000.0), 110)
         self.assertGreater(request_capacity(0.5, 152_000_000, 1_535, 0.0), 90)
 
@@ -208,6 +212,14 @@
         self.assertGreaterEqual(len(named), MIN_ADDRESSES)
         self.assertFalse(any(each.startswith("10.2.") for each in named))
 
+    def test_silent_entries_are_not_named(self) -> None:
+        """Guards against entries that were killed or froze, and are still in a stored plan."""
+        for at in range(6):
+            self.hear(f"10.1.0.{at + 20}", "a")
+        self.assertGreaterEqual(len(self.asked("a")), MIN_ADDRESSES)
+        self.clock.advance(61.0)
+        self.assertEqual(self.asked("a"), {"10.1.0.10:80"})
+
     def test_texts_of_callers_take_no_memory(self) -> None:
         """Guards against callers that state a new failure domain in each query."""
         for at in range(500):
@@ -280,6 +292,12 @@
 
         run_scenario(fleet, scenario)
 
+    def test_entries_of_an_older_version_are_understood(self) -> None:
+        """Guards against entries that lose each other while they are replaced."""
+        row = ["10.0.0.1", "r", 1, "10.0.0.1:80", "a", True]
+        found = msgspec.msgpack.decode(msgspec.msgpack.encode(row), type=MemberRow)
+        self.assertEqual((found.capacity, found.in_flight), (0, -1))
+
     def test_changes_of_load_alone_send_no_member_list(self) -> None:
         """Guards against the whole list in each datagram, since loads change all the time."""
         row = MemberRow("10.0.0.1", "r", 1, "10.0.0.1:80", "a", True, 300, 7)
