--- a/benchmarks/limit_cost.py
+++ b/benchmarks/limit_cost.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 from carawayhub.clock import ManualClock
+from carawayhub.gateway.calls import Admitted, CallerRequest
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Loads, Work, work_key
 from carawayhub.gateway.placement import Selection
@@ -28,7 +29,7 @@
 from carawayhub.gateway.view import FleetView
 from carawayhub.limits.replicarate import RateRow, ReplicaRates
 from carawayhub.output.tables import write_table
-from tests.gateway_world import endpoint, table, work
+from tests.gateway_world import endpoint, route, table, work
 
 SIZES = ((7, 15), (45, 72), (98, 192), (780, 5400))
 """Entries, and endpoints of one service before them."""
@@ -125,21 +126,22 @@
 
     def decide(self) -> None:
         """Make decisions, each on one request that then ends."""
-        needed = work()
+        needed = _call()
         for _ in range(DECISIONS):
-            place = self._pool._acquire_now(needed, returned=False)
+            place = self._pool._acquire_now(needed)
             if place is not None:
                 self._pool.release(place)
 
     def hear_work(self) -> None:
         """Take a peer's table of work again and again, with a few rows changed each time."""
+        needed = _call()
         for at in range(EXCHANGES):
             listed = self.ids[:TABLE_ROWS]
             works = {work_key(each): Work(1, 0, 900) for each in listed}
             for each in self._rng.sample(listed, CHANGED):
                 works[work_key(each)] = Work(2, at, 1800)
             self._loads.update_peer(self.tellers[0], works)
-            self._pool._may_claim(returned=False)
+            self._pool._may_claim(needed)
 
     def tell(self) -> list[RateRow]:
         """Return the rows of one datagram, again and again."""
@@ -155,6 +157,33 @@
             )
 
 
+def _call() -> Admitted:
+    """Return a request without allowed regions."""
+    return Admitted(
+        req=CallerRequest(
+            id=b"r",
+            method="POST",
+            host="caraway.example",
+            path="/songs/1",
+            target=b"/songs/1",
+            headers=[],
+            key="",
+            wait_seconds=8.0,
+            prompt_tokens=800,
+            answer_tokens=140,
+            last_event_id=b"",
+        ),
+        route=route(),
+        service="llm",
+        organisation=None,
+        arrived_at=0.0,
+        ends_at=8.0,
+        returned=False,
+        work=work(),
+        version=1,
+    )
+
+
 def measured(entries: int, endpoints: int) -> Cost:
     """Return what limits cost an entry of a fleet."""
     probe = Probe(entries, endpoints)
--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -8,7 +8,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
@@ -19,7 +19,7 @@
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.constants import CODE_HEADER
 from carawayhub.gateway.hello import Phase
-from carawayhub.gateway.model import Repeat, Route
+from carawayhub.gateway.model import Organisation, Repeat, Route, RouteTable
 from carawayhub.gateway.ports import (
     Change,
     EndpointPublished,
@@ -178,6 +178,10 @@
         unframed: Whether streams have neither a length nor chunks and end with their connection.
         plain: Whether the replicas are those of a plain service and not ranks.
         domains: Failure domains of the replicas.
+        regions: Region of each failure domain.
+        entry_regions: Region of each entry's failure domain, empty if unknown.
+        organisation: Organisation of all requests, None for that of the default configuration.
+        allowed: Regions in which requests of the route may run, empty for any.
         ending: Contents that end each replica that begins them.
         ending_parts: Parts of prompts that end each replica that begins a request with them.
         part_ends: When replicas ended for one of these parts.
@@ -208,6 +212,10 @@
     unframed: bool = False
     plain: bool = False
     domains: int = 1
+    regions: dict[str, str] = field(default_factory=dict)
+    entry_regions: dict[str, str] = field(default_factory=dict)
+    organisation: Organisation | None = None
+    allowed: frozenset[str] = frozenset()
     ending: set[bytes] = field(default_factory=set)
     ending_parts: set[bytes] = field(default_factory=set)
     part_ends: dict[bytes, list[float]] = field(default_factory=dict)
@@ -260,7 +268,7 @@
 
     def start_entry(self, ip: str) -> None:
         """Start an entry that knows nobody."""
-        options = entry_options(ip, self.ips)
+        options = replace(entry_options(ip, self.ips), regions=self.regions | self.entry_regions)
         rng = random.Random(self.rng.random())
         process = GatewayProcess(
             options,
@@ -273,7 +281,7 @@
         self.starts += 1
         process._upstream._backend = _Net(self, ip, f"{ip}/{self.starts}")
         listed = [EndpointPublished(each.endpoint()) for each in self.by_host.values()]
-        table_published = TablePublished(table(1, self._route()))
+        table_published = TablePublished(self.table(1))
         process._view.replace(
             Published(revision=Revision(0, 1), changes=(table_published, *listed))
         )
@@ -292,6 +300,18 @@
 
         self.start(live)
 
+    def table(self, version: int) -> RouteTable:
+        """Return a configuration with the allowed regions as they are now.
+
+        Its second route has the same service and no list.
+        """
+        config = table(version, replace(self._route(), regions=self.allowed))
+        if self.allowed:
+            config.add(replace(self._route(), name="anywhere", prefix="/anywhere/"))
+        if self.organisation is not None:
+            config.organisations = {KEY: self.organisation}
+        return config
+
     def _route(self) -> Route:
         if self.plain:
             return route(service="plain", repeat=Repeat.IDEMPOTENT, attempts=2)
--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -67,6 +67,8 @@
     VIEW_TOO_OLD = 2032
     ENDPOINT_REFUSED = 2033
     POISON_REQUEST = 2034
+    REGIONS_CONTRADICT = 2035
+    REGION_WITHOUT_ENDPOINT = 2036
 
     ANSWER_CUT = 3001
     ANSWER_TIMEOUT = 3002
@@ -285,6 +287,18 @@
         "endpoints ended each time they ran this request or others with a part of it",
         "change the request; it is refused until nobody has sent it for an hour, a part for 10 min",
     ),
+    Code.REGIONS_CONTRADICT: Meaning(
+        _NOT_RUN,
+        403,
+        "no region is allowed both for the route and for the organisation",
+        "ask the operators to change the allowed regions",
+    ),
+    Code.REGION_WITHOUT_ENDPOINT: Meaning(
+        _NOT_RUN,
+        503,
+        "no endpoint is in the regions in which the request may run",
+        "come back after 'retry-after'",
+    ),
     Code.ANSWER_CUT: Meaning(
         _UNKNOWN, 502, "the answer broke off before its end", "repeat it if it may be repeated"
     ),
--- a/carawayhub/gateway/line.py
+++ b/carawayhub/gateway/line.py
@@ -80,6 +80,7 @@
         longest: Maximum wait in seconds; after it, the caller's silence timeout would be exceeded.
         recovery_wait: Seconds within which endpoints that refuse all requests are expected to
             accept them again, 0 if they do not refuse all.
+        apart: Queued requests that wait for other endpoints and delay this one by nothing.
     """
 
     rank: int
@@ -88,6 +89,7 @@
     left: float
     longest: float
     recovery_wait: float = 0.0
+    apart: int = 0
 
 
 class RequestQueue:
@@ -150,6 +152,7 @@
         free slot at once, even with an empty queue.
         """
         ahead = self._count_ahead(requirements.rank, returned=requirements.returned)
+        ahead -= requirements.apart
         return ahead >= max(1.0, self.rate() * patience)
 
     def _count_ahead(self, rank: int, *, returned: bool) -> int:
@@ -172,9 +175,18 @@
             self._drop_gone()
         return self._heap[0] if self._heap else None
 
+    def in_order(self) -> list[Waiter]:
+        """Return all requests that may still be served, the next one first."""
+        now = self._clock.monotonic()
+        return sorted(each for each in self._heap if not each.gone and each.expires_at > now)
+
     def serve(self, waiter: Waiter) -> None:
-        """Remove the first request and notify it that it has a slot."""
-        heapq.heappop(self._heap)
+        """Remove a request and notify it that it has a slot."""
+        if self._heap[0] is waiter:
+            heapq.heappop(self._heap)
+        else:
+            self._heap = [each for each in self._heap if each is not waiter]
+            heapq.heapify(self._heap)
         waiter.gone = True
         waiter.notify(True)
 
--- a/carawayhub/gateway/model.py
+++ b/carawayhub/gateway/model.py
@@ -233,6 +233,11 @@
         """Return all routes."""
         return tuple(route for paths in self._by_host.values() for route in paths.values())
 
+    def routes_of(self, host: str) -> tuple[Route, ...]:
+        """Return all routes of a host."""
+        paths = self._by_host.get(host.lower()) or self._by_host.get(_without_port(host.lower()))
+        return tuple(paths.values()) if paths is not None else ()
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix that matches ``path``."""
         prefixes = self._by_host.get(host.lower()) or self._by_host.get(_without_port(host.lower()))
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -19,6 +19,8 @@
 from carawayhub.gateway.model import Endpoint, Repeat
 from carawayhub.gateway.placement import Placement, Selection
 from carawayhub.gateway.refusals import Refusals
+from carawayhub.gateway.regions import AllowedRegions, RegionSelection
+from carawayhub.gateway.regionslots import RegionShares
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.servicelimits import ServiceLimits
 from carawayhub.gateway.serviceoutages import ServiceOutages
@@ -101,15 +103,18 @@
         propagation_delay: Returns the seconds after which entries know of each other's choices.
         rates: Rate limits announced by replicas; None for a separate set for this pool.
         known_share: Returns the share of all entries from which this one receives updates.
+        allowed: Allowed regions of requests; None if the regions of endpoints are unknown.
 
     Attributes:
         queue: Requests that wait for a slot.
         retries: This entry's share of the service's retry budget.
         backoff_rejections: Requests rejected since all endpoints had requested a backoff.
         evacuation_rejections: Requests rejected since all endpoints are evacuated.
+        region_rejections: Requests rejected since no endpoint is in their allowed regions.
     """
 
     __slots__ = (
+        "_allowed",
         "_backoffs",
         "_claims",
         "_clock",
@@ -124,11 +129,15 @@
         "_propagation_delay",
         "_outages",
         "_refusals",
+        "_region_shares",
+        "_selected_accepting",
+        "_selection",
         "_slots",
         "_view",
         "backoff_rejections",
         "evacuation_rejections",
         "queue",
+        "region_rejections",
         "retries",
     )
 
@@ -145,6 +154,7 @@
         propagation_delay: Callable[[], float] = lambda: 0.0,
         rates: ReplicaRates | None = None,
         known_share: Callable[[], float] = lambda: 1.0,
+        allowed: AllowedRegions | None = None,
     ) -> None:
         self._name = name
         self._view = view
@@ -155,6 +165,11 @@
         self._backoffs = Backoffs(clock)
         self.backoff_rejections = 0
         self.evacuation_rejections = 0
+        self.region_rejections = 0
+        self._allowed = allowed or AllowedRegions(view, {})
+        self._selection = RegionSelection(self._allowed)
+        self._selected_accepting = RegionSelection(self._allowed)
+        self._region_shares = RegionShares(clock, rng, loads)
         self._outages = ServiceOutages(name, view, clock)
         self._claims = Claims(clock, rng)
         self._propagation_delay = propagation_delay
@@ -170,7 +185,7 @@
         )
         self._fleet_delay = fleet_delay
         self._first_event_seconds = 0.0
-        self._pending: dict[int, tuple[_PendingSlot, Work]] = {}
+        self._pending: dict[int, tuple[_PendingSlot, Admitted]] = {}
         self.queue = RequestQueue(clock, rng)
         self.retries = retries
         rates = rates or ReplicaRates(clock, rng, work_key)
@@ -187,9 +202,10 @@
         """Return a slot for a request, waiting in the queue if none is free.
 
         Raises:
-            RequestError: NO_ENDPOINT, OVERLOADED.
+            RequestError: NO_ENDPOINT, OVERLOADED, REGIONS_CONTRADICT, REGION_WITHOUT_ENDPOINT.
         """
-        slot = self._acquire_now(call.work, returned=call.returned)
+        self._check_regions(call, now)
+        slot = self._acquire_now(call)
         if slot is not None:
             return slot
         return await self._wait(call, now)
@@ -199,7 +215,7 @@
 
         The request is not queued again: its caller has already waited once.
         """
-        chosen = self._choose(call.work, tried)
+        chosen = self._choose(call, tried)
         return None if chosen is None else self._begin(chosen.endpoint, call.work)
 
     async def wait_for_retry(self, call: Admitted, only: Set[str] | None) -> Slot | None:
@@ -220,11 +236,11 @@
             request=call.req.id.decode("latin-1"),
             service=self._name,
             longest=round(longest, 3),
-            endpoints=len(self._endpoints(only)),
+            endpoints=len(self._endpoints(call, only)),
         ).info("request refused; waiting for endpoints to accept requests again")
         ends_at = now + longest
-        while self._clock.monotonic() < ends_at and self._may_recover(only):
-            chosen = self._choose(call.work, frozenset(), only)
+        while self._clock.monotonic() < ends_at and self._may_recover(call, only):
+            chosen = self._choose(call, frozenset(), only)
             if chosen is not None and chosen.free:
                 return self._begin(chosen.endpoint, call.work)
             await anyio.sleep(RETRY_POLL_SECONDS)
@@ -236,14 +252,14 @@
         away = self._outages.left()
         if away is not None:
             return longest if away <= longest else 0.0
-        backoff = self._backoff_left(only)
+        backoff = self._backoff_left(call, only)
         if backoff is not None:
             return longest if backoff <= self._backoff_wait(call, now) else 0.0
         return min(self._refusals.wait_left(), longest)
 
-    def _backoff_left(self, only: Set[str] | None = None) -> float | None:
+    def _backoff_left(self, call: Admitted, only: Set[str] | None = None) -> float | None:
         """Return the seconds until the first backoff ends, None if some endpoint has none."""
-        return self._backoffs.left(self._endpoints(only))
+        return self._backoffs.left(self._endpoints(call, only))
 
     def _backoff_wait(self, call: Admitted, now: float) -> float:
         """Return the seconds that a request may wait while all endpoints have a backoff.
@@ -258,8 +274,8 @@
         """Return the seconds that a request can wait and still be in time."""
         return call.arrived_at + call.route.target - now - self._first_event_seconds
 
-    def _may_recover(self, only: Set[str] | None) -> bool:
-        return bool(self._endpoints(only)) or self._outages.left() is not None
+    def _may_recover(self, call: Admitted, only: Set[str] | None) -> bool:
+        return bool(self._endpoints(call, only)) or self._outages.left() is not None
 
     def record_backoff(self, endpoint_id: str, seconds: float) -> None:
         """Record that an endpoint wants no requests of this entry for so many seconds."""
@@ -345,13 +361,33 @@
         """Assign free slots to queued requests in queue order."""
         if len(self.queue) and self._is_evacuated():
             self._reject_waiting()
-        while (waiter := self.queue.first()) is not None:
-            pending, work = self._pending[id(waiter)]
-            slot = self._acquire_free(work, returned=waiter.returned)
-            if slot is None:
+        full: list[frozenset[str]] = []
+        while (waiter := self._next_waiter(full)) is not None:
+            pending, call = self._pending[id(waiter)]
+            slot = self._acquire_free(call)
+            if slot is not None:
+                pending.slot = slot
+                self.queue.serve(waiter)
+                continue
+            regions = self._allowed.of(call)
+            if regions is None:
                 return
-            pending.slot = slot
-            self.queue.serve(waiter)
+            full.append(regions)
+
+    def _next_waiter(self, full: Sequence[frozenset[str]]) -> Waiter | None:
+        """Return the next request to serve.
+
+        Args:
+            full: Sets of regions without a free slot; requests within one of them are passed over,
+                as they would block those for which there are slots elsewhere.
+        """
+        if not full:
+            return self.queue.first()
+        for waiter in self.queue.in_order():
+            regions = self._allowed.of(self._pending[id(waiter)][1])
+            if regions is None or not any(regions <= each for each in full):
+                return waiter
+        return None
 
     def _is_evacuated(self) -> bool:
         """Return whether evacuations leave the service no endpoint, nor a group about to form."""
@@ -368,15 +404,20 @@
     def rejection(self, call: Admitted, now: float, code: Code) -> RequestError:
         """Return the error for a request that is not run now, with its retry time."""
         left = max(0.0, call.ends_at - now)
+        regions = self._allowed.of(call)
+        if regions is not None and not regions:
+            return RequestError(Code.REGIONS_CONTRADICT, call.route.name)
+        if regions is not None and self._endpoints() and not self._endpoints(call):
+            code = Code.REGION_WITHOUT_ENDPOINT
         away = self._outages.left()
         if away is None:
-            away = self._backoff_left()
-        if away is None and code in REJECTED_CODES and self._has_room():
+            away = self._backoff_left(call)
+        if away is None and code in REJECTED_CODES and regions is None and self._has_room():
             return RequestError(code, self._name, retry_after=FREE_SLOT_RETRY_SECONDS)
         if away is None:
-            away = self._limits.mean_interval(self._accepting()) or self._outages.group_recovery(
-                left
-            )
+            away = self._limits.mean_interval(
+                self._accepting(call)
+            ) or self._outages.group_recovery(left)
         return RequestError(code, self._name, retry_after=self.queue.retry_after(left, away))
 
     def _has_room(self) -> bool:
@@ -389,24 +430,46 @@
             return False
         return self._slots.free() >= self._expected_arrivals() + 1.0
 
-    def _acquire_now(self, work: Work, *, returned: bool) -> Slot | None:
-        return None if len(self.queue) else self._acquire_free(work, returned=returned)
+    def _acquire_now(self, call: Admitted) -> Slot | None:
+        return None if len(self.queue) else self._acquire_free(call)
+
+    def _count_apart(self, call: Admitted) -> int:
+        """Return the number of queued requests that wait for other endpoints than this one."""
+        if not self._allowed.restricts:
+            return 0
+        regions = self._allowed.of(call)
+        others = (
+            self._allowed.of(other)
+            for pending, other in self._pending.values()
+            if pending.slot is None
+        )
+        return sum(each is not None and (regions is None or not regions <= each) for each in others)
 
-    def _acquire_free(self, work: Work, *, returned: bool) -> Slot | None:
-        if not self._may_claim(returned=returned):
+    def _acquire_free(self, call: Admitted) -> Slot | None:
+        if not self._may_claim(call):
             return None
-        chosen = self._choose(work, frozenset())
+        chosen = self._choose(call, frozenset())
         if chosen is None or not chosen.free:
             return None
         self._claims.record_acquisition()
-        return self._begin(chosen.endpoint, work)
+        return self._begin(chosen.endpoint, call.work)
 
-    def _may_claim(self, *, returned: bool) -> bool:
-        """Return whether this entry may claim a free slot of the engines."""
+    def _may_claim(self, call: Admitted) -> bool:
+        """Return whether this entry may claim a free slot of the engines for a request."""
         if not self._kv_tokens():
             return True
+        share = self._region_shares.of(self._allowed.of(call))
+        if share is not None:
+            endpoints, every = self._accepting(call), self._accepting()
+            return share.may_acquire(
+                endpoints,
+                self._slots.group_limits(),
+                self._expected_arrivals() * len(endpoints) / max(1, len(every)),
+                self._propagation_delay(),
+                returned=call.returned,
+            )
         return self._claims.may_acquire(
-            self._slots.free(), self._expected_arrivals(), self._propagation_delay(), returned
+            self._slots.free(), self._expected_arrivals(), self._propagation_delay(), call.returned
         )
 
     def _fleet_rate(self) -> float:
@@ -423,17 +486,17 @@
         return self.retries.rate() * self._fleet_delay()
 
     def _choose(
-        self, work: Work, tried: Set[str], only: Set[str] | None = None
+        self, call: Admitted, tried: Set[str], only: Set[str] | None = None
     ) -> Selection | None:
         if not self._refusals.may_send():
             return None
-        endpoints = self._slots.below_limits(self._accepting(only))
+        endpoints = self._slots.below_limits(self._accepting(call, only))
         arrivals = self._expected_arrivals()
         sample = max(MIN_SAMPLE_SIZE, math.ceil(SAMPLE_RATIO * len(endpoints) / max(1.0, arrivals)))
         tokens = self._kv_tokens()
 
         def pick(excluded: Set[str]) -> Selection | None:
-            return self._placement.choose(endpoints, work, tokens, excluded, sample)
+            return self._placement.choose(endpoints, call.work, tokens, excluded, sample)
 
         return self._limits.choose(pick, tried, arrivals)
 
@@ -444,7 +507,7 @@
         if not self._endpoints() and (away is None or away > longest):
             self._log_no_endpoint(call, away, longest)
             raise self.rejection(call, now, Code.NO_ENDPOINT)
-        backoff = self._backoff_left()
+        backoff = self._backoff_left(call)
         if backoff is not None and backoff > self._backoff_wait(call, now):
             self._log_backoff_rejection(call, backoff, longest)
             raise self.rejection(call, now, Code.NO_ENDPOINT)
@@ -455,17 +518,18 @@
             left=call.ends_at - now,
             longest=longest,
             recovery_wait=self._recovery_wait(call, away, longest),
+            apart=self._count_apart(call),
         )
-        limited = self._limits.expected_wait(self._accepting(), len(self.queue))
+        limited = self._limits.expected_wait(self._accepting(call), len(self.queue))
         if limited > min(longest, max(0.0, requirements.patience)):
-            self._limits.log_rejection(call, self._accepting(), limited, longest)
+            self._limits.log_rejection(call, self._accepting(call), limited, longest)
             raise self.rejection(call, now, Code.OVERLOADED)
         pending = _PendingSlot(anyio.Event())
         waiter = self.queue.join(requirements, lambda served: pending.settled.set())
         if waiter is None:
             self._log_rejection(call, requirements)
             raise self.rejection(call, now, Code.OVERLOADED)
-        self._pending[id(waiter)] = pending, call.work
+        self._pending[id(waiter)] = pending, call
         self.serve_queue()
         try:
             with anyio.move_on_after(max(0.0, waiter.expires_at - now)):
@@ -480,6 +544,7 @@
             self._log_no_endpoint(call, None, longest)
             raise self.rejection(call, self._clock.monotonic(), Code.NO_ENDPOINT)
         if pending.slot is None:
+            self._check_regions(call, now)
             raise self.rejection(call, now, Code.OVERLOADED)
         return pending.slot
 
@@ -492,10 +557,11 @@
         """
         if away is not None:
             return longest
-        backoff = self._backoff_left()
+        backoff = self._backoff_left(call)
         if backoff is not None:
             return backoff + BACKOFF_MARGIN_SECONDS
-        if call.returned and self._outages.group_recovery(longest) is not None:
+        awaits_group = call.returned or not self._endpoints(call)
+        if awaits_group and self._outages.group_recovery(longest) is not None:
             return longest
         return self._refusals.wait_left() if self._refusals.closed else 0.0
 
@@ -550,13 +616,71 @@
         self._loads.begin(endpoint.id, work)
         return Slot(endpoint, work)
 
-    def _endpoints(self, only: Set[str] | None = None) -> tuple[Endpoint, ...]:
-        found = self._view.serving(self._name)
+    def endpoints(self, call: Admitted) -> Sequence[Endpoint]:
+        """Return the endpoints that a request may be sent to."""
+        return self._endpoints(call)
+
+    def is_allowed(self, call: Admitted, endpoint: Endpoint) -> bool:
+        """Return whether the regions of a request allow an endpoint; if not, log this."""
+        if self._allowed.allows(call, endpoint):
+            return True
+        logger.bind(
+            request=call.req.id.decode("latin-1"),
+            endpoint=endpoint.id,
+            regions=sorted(self._allowed.of(call) or ()),
+            region=self._allowed.region_of(endpoint.failure_domain),
+            version=call.version,
+        ).info("request not sent: the region of the endpoint is no longer allowed")
+        return False
+
+    def _check_regions(self, call: Admitted, now: float) -> None:
+        """Raise if no endpoint is in the allowed regions of a request, nor a group that forms.
+
+        While the service has no endpoint anywhere, this is the same for all requests.
+
+        Raises:
+            RequestError: REGIONS_CONTRADICT, REGION_WITHOUT_ENDPOINT.
+        """
+        regions = self._allowed.of(call)
+        if regions is None or (regions and (self._endpoints(call) or not self._endpoints())):
+            return
+        stalled = self._view.standing_still(self._name)
+        longest = _longest_wait(call, now)
+        if any(self._allowed.allows(call, each) for each in stalled):
+            self.update_outages()
+            if self._outages.group_recovery(longest) is not None:
+                return
+        self.region_rejections += 1
+        evacuated = self._view.evacuated_domains()
+        logger.bind(
+            request=call.req.id.decode("latin-1"),
+            service=self._name,
+            route=call.route.name,
+            organisation=call.organisation.name if call.organisation else "",
+            regions=sorted(regions),
+            version=call.version,
+            view_age=round(self._view.age, 2),
+            evacuated=[
+                each for each in sorted(evacuated) if self._allowed.region_of(each) in regions
+            ],
+        ).info("request rejected: no endpoint in its allowed regions")
+        raise self.rejection(call, now, Code.REGION_WITHOUT_ENDPOINT)
+
+    def _endpoints(
+        self, call: Admitted | None = None, only: Set[str] | None = None
+    ) -> Sequence[Endpoint]:
+        found: Sequence[Endpoint] = self._view.serving(self._name)
+        if call is not None:
+            found = self._selection.select(found, self._allowed.of(call))
         return found if only is None else tuple(each for each in found if each.id in only)
 
-    def _accepting(self, only: Set[str] | None = None) -> Sequence[Endpoint]:
+    def _accepting(
+        self, call: Admitted | None = None, only: Set[str] | None = None
+    ) -> Sequence[Endpoint]:
         """Return the endpoints that have not requested a backoff."""
         found = self._backoffs.accepting(self._endpoints())
+        if call is not None:
+            found = self._selected_accepting.select(found, self._allowed.of(call))
         return found if only is None else tuple(each for each in found if each.id in only)
 
     def _kv_tokens(self) -> int:
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -17,7 +17,7 @@
 from carawayhub.gateway.admission import AdmissionControl
 from carawayhub.gateway.app import GatewayApp
 from carawayhub.gateway.calls import CallerWire
-from carawayhub.gateway.directory import ANSWER_TTL_SECONDS, EntryDirectory
+from carawayhub.gateway.directory import ANSWER_TTL_SECONDS, DirectoryQuery, EntryDirectory
 from carawayhub.gateway.follower import Follower
 from carawayhub.gateway.freshness import Bounds, read_times
 from carawayhub.gateway.gossip import Gossip
@@ -28,6 +28,7 @@
 from carawayhub.gateway.model import CallerLimits
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.ports import PublishedState, ReloadableSettings
+from carawayhub.gateway.regions import AllowedRegions
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.statements import ReplicaStatements, StatementCounts
@@ -141,6 +142,7 @@
     """
 
     __slots__ = (
+        "_allowed",
         "_app",
         "_clock",
         "_directory",
@@ -190,7 +192,9 @@
             self._statements_met,
             lambda: self._records.counts,
         )
-        self._view.on_table = self._tally.table_applied
+        own_region = {options.failure_domain: options.region}
+        self._allowed = AllowedRegions(self._view, own_region | dict(options.regions))
+        self._view.on_table = self._table_applied
         own = OwnAddress(
             ip=options.ip,
             port=options.peer_port,
@@ -235,7 +239,7 @@
         self._gossip.own.backing_off = self._backing_off
         self._gossip.on_backing_off = self._health.peer_backing_off
         self._handing.on_slow_ranks = self._report_slow
-        self._directory = EntryDirectory(self._gossip, str(options.callers), rng)
+        self._directory = EntryDirectory(self._gossip, str(options.callers), rng, self._allowed)
         self._stopping = anyio.Event()
         relay = GatewayRelay(
             RelayParts(
@@ -264,9 +268,9 @@
         """Return whether this entry accepts callers."""
         return self._gossip.phase is Phase.READY
 
-    def addresses(self) -> list[str]:
+    def addresses(self, query: DirectoryQuery) -> list[str]:
         """Return the addresses of entries that accept callers."""
-        return self._directory.addresses()
+        return self._directory.addresses(query)
 
     def metrics(self) -> str:
         """Return the metrics as text."""
@@ -292,6 +296,7 @@
                 lambda: self._gossip.propagation_seconds,
                 self._rates,
                 self._gossip.reachable_fraction,
+                self._allowed,
             )
         return found
 
@@ -434,6 +439,10 @@
             if len(pool.queue):
                 pool.serve_queue()
 
+    def _table_applied(self, late_at_most: float) -> None:
+        self._tally.table_applied(late_at_most)
+        self._allowed.check_table()
+
     def _check_groups(self) -> None:
         for pool in self._pools.values():
             pool.update_outages()
@@ -460,6 +469,7 @@
             evacuation_rejections={
                 name: each.evacuation_rejections for name, each in self._pools.items()
             },
+            region_rejections={name: each.region_rejections for name, each in self._pools.items()},
         )
 
     def _connection_limits(self) -> ConnectionLimits:
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -307,7 +307,7 @@
         return (
             call.route.repeatable
             and len(progress.sent_to) < call.route.attempts
-            and len(self._parts.view.serving(call.service)) > 1
+            and len(self._parts.pool(call.service).endpoints(call)) > 1
         )
 
     async def _relay_complete_answer(
@@ -414,7 +414,7 @@
         endpoint = self._parts.view.endpoint(endpoint_id)
         if endpoint is None or not self._parts.view.is_group_available(endpoint):
             return False
-        if not pool.is_accepting(endpoint_id):
+        if not pool.is_accepting(endpoint_id) or not pool.is_allowed(progress.call, endpoint):
             return False
         if not self._may_resend(progress):
             return False
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -38,6 +38,8 @@
         reads: Whether this entry reads the store for its peers.
         evacuated: Evacuated failure domains with the revisions of the requests.
         evacuation_rejections: Requests rejected since all endpoints are evacuated, by service.
+        region_rejections: Requests rejected since no endpoint is in their allowed regions, by
+            service.
     """
 
     version: int = 0
@@ -48,6 +50,7 @@
     era_rejections: int = 0
     evacuated: Mapping[str, Revision] = field(default_factory=dict)
     evacuation_rejections: Mapping[str, int] = field(default_factory=dict)
+    region_rejections: Mapping[str, int] = field(default_factory=dict)
 
 
 class Tally:
@@ -190,6 +193,7 @@
             f"# TYPE {name} summary",
             *summary_lines(name, "", self._table_delays),
             *_evacuation_lines(seen),
+            *_region_lines(seen),
         ]
 
 
@@ -212,6 +216,17 @@
     ]
 
 
+def _region_lines(seen: ViewStatus) -> list[str]:
+    name = "carawayhub_gateway_region_rejections_total"
+    return [
+        f"# TYPE {name} counter",
+        *(
+            f'{name}{{service="{service}"}} {count}'
+            for service, count in sorted(seen.region_rejections.items())
+        ),
+    ]
+
+
 def _escaped(label: str) -> str:
     """Return the value of a label in the text format; the key of a domain may have any content."""
     return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/carawayhub/platform/probes.py
+++ b/carawayhub/platform/probes.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Awaitable, Callable
 from typing import Any
+from urllib.parse import parse_qs
 
 import msgspec
 
 from carawayhub.constants import JSON_TYPE
 from carawayhub.entry.calls import Receive, Send
-from carawayhub.gateway.directory import ANSWER_TTL_SECONDS
+from carawayhub.gateway.directory import ANSWER_TTL_SECONDS, DirectoryQuery
 
 OK_STATUS = 200
 UNAVAILABLE_STATUS = 503
@@ -28,7 +29,9 @@
 
 
 def probe_app(
-    ready: Callable[[], bool], addresses: Callable[[], list[str]], metrics: Callable[[], str]
+    ready: Callable[[], bool],
+    addresses: Callable[[DirectoryQuery], list[str]],
+    metrics: Callable[[], str],
 ) -> Application:
     """Return the ASGI application that serves readiness, directory and metrics.
 
@@ -43,7 +46,7 @@
             case "/v1/ready":
                 await _answer(send, OK_STATUS if ready() else UNAVAILABLE_STATUS, b"{}")
             case "/v1/resolve":
-                found = addresses()
+                found = addresses(_directory_query(scope))
                 body = msgspec.json.encode(_EntryList(found, ANSWER_TTL_SECONDS))
                 await _answer(send, OK_STATUS if found else UNAVAILABLE_STATUS, body)
             case _ if scope["path"] == METRICS_PATH:
@@ -54,6 +57,13 @@
     return app
 
 
+def _directory_query(scope: dict[str, Any]) -> DirectoryQuery:
+    """Return what a caller states in the query of a look-up; unknown fields are ignored."""
+    text = scope.get("query_string", b"").decode("latin-1")
+    fields = {name: values[0] for name, values in parse_qs(text).items()}
+    return DirectoryQuery(fields.get("Name", ""), fields.get("Region", ""), fields.get("Zone", ""))
+
+
 def metrics_app(metrics: Callable[[], str]) -> Application:
     """Return the ASGI application that serves only metrics.
 
--- a/carawayhub/platform/published.py
+++ b/carawayhub/platform/published.py
@@ -211,7 +211,7 @@
         public=wire.public,
         resumable=wire.resumable,
         shares=shares or (Share(wire.service, 1.0),),
-        regions=frozenset(wire.regions),
+        regions=_regions(wire.regions, f"route {wire.name}"),
     )
 
 
@@ -265,8 +265,22 @@
 
 
 def _organisations(tenants: list[_Tenant]) -> dict[str, Organisation]:
-    return {
-        key: Organisation(tenant.name, tenant.priority, frozenset(tenant.allowed_regions))
-        for tenant in tenants
-        for key in tenant.keys
-    }
+    found = {}
+    for tenant in tenants:
+        regions = _regions(tenant.allowed_regions, f"tenant {tenant.name}")
+        for key in tenant.keys:
+            found[key] = Organisation(tenant.name, tenant.priority, regions)
+    return found
+
+
+def _regions(names: list[str], owner: str) -> frozenset[str]:
+    """Return allowed regions.
+
+    Guards against a name that also stands for the unknown region of a failure domain.
+
+    Raises:
+        ValueError: A name is empty.
+    """
+    if not all(each.strip() for each in names):
+        raise ValueError(f"{owner}: a region without a name in AllowedRegions")
+    return frozenset(names)
--- a/tests/test_platform_demands.py
+++ b/tests/test_platform_demands.py
@@ -3,13 +3,18 @@
 import json
 import math
 import unittest
+from typing import Any, cast
+
+import anyio
 
 from carawayhub.codes import Code
-from carawayhub.errors import CommandError
+from carawayhub.errors import CommandError, PlatformError
+from carawayhub.gateway.directory import DirectoryQuery
 from carawayhub.gateway.freshness import Bounds
 from carawayhub.gateway.ports import DomainEvacuated, EvacuationEnded
 from carawayhub.gateway.revision import Revision
 from carawayhub.platform.changes import Event, decode_published
+from carawayhub.platform.probes import probe_app
 from carawayhub.platform.published import decode_route_table
 from carawayhub.platform.registrations import decode_endpoint
 from carawayhub.platform.settings import parse_node_settings
@@ -56,6 +61,31 @@
         server.run(scenario)
 
 
+class Lookups(unittest.TestCase):
+    """Queries of callers to the directory."""
+
+    def test_query_names_host_region_and_failure_domain(self) -> None:
+        asked: list[DirectoryQuery] = []
+
+        def addresses(query: DirectoryQuery) -> list[str]:
+            asked.append(query)
+            return []
+
+        async def look_up(query: bytes) -> None:
+            scope = {"path": "/v1/resolve", "query_string": query}
+
+            async def send(message: dict[str, Any]) -> None:
+                return
+
+            app = probe_app(lambda: True, addresses, lambda: "")
+            await app(scope, cast(Any, None), send)
+
+        anyio.run(look_up, b"Name=caraway.example%3A80&Region=west&Zone=d%201&Other=1")
+        anyio.run(look_up, b"Name=")
+        expected = [DirectoryQuery("caraway.example:80", "west", "d 1"), DirectoryQuery()]
+        self.assertEqual(asked, expected)
+
+
 class Decoding(unittest.TestCase):
     """Fields of registrations, configurations and settings."""
 
@@ -79,6 +109,15 @@
         self.assertTrue(all(not each.cold_rate for each in table.services.values()))
         self.assertTrue(all(not each.regions for each in table.routes()))
 
+    def test_allowed_region_without_a_name_makes_the_configuration_unreadable(self) -> None:
+        """Guards against a list that also allows replicas whose region is unknown."""
+        routes = [CONFIG["Routes"][0] | {"AllowedRegions": ["west", ""]}]
+        tenants = [{"Name": "armor", "Keys": ["k1"], "AllowedRegions": [" "]}]
+        for part in ({"Routes": routes}, {"Tenants": tenants}):
+            with self.assertRaises(PlatformError) as caught:
+                decode_route_table(json.dumps(CONFIG | part).encode())
+            self.assertIn("AllowedRegions", caught.exception.detail)
+
     def test_settings_have_bounds_resources_and_regions(self) -> None:
         text = SETTINGS.replace(
             "[Bounds]", "[Bounds]\nEvacuateMs = 5000\nColdOverage = 1.5\nColdSlack = 5"
--- a/tests/test_platform_metrics.py
+++ b/tests/test_platform_metrics.py
@@ -64,7 +64,7 @@
         for _ in range(9):
             tally.ended("songs", "armor", Code.OK, 200, 0.02)
         tally.ended("songs", "armor", Code.OVERLOADED, 503, 0.001)
-        app = probe_app(lambda: True, list, tally.page)
+        app = probe_app(lambda: True, lambda query: [], tally.page)
         text = get(app, METRICS_PATH)[1].splitlines()
         labels = 'route="songs",organisation="armor",code="0",status="200"'
         self.assertIn(f"carawayhub_gateway_requests_total{{{labels}}} 9", text)
@@ -77,7 +77,7 @@
         )
         tally.table_applied(float("inf"))
         tally.table_applied(0.25)
-        app = probe_app(lambda: True, list, tally.page)
+        app = probe_app(lambda: True, lambda query: [], tally.page)
         text = get(app, METRICS_PATH)[1].splitlines()
         for line in (
             "carawayhub_gateway_configuration_version 7",
@@ -92,13 +92,17 @@
     def test_entry_tells_what_replicas_stated(self) -> None:
         counts = StatementCounts(Counter(llm=3), Counter(plain=1))
         tally = Tally(statement_counts=lambda: counts)
-        text = get(probe_app(lambda: True, list, tally.page), METRICS_PATH)[1].splitlines()
+        text = get(probe_app(lambda: True, lambda query: [], tally.page), METRICS_PATH)[
+            1
+        ].splitlines()
         self.assertIn('carawayhub_gateway_requested_backoffs_total{service="llm"} 3', text)
         self.assertIn('carawayhub_gateway_announced_leavings_total{service="plain"} 1', text)
 
     def test_entry_tells_what_it_rejects_since_it_ends_endpoints(self) -> None:
         tally = Tally(poison_counts=lambda: PoisonCounts(1, 2, 3, 4))
-        text = get(probe_app(lambda: True, list, tally.page), METRICS_PATH)[1].splitlines()
+        text = get(probe_app(lambda: True, lambda query: [], tally.page), METRICS_PATH)[
+            1
+        ].splitlines()
         for line in (
             'carawayhub_gateway_poison_rejections_total{trait="content"} 1',
             'carawayhub_gateway_poison_rejections_total{trait="part"} 2',
