--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -406,8 +406,10 @@
         left = max(0.0, call.ends_at - now)
         regions = self._allowed.of(call)
         if regions is not None and not regions:
+            self.region_rejections += 1
             return RequestError(Code.REGIONS_CONTRADICT, call.route.name)
         if regions is not None and self._endpoints() and not self._endpoints(call):
+            self.region_rejections += 1
             code = Code.REGION_WITHOUT_ENDPOINT
         away = self._outages.left()
         if away is None:
@@ -650,7 +652,6 @@
             self.update_outages()
             if self._outages.group_recovery(longest) is not None:
                 return
-        self.region_rejections += 1
         evacuated = self._view.evacuated_domains()
         logger.bind(
             request=call.req.id.decode("latin-1"),
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -417,9 +417,27 @@
             await anyio.sleep(1.0)
             self.assertEqual(len(fleet.sent), 1)
             self.assertEqual(fleet.told[1].code, Code.REGIONS_CONTRADICT)
+            self.assertIn('region_rejections_total{service="llm"} 1', pages(fleet))
 
         fleet.play(story)
 
+    def test_lists_that_turn_contradictory_before_the_first_byte_are_stated(self) -> None:
+        """Guards against an attempt that ends as if its endpoint were leaving."""
+        fleet = fleet_of(entries=1)
+
+        async def story() -> None:
+            fleet.start(fleet.ask, b"a")
+            await anyio.sleep(0.1)
+            fleet.organisation = Organisation("armor", None, EAST)
+            fleet.publish(TablePublished(fleet.table(2)))
+            await anyio.sleep(1.0)
+            self.assertEqual(fleet.sent, [])
+            self.assertEqual(fleet.told[0].code, Code.REGIONS_CONTRADICT)
+            self.assertIn('region_rejections_total{service="llm"} 1', pages(fleet))
+
+        with mock.patch("benchmarks.request_fleet.CONNECT_SECONDS", 0.2):
+            fleet.play(story)
+
 
 class Directory(unittest.TestCase):
     """Entries that callers of a host with allowed regions are told to use."""
