--- a/carawayhub/gateway/directory.py
+++ b/carawayhub/gateway/directory.py
@@ -17,9 +17,10 @@
 )
 from carawayhub.gateway.gossip import Gossip
 from carawayhub.gateway.hello import Phase
+from carawayhub.gateway.regions import AllowedRegions
 
 ANSWER_TTL_SECONDS = 1.0
-"""Time for which callers are asked to cache an plan. Some cache it for three times as long. A
+"""Time for which callers are asked to cache an answer. Some cache it for three times as long. A
 stopping entry must keep serving until then, and a caller of a crashed entry may lose that time."""
 
 
@@ -59,10 +60,12 @@
         gossip: Provides the other entries.
         own: ``ip:port`` of this entry for callers.
         rng: Selects the entries for an answer that can't list all of them.
+        allowed: Allowed regions of hosts, and regions of failure domains.
         clock: Source of time; None to ignore failure domains, capacities and loads.
     """
 
     __slots__ = (
+        "_allowed",
         "_clock",
         "_counts",
         "_domains",
@@ -77,8 +80,14 @@
     )
 
     def __init__(
-        self, gossip: Gossip, own: str, rng: random.Random, clock: Clock | None = None
+        self,
+        gossip: Gossip,
+        own: str,
+        rng: random.Random,
+        allowed: AllowedRegions,
+        clock: Clock | None = None,
     ) -> None:
+        self._allowed = allowed
         self._gossip = gossip
         self._own = own
         self._rng = rng
@@ -87,7 +96,7 @@
         self._reported: dict[str, str] = {}
         self._report_at = float("-inf")
         self._shared_parts = SharedParts()
-        self._plans: dict[str, AnswerPlan] = {}
+        self._plans: dict[tuple[str, frozenset[str]], AnswerPlan] = {}
         self._domains: frozenset[str] = frozenset()
         self._planned_until = float("-inf")
 
@@ -99,17 +108,23 @@
         """Return the addresses of entries that accept callers.
 
         Without a preference for failure domains, these are all, or a uniform sample if there are
-        many; otherwise see ``entrychoice.py``. If no entry can reach the store, the entries out of
+        many; otherwise see ``entrychoice.py``. For a host with allowed regions these are entries
+        there or in the caller's region, if any. If no entry can reach the store, the entries out of
         touch with it are returned. They still serve requests that need no key, and return an
         accurate retry time for others.
         """
         if self._clock is not None:
             return self._chosen(query, self._clock)
-        found = self._in_phase(Phase.READY) or self._in_phase(Phase.OUT_OF_TOUCH)
+        found = [each.callers for each in self._options(self._wanted_regions(query))]
         if len(found) > MAX_ADDRESSES:
             return self._rng.sample(found, MAX_ADDRESSES)
         return found
 
+    def _wanted_regions(self, query: DirectoryQuery) -> frozenset[str]:
+        """Return the regions whose entries suit a query, empty for all regions."""
+        allowed = self._allowed.of_host(query.host)
+        return allowed | {query.region} if allowed and query.region else allowed
+
     def _chosen(self, query: DirectoryQuery, clock: Clock) -> list[str]:
         now = clock.monotonic()
         if now >= self._planned_until:
@@ -117,22 +132,31 @@
             self._plans = {}
         # Callers may state any text; failure domains without an entry are one case.
         domain = query.failure_domain if query.failure_domain in self._domains else ""
-        plan = self._plans.get(domain)
+        regions = self._wanted_regions(query)
+        plan = self._plans.get((domain, regions))
         if plan is None:
-            plan = self._plan(query.failure_domain, now)
+            plan = self._plan(query.failure_domain, regions, now)
         self._record(query.failure_domain, plan, now)
         return plan.draw(self._rng)
 
-    def _plan(self, domain: str, now: float) -> AnswerPlan:
-        options = self._options(Phase.READY) or self._options(Phase.OUT_OF_TOUCH)
-        self._domains = frozenset(each.failure_domain for each in options)
+    def _plan(self, domain: str, regions: frozenset[str], now: float) -> AnswerPlan:
+        options = self._options(regions)
         plan = plan_answers(options, domain, self._shared_parts.recent(domain))
         if plan.own_entries:
             self._shared_parts.record(domain, plan.shared, now)
-        self._plans[domain if plan.own_entries else ""] = plan
+        self._plans[domain if domain in self._domains else "", regions] = plan
         return plan
 
-    def _options(self, phase: Phase) -> list[EntryOption]:
+    def _options(self, regions: frozenset[str]) -> list[EntryOption]:
+        """Return the entries that accept callers, those in some regions if there are any."""
+        found = self._in_phase(Phase.READY) or self._in_phase(Phase.OUT_OF_TOUCH)
+        self._domains = frozenset(each.failure_domain for each in found)
+        if not regions:
+            return found
+        region_of = self._allowed.region_of
+        return [each for each in found if region_of(each.failure_domain) in regions] or found
+
+    def _in_phase(self, phase: Phase) -> list[EntryOption]:
         found = [
             EntryOption(each.callers, each.failure_domain, each.capacity, each.in_flight)
             for each in self._gossip.entries(phase)
@@ -166,7 +190,3 @@
             utilisation=round(plan.utilisation, 3),
             shared=round(plan.shared, 3),
         ).info("directory answers of a failure domain change")
-
-    def _in_phase(self, phase: Phase) -> list[str]:
-        found = [each.callers for each in self._gossip.entries(phase)]
-        return [*found, self._own] if self._gossip.phase is phase else found
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -34,6 +34,7 @@
 from carawayhub.gateway.model import CallerLimits
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.ports import PublishedState, ReloadableSettings
+from carawayhub.gateway.regions import AllowedRegions
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.statements import ReplicaStatements, StatementCounts
@@ -147,6 +148,7 @@
     """
 
     __slots__ = (
+        "_allowed",
         "_app",
         "_clock",
         "_directory",
@@ -197,7 +199,9 @@
             lambda: self._records.counts,
             self._locality_counts,
         )
-        self._view.on_table = self._tally.table_applied
+        own_region = {options.failure_domain: options.region}
+        self._allowed = AllowedRegions(self._view, own_region | dict(options.regions))
+        self._view.on_table = self._table_applied
         own = OwnAddress(
             ip=options.ip,
             port=options.peer_port,
@@ -247,7 +251,11 @@
         if uses_domains:
             self._gossip.own.in_flight = self._loads.own_requests
         self._directory = EntryDirectory(
-            self._gossip, str(options.callers), rng, clock if uses_domains else None
+            self._gossip,
+            str(options.callers),
+            rng,
+            self._allowed,
+            clock if uses_domains else None,
         )
         self._stopping = anyio.Event()
         relay = GatewayRelay(
@@ -307,6 +315,7 @@
                 self._gossip.reachable_fraction,
                 options.failure_domain,
                 options.domain_margin,
+                self._allowed,
             )
         return found
 
@@ -449,6 +458,10 @@
             if len(pool.queue):
                 pool.serve_queue()
 
+    def _table_applied(self, late_at_most: float) -> None:
+        self._tally.table_applied(late_at_most)
+        self._allowed.check_table()
+
     def _check_groups(self) -> None:
         for pool in self._pools.values():
             pool.update_outages()
@@ -485,6 +498,7 @@
             evacuation_rejections={
                 name: each.evacuation_rejections for name, each in self._pools.items()
             },
+            region_rejections={name: each.region_rejections for name, each in self._pools.items()},
         )
 
     def _connection_limits(self) -> ConnectionLimits:
--- a/tests/test_gateway_directory.py
+++ b/tests/test_gateway_directory.py
@@ -27,14 +27,18 @@
 from carawayhub.gateway.loads import Loads, Work
 from carawayhub.gateway.ports import ReloadableSettings
 from carawayhub.gateway.process import GatewayProcess, VmResources
+from carawayhub.gateway.regions import AllowedRegions
 from carawayhub.gateway.tally import LocalityCounts, Tally
 from carawayhub.gateway.telling import OwnAddress
+from carawayhub.gateway.view import FleetView
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.platform.headers import PlatformWire
 from carawayhub.platform.probes import probe_app
 from tests.gateway_world import entry_options, rates
 from tests.test_gateway_large import DOMAINS, ENTRIES, Fleet, run_scenario
 
+NO_REGIONS = AllowedRegions(FleetView(ManualClock(0.0), 1.2), {})
+
 
 def setUpModule() -> None:
     logger.disable("carawayhub")
@@ -162,7 +166,7 @@
         )
         self.gossip.own.phase = Phase.READY
         self.directory = EntryDirectory(
-            self.gossip, own.callers, random.Random(2), clock=self.clock
+            self.gossip, own.callers, random.Random(2), NO_REGIONS, self.clock
         )
 
     def hear(self, ip: str, domain: str, phase: Phase = Phase.READY, number: int = 1) -> None:
@@ -233,7 +237,7 @@
             for at in range(entries_known):
                 self.hear(f"10.{at % 3 + 1}.0.{at // 3 + 20}", "abc"[at % 3])
             before, rng = random.Random(3), random.Random(3)
-            directory = EntryDirectory(self.gossip, "10.1.0.10:80", rng)
+            directory = EntryDirectory(self.gossip, "10.1.0.10:80", rng, NO_REGIONS)
             for domain in ("a", "b", "", "nowhere") * 5:
                 ready = [each.callers for each in self.gossip.entries(Phase.READY)]
                 ready.append("10.1.0.10:80")
@@ -283,7 +287,7 @@
                 }
                 self.assertEqual(known, {k: v for k, v in stated.items() if k != ip})
             directory = EntryDirectory(
-                entry, entry.own.address.callers, random.Random(1), LoopClock()
+                entry, entry.own.address.callers, random.Random(1), NO_REGIONS, LoopClock()
             )
             for domain in range(1, DOMAINS + 1):
                 query = DirectoryQuery(failure_domain=str(domain))
