--- a/carawayhub/gateway/grouplimits.py
+++ b/carawayhub/gateway/grouplimits.py
@@ -59,12 +59,14 @@
         ranks: Number of ranks.
         gap: Longest time in seconds between two events that callers accept.
         timeout: Seconds within which a stream must end.
+        epoch: Number of the group's latest formation.
     """
 
     profile: EngineProfile
     ranks: int
     gap: float
     timeout: float
+    epoch: int = 0
 
     @property
     def slots(self) -> int:
@@ -101,11 +103,17 @@
     ]
     if not routes:
         return {}
-    ranks = Counter(each.membership.group for each in endpoints if each.membership is not None)
+    seats = [each.membership for each in endpoints if each.membership is not None]
+    ranks = Counter(each.group for each in seats)
+    epochs: dict[str, int] = {}
+    for each in seats:
+        epochs[each.group] = max(each.epoch, epochs.get(each.group, each.epoch))
     gap = min(route.gap for route in routes)
     timeout = min(route.timeout for route in routes)
     return {
-        group: GroupShape(profile=found.engine, ranks=count, gap=gap, timeout=timeout)
+        group: GroupShape(
+            profile=found.engine, ranks=count, gap=gap, timeout=timeout, epoch=epochs[group]
+        )
         for group, count in ranks.items()
     }
 
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Sequence, Set
+from collections.abc import Callable, Mapping, Sequence, Set
 from dataclasses import dataclass
 
 import anyio
@@ -321,6 +321,10 @@
         """Record the time between two events of a stream."""
         self._slots.record_pause(slot.endpoint, seconds)
 
+    def pass_bounds(self) -> Mapping[str, int]:
+        """Return the bounds that keep the passes of groups within the accepted pause."""
+        return self._slots.pass_bounds()
+
     def release(self, slot: Slot, *, ran: bool = True) -> None:
         """Release a slot and serve the queue.
 
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -189,6 +189,7 @@
             self._view_seen,
             self._statements_met,
             lambda: self._records.counts,
+            self._pass_bounds,
         )
         self._view.on_table = self._tally.table_applied
         own = OwnAddress(
@@ -442,6 +443,13 @@
         held_back = sum(each.held_back for each in self._pools.values())
         return ReplicaLimits(self._rates.limits(), held_back)
 
+    def _pass_bounds(self) -> dict[str, int]:
+        return {
+            group: bound
+            for pool in self._pools.values()
+            for group, bound in pool.pass_bounds().items()
+        }
+
     def _statements_met(self) -> StatementCounts:
         found = {name: each.backoff_rejections for name, each in self._pools.items()}
         return replace(self._statements.counts, rejections=Counter(found))
--- a/carawayhub/gateway/serviceslots.py
+++ b/carawayhub/gateway/serviceslots.py
@@ -1,6 +1,6 @@
 """Free slots of a service's endpoints, within the limits of its lock-step groups."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from carawayhub.clock import Clock
 from carawayhub.gateway.freeslots import FreeSlots
@@ -70,6 +70,10 @@
             limits[group] = min(bound, limits.get(group, bound))
         return limits
 
+    def pass_bounds(self) -> Mapping[str, int]:
+        """Return the bounds that keep the passes of groups within the accepted pause."""
+        return self._bounds.bounds(self._group_shapes())
+
     def below_limits(self, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
         """Return the endpoints whose groups are below their limits, or all if there are none."""
         limits = self.group_limits()
@@ -94,9 +98,13 @@
         """Record the time between two events of a stream."""
         if endpoint.membership is None:
             return
-        group = endpoint.membership.group
-        self._limits.record_pause(group, seconds, lambda: self._usual_pass_seconds(group))
-        self._bounds.record_pause(group, seconds, self._usual_pass_seconds(group))
+        group, epoch = endpoint.membership.group, endpoint.membership.epoch
+
+        def usual() -> float:
+            return self._usual_pass_seconds(group)
+
+        self._limits.record_pause(group, seconds, usual)
+        self._bounds.record_pause(group, epoch, seconds, usual)
 
     def _usual_pass_seconds(self, group: str) -> float:
         """Return the seconds of a pass by the profile, 0 if the group has no streams."""
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -59,12 +59,14 @@
         view_status: Returns the status of the view of the published state.
         statement_counts: Returns how often replicas stated something about themselves.
         poison_counts: Returns how many requests were rejected since they end endpoints.
+        pass_bounds: Returns the bounds on the requests in flight of groups, by group.
     """
 
     __slots__ = (
         "_ended_under_requests",
         "_ends",
         "_table_delays",
+        "_pass_bounds",
         "_poison_counts",
         "_replica_limits",
         "_statement_counts",
@@ -80,12 +82,14 @@
         view_status: Callable[[], ViewStatus] = ViewStatus,
         statement_counts: Callable[[], StatementCounts] = StatementCounts,
         poison_counts: Callable[[], PoisonCounts] = PoisonCounts,
+        pass_bounds: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._unreadable_entries = unreadable_entries
         self._replica_limits = replica_limits
         self._view_status = view_status
         self._statement_counts = statement_counts
         self._poison_counts = poison_counts
+        self._pass_bounds = pass_bounds
         self._table_delays = Recorder()
         self._ends: Counter[tuple[str, str, Code, int]] = Counter()
         self._times: dict[str, Recorder] = {}
@@ -134,6 +138,9 @@
             lines.append(f'carawayhub_gateway_replica_limit{{replica="{key}"}} {per_second}')
         lines.append("# TYPE carawayhub_gateway_held_back_total counter")
         lines.append(f"carawayhub_gateway_held_back_total {met.held_back}")
+        lines.append("# TYPE carawayhub_gateway_group_pass_bound gauge")
+        for group, bound in sorted(self._pass_bounds().items()):
+            lines.append(f'carawayhub_gateway_group_pass_bound{{group="{group}"}} {bound}')
         lines += self._poison_lines()
         lines += self._statement_lines()
         lines += self._view_lines()
--- a/tests/test_platform_metrics.py
+++ b/tests/test_platform_metrics.py
@@ -96,6 +96,11 @@
         self.assertIn('carawayhub_gateway_requested_backoffs_total{service="llm"} 3', text)
         self.assertIn('carawayhub_gateway_announced_leavings_total{service="plain"} 1', text)
 
+    def test_entry_tells_the_bounds_of_groups(self) -> None:
+        tally = Tally(pass_bounds=lambda: {"g1": 88})
+        text = get(probe_app(lambda: True, list, tally.page), METRICS_PATH)[1].splitlines()
+        self.assertIn('carawayhub_gateway_group_pass_bound{group="g1"} 88', text)
+
     def test_entry_tells_what_it_rejects_since_it_ends_endpoints(self) -> None:
         tally = Tally(poison_counts=lambda: PoisonCounts(1, 2, 3, 4))
         text = get(probe_app(lambda: True, list, tally.page), METRICS_PATH)[1].splitlines()
