--- a/benchmarks/group_load.py
+++ b/benchmarks/group_load.py
@@ -6,9 +6,10 @@
 their own, come back once when they are asked to, and count an answer as in time where its first
 event and all of its pauses are.
 
-    python -m benchmarks.group_load [--json] [--seeds N]
+    python -m benchmarks.group_load [--near-pause] [--json] [--seeds N]
 """
 
+import math
 import random
 import sys
 from collections import Counter
@@ -122,6 +123,16 @@
     return lambda now: usual * (factor if start <= now < end else 1.0)
 
 
+def swing(mean: float, amplitude: float, period: float) -> Curve:
+    """Return a rate that swings around its mean by a fraction of it."""
+    return lambda now: mean * (1.0 + amplitude * math.sin(2.0 * math.pi * now / period))
+
+
+def ramp(first: float, last: float, start: float, end: float) -> Curve:
+    """Return a rate that changes from ``start`` to ``end`` and stays."""
+    return lambda now: first + (last - first) * min(1.0, max(0.0, (now - start) / (end - start)))
+
+
 @dataclass(slots=True)
 class Tokens:
     """One request at a rank.
@@ -508,13 +519,48 @@
     ),
 }
 
+NEAR_PAUSE_CAPACITY = 34.0
+"""Requests per second that the group of ``near_pause`` can serve with all pauses as accepted."""
+
+
+def near_pause(rate: Curve, seconds: float = 24.0, entries: int = 15) -> Load:
+    """Return a load of a group whose passes exceed the accepted pause when it is full."""
+    return Load(
+        rate=rate,
+        stretch=lambda now: 2.0,
+        seconds=seconds,
+        entries=entries,
+        ranks=24,
+        events=19.0,
+        profile=COSTLY_WRITERS,
+        pause=0.15,
+    )
+
+
+NEAR_PAUSE_LOADS = {
+    f"{factor} times the capacity": near_pause(jump(factor * NEAR_PAUSE_CAPACITY, 1.0, 0.0, 0.0))
+    for factor in (0.9, 1.0, 1.3, 1.6, 2.0)
+} | {
+    "swing of 70% within 11 s": near_pause(swing(NEAR_PAUSE_CAPACITY, 0.7, 11.0), 33.0),
+    "swing of 40% within 6 s": near_pause(swing(NEAR_PAUSE_CAPACITY, 0.4, 6.0), 30.0),
+    "swing of 55% within 23 s": near_pause(swing(NEAR_PAUSE_CAPACITY, 0.55, 23.0), 46.0),
+    "ramp from 0.6 to 1.8 times the capacity": near_pause(
+        ramp(0.6 * NEAR_PAUSE_CAPACITY, 1.8 * NEAR_PAUSE_CAPACITY, 6.0, 18.0), 30.0
+    ),
+    "65 entries, 1.6 times the capacity": near_pause(
+        jump(1.6 * NEAR_PAUSE_CAPACITY, 1.0, 0.0, 0.0), 16.0, entries=65
+    ),
+}
+"""Loads of one group whose passes take twice what the profile states."""
+
 
 def main(argv: list[str]) -> int:
     """Play all loads and print what callers got of each."""
     logger.disable("carawayhub")
     seeds = int(argv[argv.index("--seeds") + 1]) if "--seeds" in argv else SEEDS
     rows = {}
-    for name, load in LOADS.items():
+    loads = NEAR_PAUSE_LOADS if "--near-pause" in argv else LOADS
+    for name, load in loads.items():
         fleets = [play(load, seed) for seed in range(seeds)]
         ends: Counter[str] = Counter()
         for each in fleets:
--- a/carawayhub/gateway/passbound.py
+++ b/carawayhub/gateway/passbound.py
@@ -14,19 +14,26 @@
 from loguru import logger
 
 from carawayhub.clock import Clock
-from carawayhub.gateway.grouplimits import SAMPLE_SECONDS, GroupShape
+from carawayhub.gateway.grouplimits import GroupShape
 
-WINDOW_SAMPLES = 3
-"""Sampling intervals with a pass over which passes are averaged: at least 0.6 s, a few passes. The
-bound follows from the window with the shorter passes of the two latest: after a change of demand
-passes are long for about a second, until the expert map follows, and a bound would refuse callers
-for most of that time in vain."""
+SAMPLE_SECONDS = 0.1
+"""Time over which observed pauses are averaged, from the first on, and for which a bound is used
+before it is computed again: about one pass. Entries must not do so at the same instants: all would
+send the requests that a higher bound allows."""
+
+WINDOW_SECONDS = 0.5
+"""Time over which passes are averaged: a few of them. The bound follows from the window with the
+shorter passes of the two latest: after a change of demand passes are long for about a second, until
+the expert map follows, and a bound would refuse callers for most of that time in vain."""
 
 WINDOWS = 2
 
+MAX_SAMPLES = round(WINDOWS * WINDOW_SECONDS / SAMPLE_SECONDS)
+"""Samples of a group that are kept."""
+
 KEEP_SECONDS = 2.0
-"""Age at which a sample is dropped. An entry that has one or two streams at a group at a time has
-none for some intervals; its bound must outlast them, as it would otherwise fill the group alone."""
+"""Time for which a bound outlasts the newest pause while a window has none. An entry that has one
+or two streams at a group meets this often, and would fill the group alone without its bound."""
 
 PASS_MARGIN = 0.1
 """Fraction of the accepted pause that is left for single passes, which differ from the mean by
@@ -37,29 +44,19 @@
 something else than the requests makes them long, and a bound would leave slots empty in vain."""
 
 
-def request_bound(shape: GroupShape, stretches: Sequence[float]) -> int | None:
+def request_bound(shape: GroupShape, windows: Sequence[float]) -> int | None:
     """Return the maximum number of requests in flight, None for no bound.
 
     Args:
         shape: The group.
-        stretches: Observed durations of passes in relation to the profile, a sample each, the
-            latest last.
+        windows: Mean duration of passes in relation to the profile, for each of the latest windows.
     """
-    if len(stretches) < WINDOWS * WINDOW_SAMPLES:
-        return None
-    most = requests_within(shape, shortest_window(stretches))
+    most = requests_within(shape, min(windows))
     if most >= shape.slots or most < MIN_FRACTION * shape.slots:
         return None
     return int(most)
 
 
-def shortest_window(stretches: Sequence[float]) -> float:
-    """Return the mean stretch of the latest window with the shortest passes."""
-    latest = stretches[-WINDOWS * WINDOW_SAMPLES :]
-    starts = range(0, len(latest), WINDOW_SAMPLES)
-    return min(sum(latest[at : at + WINDOW_SAMPLES]) / WINDOW_SAMPLES for at in starts)
-
-
 def requests_within(shape: GroupShape, stretch: float) -> float:
     """Return the requests in flight at which a pass takes as long as callers accept.
 
@@ -78,21 +75,16 @@
     """Passes observed within one sampling interval.
 
     Attributes:
-        number: Number of the interval.
+        began_at: Time of the first pause.
         usual: Seconds that a pass takes by the profile, with the requests in flight at its start.
-        total: Sum of the observed pauses in seconds.
+        stretches: Sum of the observed durations in relation to the profile.
         count: Number of observed pauses.
     """
 
-    number: int
+    began_at: float
     usual: float
-    total: float
-    count: int
-
-    @property
-    def stretch(self) -> float:
-        """Mean duration of the passes in relation to the profile."""
-        return self.total / (self.count * self.usual)
+    stretches: float = 0.0
+    count: int = 0
 
 
 class _Group:
@@ -111,24 +103,32 @@
     def __init__(self, epoch: int) -> None:
         self.bound: int | None = None
         self.epoch = epoch
-        self._samples: deque[_Sample] = deque(maxlen=WINDOWS * WINDOW_SAMPLES + 1)
+        self._samples: deque[_Sample] = deque(maxlen=MAX_SAMPLES)
 
-    def record(self, number: int, seconds: float, usual: Callable[[], float]) -> None:
+    def record(self, now: float, seconds: float, usual: Callable[[], float]) -> None:
         """Record a pause; see ``PassBounds.record_pause``."""
-        if self._samples and self._samples[-1].number == number:
-            self._samples[-1].total += seconds
-            self._samples[-1].count += 1
-            return
-        predicted = usual()
-        if predicted > 0.0:
-            self._samples.append(_Sample(number, predicted, seconds, 1))
-
-    def stretches(self, number: int) -> list[float]:
-        """Return the samples that count in an interval, without that of the interval itself."""
-        oldest = number - round(KEEP_SECONDS / SAMPLE_SECONDS)
-        while self._samples and self._samples[0].number < oldest:
-            self._samples.popleft()
-        return [each.stretch for each in self._samples if each.number < number]
+        if not self._samples or now >= self._samples[-1].began_at + SAMPLE_SECONDS:
+            predicted = usual()
+            if predicted <= 0.0:
+                return
+            self._samples.append(_Sample(now, predicted))
+        sample = self._samples[-1]
+        sample.stretches += seconds / sample.usual
+        sample.count += 1
+
+    def windows(self, now: float) -> list[float]:
+        """Return the mean stretch of each of the latest windows that has a pass."""
+        totals, counts = [0.0] * WINDOWS, [0] * WINDOWS
+        for each in self._samples:
+            window = int((now - each.began_at) / WINDOW_SECONDS)
+            if window < WINDOWS:
+                totals[window] += each.stretches
+                counts[window] += each.count
+        return [total / count for total, count in zip(totals, counts, strict=True) if count]
+
+    def is_outdated(self, now: float) -> bool:
+        """Return whether the newest pause is too old for a bound to be kept."""
+        return not self._samples or self._samples[-1].began_at < now - KEEP_SECONDS
 
 
 class PassBounds:
@@ -138,13 +138,13 @@
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_found", "_groups", "_number", "_shapes")
+    __slots__ = ("_clock", "_expires_at", "_found", "_groups", "_shapes")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._groups: dict[str, _Group] = {}
         self._shapes: Mapping[str, GroupShape] | None = None
-        self._number = -1
+        self._expires_at = float("-inf")
         self._found: dict[str, int] = {}
 
     def record_pause(
@@ -163,7 +163,7 @@
         if found is None or found.epoch < epoch:
             found = self._groups[group] = _Group(epoch)
         if found.epoch == epoch:
-            found.record(self._sample_number(), seconds, usual)
+            found.record(self._clock.monotonic(), seconds, usual)
 
     def bounds(self, shapes: Mapping[str, GroupShape]) -> Mapping[str, int]:
         """Return the maximum number of requests in flight at each group that has a bound.
@@ -173,21 +173,18 @@
         Args:
             shapes: The groups by name; the same mapping as long as they do not change.
         """
-        number = self._sample_number()
-        if number == self._number and shapes is self._shapes:
+        now = self._clock.monotonic()
+        if now < self._expires_at and shapes is self._shapes:
             return self._found
-        self._number, self._shapes = number, shapes
+        self._expires_at, self._shapes = now + SAMPLE_SECONDS, shapes
         self._drop_former(shapes)
         for name, group in self._groups.items():
-            self._update(name, group, shapes[name])
+            _update(name, group, shapes[name], now)
         self._found = {
             name: group.bound for name, group in self._groups.items() if group.bound is not None
         }
         return self._found
 
-    def _sample_number(self) -> int:
-        return int(self._clock.monotonic() / SAMPLE_SECONDS)
-
     def _drop_former(self, shapes: Mapping[str, GroupShape]) -> None:
         """Drop groups that are gone and samples of former formations."""
         for name, group in list(self._groups.items()):
@@ -195,16 +192,31 @@
             if shape is None or group.epoch < shape.epoch:
                 del self._groups[name]
 
-    def _update(self, name: str, group: _Group, shape: GroupShape) -> None:
-        stretches = group.stretches(self._number)
-        bound = request_bound(shape, stretches)
-        if (bound is None) != (group.bound is None):
-            logger.bind(
-                group=name,
-                epoch=group.epoch,
-                bound=bound,
-                slots=shape.slots,
-                stretches=[round(each, 2) for each in stretches],
-                gap=shape.gap,
-            ).info("bound on the requests of a group begins or ends")
-        group.bound = bound
+
+def _update(name: str, group: _Group, shape: GroupShape, now: float) -> None:
+    windows = group.windows(now)
+    bound = _next_bound(group, shape, windows, now)
+    if (bound is None) != (group.bound is None):
+        logger.bind(
+            group=name,
+            epoch=group.epoch,
+            bound=bound,
+            slots=shape.slots,
+            stretches=[round(each, 2) for each in windows],
+            gap=shape.gap,
+        ).info("bound on the requests of a group begins or ends")
+    group.bound = bound
+
+
+def _next_bound(
+    group: _Group, shape: GroupShape, windows: Sequence[float], now: float
+) -> int | None:
+    """Return the bound of a group; with too few passes for a new one, that in force or more."""
+    if len(windows) == WINDOWS:
+        return request_bound(shape, windows)
+    if group.bound is None or group.is_outdated(now):
+        return None
+    if not windows:
+        return group.bound
+    found = request_bound(shape, windows)
+    return None if found is None else max(found, group.bound)
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -23,6 +23,7 @@
 from carawayhub.gateway.servicelimits import ServiceLimits
 from carawayhub.gateway.serviceoutages import ServiceOutages
 from carawayhub.gateway.serviceslots import ServiceSlots
+from carawayhub.gateway.slotforecast import SlotForecast
 from carawayhub.gateway.view import FleetView
 from carawayhub.limits.claims import Claims
 from carawayhub.limits.replicarate import ReplicaRates
@@ -114,6 +115,7 @@
         "_claims",
         "_clock",
         "_first_event_seconds",
+        "_forecast",
         "_fleet_delay",
         "_health",
         "_limits",
@@ -169,6 +171,7 @@
             self._fleet_rate,
         )
         self._fleet_delay = fleet_delay
+        self._forecast = SlotForecast(clock)
         self._first_event_seconds = 0.0
         self._pending: dict[int, tuple[_PendingSlot, Work]] = {}
         self.queue = RequestQueue(clock, rng)
@@ -189,6 +192,8 @@
         Raises:
             RequestError: NO_ENDPOINT, OVERLOADED.
         """
+        if not call.returned:
+            self._forecast.record_arrival()
         slot = self._acquire_now(call.work, returned=call.returned)
         if slot is not None:
             return slot
@@ -339,6 +344,7 @@
         self._claims.record_release()
         if ran:
             self.queue.ended()
+            self._forecast.record_end()
         self.serve_queue()
 
     def update_outages(self) -> None:
@@ -395,15 +401,23 @@
         """Return whether this entry may claim a free slot of the engines."""
         if not self._kv_tokens():
             return True
+        free = self._slots.free() - (self._reserved() if returned else 0.0)
         return self._claims.may_acquire(
-            self._slots.free(), self._expected_arrivals(), self._propagation_delay(), returned
+            free, self._expected_arrivals(), self._propagation_delay(), returned
         )
 
+    def _reserved(self) -> float:
+        """Return the slots that new requests at all entries will lack while passes are bounded."""
+        return self._forecast.shortage() * self._entries() if self._slots.pass_bounds() else 0.0
+
+    def _entries(self) -> float:
+        """Return the number of entries."""
+        delay = self._propagation_delay()
+        return self._fleet_delay() / delay if delay > 0.0 else 1.0
+
     def _fleet_rate(self) -> float:
         """Return the requests per second for the service at all entries."""
-        delay = self._propagation_delay()
-        entries = self._fleet_delay() / delay if delay > 0.0 else 1.0
-        return self.retries.recent_rate() * entries
+        return self.retries.recent_rate() * self._entries()
 
     def _counted_endpoints(self) -> Sequence[Endpoint]:
         return self._limits.counted_endpoints(self._accepting())
