--- a/carawayhub/gateway/passbound.py
+++ b/carawayhub/gateway/passbound.py
@@ -8,7 +8,7 @@
 """
 
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -16,6 +16,11 @@
 from carawayhub.clock import Clock
 from carawayhub.gateway.grouplimits import GroupShape
 
+SAMPLE_SECONDS = 0.1
+"""Time over which observed pauses are averaged, from the first on, and for which a bound is used
+before it is computed again: about one pass. Entries must not do so at the same instants: all would
+send the requests that a higher bound allows."""
+
 WINDOW_SECONDS = 0.5
 """Time over which passes are averaged: a few of them. The bound follows from the window with the
 shorter passes of the two latest: after a change of demand passes are long for about a second, until
@@ -23,6 +28,13 @@
 
 WINDOWS = 2
 
+MAX_SAMPLES = round(WINDOWS * WINDOW_SECONDS / SAMPLE_SECONDS)
+"""Samples of a group that are kept."""
+
+KEEP_SECONDS = 2.0
+"""Time for which a bound outlasts the newest pause while a window has none. An entry that has one
+or two streams at a group meets this often, and would fill the group alone without its bound."""
+
 PASS_MARGIN = 0.1
 """Fraction of the accepted pause that is left for single passes, which differ from the mean by
 about that much: one long pass of twenty makes a stream late."""
@@ -31,22 +43,15 @@
 """Smallest bound as a fraction of the slots. If passes are so long that fewer requests were needed,
 something else than the requests makes them long, and a bound would leave slots empty in vain."""
 
-UPDATE_SECONDS = 0.1
-"""Interval between two computations of a bound: about one pass."""
 
-
-def request_bound(shape: GroupShape, windows: Sequence[Sequence[float]]) -> int | None:
+def request_bound(shape: GroupShape, windows: Sequence[float]) -> int | None:
     """Return the maximum number of requests in flight, None for no bound.
 
     Args:
         shape: The group.
-        windows: For each of the latest windows, the observed durations of passes in relation to the
-            profile. Windows without a sample say that the group was idle.
+        windows: Mean duration of passes in relation to the profile, for each of the latest windows.
     """
-    if not windows or not all(windows):
-        return None
-    stretch = min(sum(each) / len(each) for each in windows)
-    most = requests_within(shape, stretch)
+    most = requests_within(shape, min(windows))
     if most >= shape.slots or most < MIN_FRACTION * shape.slots:
         return None
     return int(most)
@@ -62,31 +67,68 @@
     longest = shape.gap * (1.0 - PASS_MARGIN) / stretch
     idle = shape.pass_seconds(0.0)
     per_request = shape.pass_seconds(1.0) - idle
-    return max(0.0, longest - idle) / per_request
+    return max(0.0, longest - idle) / per_request if per_request > 0.0 else float("inf")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Sample:
-    """One observed pass.
+    """Passes observed within one sampling interval.
 
     Attributes:
-        at: When it was observed.
-        stretch: Its duration in relation to the profile.
+        began_at: Time of the first pause.
+        usual: Seconds that a pass takes by the profile, with the requests in flight at its start.
+        stretches: Sum of the observed durations in relation to the profile.
+        count: Number of observed pauses.
     """
 
-    at: float
-    stretch: float
+    began_at: float
+    usual: float
+    stretches: float = 0.0
+    count: int = 0
 
 
 class _Group:
-    """Observed passes of one group and the bound that follows from them."""
+    """Observed passes of one formation of a group and the bound that follows from them.
 
-    __slots__ = ("bound", "computed_at", "samples")
+    Args:
+        epoch: Number of the formation.
 
-    def __init__(self) -> None:
-        self.samples: deque[_Sample] = deque()
+    Attributes:
+        bound: Maximum number of requests in flight, None for no bound.
+        epoch: Number of the formation.
+    """
+
+    __slots__ = ("_samples", "bound", "epoch")
+
+    def __init__(self, epoch: int) -> None:
         self.bound: int | None = None
-        self.computed_at = float("-inf")
+        self.epoch = epoch
+        self._samples: deque[_Sample] = deque(maxlen=MAX_SAMPLES)
+
+    def record(self, now: float, seconds: float, usual: Callable[[], float]) -> None:
+        """Record a pause; see ``PassBounds.record_pause``."""
+        if not self._samples or now >= self._samples[-1].began_at + SAMPLE_SECONDS:
+            predicted = usual()
+            if predicted <= 0.0:
+                return
+            self._samples.append(_Sample(now, predicted))
+        sample = self._samples[-1]
+        sample.stretches += seconds / sample.usual
+        sample.count += 1
+
+    def windows(self, now: float) -> list[float]:
+        """Return the mean stretch of each of the latest windows that has a pass."""
+        totals, counts = [0.0] * WINDOWS, [0] * WINDOWS
+        for each in self._samples:
+            window = int((now - each.began_at) / WINDOW_SECONDS)
+            if window < WINDOWS:
+                totals[window] += each.stretches
+                counts[window] += each.count
+        return [total / count for total, count in zip(totals, counts, strict=True) if count]
+
+    def is_outdated(self, now: float) -> bool:
+        """Return whether the newest pause is too old for a bound to be kept."""
+        return not self._samples or self._samples[-1].began_at < now - KEEP_SECONDS
 
 
 class PassBounds:
@@ -96,57 +138,85 @@
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_groups")
+    __slots__ = ("_clock", "_expires_at", "_found", "_groups", "_shapes")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._groups: dict[str, _Group] = {}
+        self._shapes: Mapping[str, GroupShape] | None = None
+        self._expires_at = float("-inf")
+        self._found: dict[str, int] = {}
 
-    def record_pause(self, group: str, seconds: float, usual: float) -> None:
+    def record_pause(
+        self, group: str, epoch: int, seconds: float, usual: Callable[[], float]
+    ) -> None:
         """Record the time between two events of a stream.
 
         Args:
             group: Name of the group.
+            epoch: Formation of the group to which the stream belongs.
             seconds: The pause.
-            usual: Seconds that a pass takes by the profile with the requests in flight, 0 if it is
-                unknown.
+            usual: Returns the seconds that a pass of the group takes by the profile with the
+                requests in flight, 0 if unknown. Called once per sampling interval.
         """
-        if usual <= 0.0:
-            return
-        now = self._clock.monotonic()
-        samples = self._groups.setdefault(group, _Group()).samples
-        samples.append(_Sample(now, seconds / usual))
-        while samples[0].at < now - WINDOWS * WINDOW_SECONDS:
-            samples.popleft()
-
-    def bounds(self, shapes: Mapping[str, GroupShape]) -> dict[str, int]:
-        """Return the maximum number of requests in flight at each group that has a bound."""
-        for each in [each for each in self._groups if each not in shapes]:
-            del self._groups[each]
-        found = {}
-        for name, group in self._groups.items():
-            self._update(name, group, shapes[name])
-            if group.bound is not None:
-                found[name] = group.bound
-        return found
+        found = self._groups.get(group)
+        if found is None or found.epoch < epoch:
+            found = self._groups[group] = _Group(epoch)
+        if found.epoch == epoch:
+            found.record(self._clock.monotonic(), seconds, usual)
+
+    def bounds(self, shapes: Mapping[str, GroupShape]) -> Mapping[str, int]:
+        """Return the maximum number of requests in flight at each group that has a bound.
+
+        Computed once per sampling interval and when the groups change.
 
-    def _update(self, name: str, group: _Group, shape: GroupShape) -> None:
+        Args:
+            shapes: The groups by name; the same mapping as long as they do not change.
+        """
         now = self._clock.monotonic()
-        if now < group.computed_at + UPDATE_SECONDS:
-            return
-        group.computed_at = now
-        windows: list[list[float]] = [[] for _ in range(WINDOWS)]
-        for each in group.samples:
-            window = int((now - each.at) / WINDOW_SECONDS)
-            if window < WINDOWS:
-                windows[window].append(each.stretch)
-        bound = request_bound(shape, windows)
-        if (bound is None) != (group.bound is None):
-            logger.bind(
-                group=name,
-                bound=bound,
-                slots=shape.slots,
-                stretches=[round(sum(each) / len(each), 2) for each in windows if each],
-                gap=shape.gap,
-            ).info("bound on the requests of a group begins or ends")
-        group.bound = bound
+        if now < self._expires_at and shapes is self._shapes:
+            return self._found
+        self._expires_at, self._shapes = now + SAMPLE_SECONDS, shapes
+        self._drop_former(shapes)
+        for name, group in self._groups.items():
+            _update(name, group, shapes[name], now)
+        self._found = {
+            name: group.bound for name, group in self._groups.items() if group.bound is not None
+        }
+        return self._found
+
+    def _drop_former(self, shapes: Mapping[str, GroupShape]) -> None:
+        """Drop groups that are gone and samples of former formations."""
+        for name, group in list(self._groups.items()):
+            shape = shapes.get(name)
+            if shape is None or group.epoch < shape.epoch:
+                del self._groups[name]
+
+
+def _update(name: str, group: _Group, shape: GroupShape, now: float) -> None:
+    windows = group.windows(now)
+    bound = _next_bound(group, shape, windows, now)
+    if (bound is None) != (group.bound is None):
+        logger.bind(
+            group=name,
+            epoch=group.epoch,
+            bound=bound,
+            slots=shape.slots,
+            stretches=[round(each, 2) for each in windows],
+            gap=shape.gap,
+        ).info("bound on the requests of a group begins or ends")
+    group.bound = bound
+
+
+def _next_bound(
+    group: _Group, shape: GroupShape, windows: Sequence[float], now: float
+) -> int | None:
+    """Return the bound of a group; with too few passes for a new one, that in force or more."""
+    if len(windows) == WINDOWS:
+        return request_bound(shape, windows)
+    if group.bound is None or group.is_outdated(now):
+        return None
+    if not windows:
+        return group.bound
+    found = request_bound(shape, windows)
+    return None if found is None else max(found, group.bound)
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable, Sequence, Set
+from collections.abc import Callable, Mapping, Sequence, Set
 from dataclasses import dataclass
 
 import anyio
@@ -26,6 +26,7 @@
 from carawayhub.gateway.servicelimits import ServiceLimits
 from carawayhub.gateway.serviceoutages import ServiceOutages
 from carawayhub.gateway.serviceslots import ServiceSlots
+from carawayhub.gateway.slotforecast import SlotForecast
 from carawayhub.gateway.view import FleetView
 from carawayhub.limits.claims import Claims
 from carawayhub.limits.replicarate import ReplicaRates
@@ -123,6 +124,7 @@
         "_claims",
         "_clock",
         "_first_event_seconds",
+        "_forecast",
         "_fleet_delay",
         "_health",
         "_limits",
@@ -196,6 +198,7 @@
             self._fleet_rate,
         )
         self._fleet_delay = fleet_delay
+        self._forecast = SlotForecast(clock)
         self._first_event_seconds = 0.0
         self._pending: dict[int, tuple[_PendingSlot, Admitted]] = {}
         self.queue = RequestQueue(clock, rng)
@@ -217,6 +220,8 @@
             RequestError: NO_ENDPOINT, OVERLOADED, REGIONS_CONTRADICT, REGION_WITHOUT_ENDPOINT.
         """
         self._check_regions(call, now)
+        if not call.returned:
+            self._forecast.record_arrival()
         slot = self._acquire_now(call)
         if slot is not None:
             return slot
@@ -349,6 +354,10 @@
         """Record the time between two events of a stream."""
         self._slots.record_pause(slot.endpoint, seconds)
 
+    def pass_bounds(self) -> Mapping[str, int]:
+        """Return the bounds that keep the passes of groups within the accepted pause."""
+        return self._slots.pass_bounds()
+
     def release(self, slot: Slot, *, ran: bool = True) -> None:
         """Release a slot and serve the queue.
 
@@ -363,6 +372,7 @@
         self._claims.record_release()
         if ran:
             self.queue.ended()
+            self._forecast.record_end()
         self.serve_queue()
 
     def update_outages(self) -> None:
@@ -482,15 +492,23 @@
                 self._propagation_delay(),
                 returned=call.returned,
             )
+        free = self._slots.free() - (self._reserved() if call.returned else 0.0)
         return self._claims.may_acquire(
-            self._slots.free(), self._expected_arrivals(), self._propagation_delay(), call.returned
+            free, self._expected_arrivals(), self._propagation_delay(), call.returned
         )
 
+    def _reserved(self) -> float:
+        """Return the slots that new requests at all entries will lack while passes are bounded."""
+        return self._forecast.shortage() * self._entries() if self._slots.pass_bounds() else 0.0
+
+    def _entries(self) -> float:
+        """Return the number of entries."""
+        delay = self._propagation_delay()
+        return self._fleet_delay() / delay if delay > 0.0 else 1.0
+
     def _fleet_rate(self) -> float:
         """Return the requests per second for the service at all entries."""
-        delay = self._propagation_delay()
-        entries = self._fleet_delay() / delay if delay > 0.0 else 1.0
-        return self.retries.recent_rate() * entries
+        return self.retries.recent_rate() * self._entries()
 
     def _counted_endpoints(self) -> Sequence[Endpoint]:
         return self._limits.counted_endpoints(self._accepting())
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -198,6 +198,7 @@
             self._statements_met,
             lambda: self._records.counts,
             self._locality_counts,
+            self._pass_bounds,
         )
         own_region = {options.failure_domain: options.region}
         self._allowed = AllowedRegions(self._view, own_region | dict(options.regions))
@@ -470,6 +471,13 @@
         held_back = sum(each.held_back for each in self._pools.values())
         return ReplicaLimits(self._rates.limits(), held_back)
 
+    def _pass_bounds(self) -> dict[str, int]:
+        return {
+            group: bound
+            for pool in self._pools.values()
+            for group, bound in pool.pass_bounds().items()
+        }
+
     def _statements_met(self) -> StatementCounts:
         found = {name: each.backoff_rejections for name, each in self._pools.items()}
         return replace(self._statements.counts, rejections=Counter(found))
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -76,6 +76,7 @@
         statement_counts: Returns how often replicas stated something about themselves.
         poison_counts: Returns how many requests were rejected since they end endpoints.
         locality_counts: Returns the decisions by failure domain.
+        pass_bounds: Returns the bounds on the requests in flight of groups, by group.
     """
 
     __slots__ = (
@@ -83,6 +84,7 @@
         "_ends",
         "_locality_counts",
         "_table_delays",
+        "_pass_bounds",
         "_poison_counts",
         "_replica_limits",
         "_statement_counts",
@@ -99,6 +101,7 @@
         statement_counts: Callable[[], StatementCounts] = StatementCounts,
         poison_counts: Callable[[], PoisonCounts] = PoisonCounts,
         locality_counts: Callable[[], LocalityCounts] = LocalityCounts,
+        pass_bounds: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._unreadable_entries = unreadable_entries
         self._replica_limits = replica_limits
@@ -106,6 +109,7 @@
         self._statement_counts = statement_counts
         self._poison_counts = poison_counts
         self._locality_counts = locality_counts
+        self._pass_bounds = pass_bounds
         self._table_delays = Recorder()
         self._ends: Counter[tuple[str, str, Code, int]] = Counter()
         self._times: dict[str, Recorder] = {}
@@ -154,6 +158,9 @@
             lines.append(f'carawayhub_gateway_replica_limit{{replica="{key}"}} {per_second}')
         lines.append("# TYPE carawayhub_gateway_held_back_total counter")
         lines.append(f"carawayhub_gateway_held_back_total {met.held_back}")
+        lines.append("# TYPE carawayhub_gateway_group_pass_bound gauge")
+        for group, bound in sorted(self._pass_bounds().items()):
+            lines.append(f'carawayhub_gateway_group_pass_bound{{group="{group}"}} {bound}')
         lines += self._poison_lines()
         lines += self._statement_lines()
         lines += self._view_lines()
