--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -8,7 +8,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import anyio
@@ -19,7 +19,7 @@
 from benchmarks.virtual_time import LoopClock, run
 from carawayhub.constants import CODE_HEADER
 from carawayhub.gateway.hello import Phase
-from carawayhub.gateway.model import Repeat, Route
+from carawayhub.gateway.model import Repeat, Route, RouteTable
 from carawayhub.gateway.ports import (
     Change,
     EndpointPublished,
@@ -45,6 +45,10 @@
 CONNECT_SECONDS = 0.001
 DOMAINS = 5
 
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5.0
+COLD_SECONDS = 3.0
+
 
 class _Net(httpcore.AsyncNetworkBackend):
     """The way from one entry to the replicas."""
@@ -186,6 +190,8 @@
         ends: When replicas ended, by each content that they were running.
         told: What callers got.
         limits: Rate limits that replicas name, and to whom they named them.
+        cold_rate: Requests a second that a cold replica accepts, 0 where none is ever cold.
+        cold_until: Until when lifetimes of replicas are cold, by id.
         stated: Backoffs and leavings that replicas state, and what reached them.
         starts: Starts of entries so far.
         lifted: Fingerprints that an operator lists in the settings.
@@ -216,6 +222,8 @@
     ends: dict[bytes, list[float]] = field(default_factory=dict)
     told: list[Told] = field(default_factory=list)
     limits: NamedLimits = field(default_factory=NamedLimits)
+    cold_rate: float = 0.0
+    cold_until: dict[str, float] = field(default_factory=dict)
     stated: Stated = field(default_factory=Stated)
     starts: int = 0
     lifted: frozenset[bytes] = frozenset()
@@ -261,6 +269,8 @@
     def start_entry(self, ip: str) -> None:
         """Start an entry that knows nobody."""
         options = entry_options(ip, self.ips)
+        if self.cold_rate:
+            options = replace(options, cold_overage=COLD_OVERAGE, cold_slack=COLD_SLACK)
         rng = random.Random(self.rng.random())
         process = GatewayProcess(
             options,
@@ -273,7 +283,7 @@
         self.starts += 1
         process._upstream._backend = _Net(self, ip, f"{ip}/{self.starts}")
         listed = [EndpointPublished(each.endpoint()) for each in self.by_host.values()]
-        table_published = TablePublished(table(1, self._route()))
+        table_published = TablePublished(self._table())
         process._view.replace(
             Published(revision=Revision(0, 1), changes=(table_published, *listed))
         )
@@ -292,6 +302,19 @@
 
         self.start(live)
 
+    def _table(self) -> RouteTable:
+        found = table(1, self._route())
+        if self.cold_rate:
+            found.services = {
+                name: replace(each, cold_seconds=COLD_SECONDS, cold_rate=self.cold_rate)
+                for name, each in found.services.items()
+            }
+        return found
+
+    def cold_left(self, replica_id: str) -> float:
+        """Return the seconds for which a lifetime of a replica stays cold."""
+        return max(0.0, self.cold_until.get(replica_id, 0.0) - _now())
+
     def _route(self) -> Route:
         if self.plain:
             return route(service="plain", repeat=Repeat.IDEMPOTENT, attempts=2)
--- a/benchmarks/request_replicas.py
+++ b/benchmarks/request_replicas.py
@@ -27,6 +27,7 @@
 """Seconds from the beginning of a request to the end of the replica that it ends."""
 
 PUBLISH_SECONDS = 0.3
+COLD_SECONDS = 3.0
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\ncarawayhub-not-executed: 1\r\n%scontent-length: 0\r\n\r\n"
 )
@@ -178,7 +179,7 @@
             registered=Revision(0, self.lifetime + 1),
             membership=None if self.fleet.plain else self._seat(),
         )
-        return replace(found, failure_domain=self.domain)
+        return replace(found, failure_domain=self.domain, cold_left=self.fleet.cold_left(self.id))
 
     @property
     def domain(self) -> str:
@@ -264,7 +265,11 @@
 
     def _stated_lines(self, line: Line, *, refusal: bool = False) -> bytes:
         stated = self.fleet.stated.headers(self.id, line.run, _now(), refusal=refusal)
-        return b"".join(b"%s: %s\r\n" % each for each in stated)
+        lines = b"".join(b"%s: %s\r\n" % each for each in stated)
+        if self.fleet.cold_rate:
+            left = int(1000.0 * self.fleet.cold_left(self.id))
+            lines += b"carawayhub-cold-remaining: %d\r\n" % left
+        return lines
 
     def _limit_line(self, entry: str) -> bytes:
         """Return the header that names its rate limit, nothing where it has none."""
@@ -300,6 +305,8 @@
         before = self.id
         self.lifetime += 1
         self.listens = True
+        if self.fleet.cold_rate:
+            self.fleet.cold_until[self.id] = _now() + PUBLISH_SECONDS + COLD_SECONDS
         await anyio.sleep(PUBLISH_SECONDS)
         self.fleet.publish(EndpointPublished(self.endpoint()), EndpointRemoved(before))
 
--- a/carawayhub/gateway/calls.py
+++ b/carawayhub/gateway/calls.py
@@ -151,6 +151,7 @@
         limit: The limit in the answer, None if there is none.
         backoff: The backoff that the answer requests, None if it requests none.
         leaving: Whether the replica announces that it is leaving.
+        cold_left: Seconds for which the replica stays cold, None if it does not state this.
     """
 
     status: int
@@ -164,6 +165,7 @@
     limit: NamedLimit | UnreadableValue | None = None
     backoff: RequestedBackoff | UnreadableValue | None = None
     leaving: bool = False
+    cold_left: float | None = None
 
 
 class CallerWire(Protocol):
--- a/carawayhub/gateway/health.py
+++ b/carawayhub/gateway/health.py
@@ -4,7 +4,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from loguru import logger
@@ -70,12 +70,13 @@
         clock: Source of time.
     """
 
-    __slots__ = ("_blocked_until", "_clock", "_records")
+    __slots__ = ("_blocked_until", "_clock", "_records", "on_unreachable")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._records: dict[str, _Record] = {}
         self._blocked_until = -math.inf
+        self.on_unreachable: Callable[[str], None] = _ignore_endpoint
 
     def answered(self, endpoint_id: str, seconds: float, *, ok: bool) -> None:
         """Record an answer, whether it is a success, and the time to it."""
@@ -99,6 +100,7 @@
         record.avoided_until = now + record.backoff
         self._blocked_until = max(self._blocked_until, record.avoided_until)
         record.backoff = min(record.backoff * 2, MAX_AVOID_SECONDS)
+        self.on_unreachable(endpoint_id)
 
     def refused(self, endpoint_id: str) -> None:
         """Record that an endpoint refused a request of this entry without running it."""
@@ -201,3 +203,7 @@
 
     def _errors(self, record: _Record, now: float) -> float:
         return record.errors * 0.5 ** ((now - record.errors_at) / ERROR_HALF_LIFE_SECONDS)
+
+
+def _ignore_endpoint(endpoint_id: str) -> None:
+    return
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -13,6 +13,8 @@
 from carawayhub.errors import RequestError
 from carawayhub.gateway.backoff import Backoffs
 from carawayhub.gateway.calls import Admitted
+from carawayhub.gateway.coldreplicas import ColdReplicas
+from carawayhub.gateway.freeslots import FreeSlots
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.line import RequestQueue, Requirements, Waiter
 from carawayhub.gateway.loads import Loads, Work, work_key
@@ -101,6 +103,7 @@
         propagation_delay: Returns the seconds after which entries know of each other's choices.
         rates: Rate limits announced by replicas; None for a separate set for this pool.
         known_share: Returns the share of all entries from which this one receives updates.
+        cold: Cold replicas, None if they are not tracked.
 
     Attributes:
         queue: Requests that wait for a slot.
@@ -126,6 +129,7 @@
         "_refusals",
         "_slots",
         "_view",
+        "_warm_slots",
         "backoff_rejections",
         "evacuation_rejections",
         "queue",
@@ -145,6 +149,7 @@
         propagation_delay: Callable[[], float] = lambda: 0.0,
         rates: ReplicaRates | None = None,
         known_share: Callable[[], float] = lambda: 1.0,
+        cold: ColdReplicas | None = None,
     ) -> None:
         self._name = name
         self._view = view
@@ -168,6 +173,7 @@
             self._counted_endpoints,
             self._fleet_rate,
         )
+        self._warm_slots = FreeSlots(loads)
         self._fleet_delay = fleet_delay
         self._first_event_seconds = 0.0
         self._pending: dict[int, tuple[_PendingSlot, Work]] = {}
@@ -175,7 +181,7 @@
         self.retries = retries
         rates = rates or ReplicaRates(clock, rng, work_key)
         self._limits = ServiceLimits(
-            name, rates, retries.rate, fleet_delay, propagation_delay, known_share
+            name, rates, retries.rate, fleet_delay, propagation_delay, known_share, cold
         )
 
     @property
@@ -273,6 +279,13 @@
         """Return whether an endpoint has not requested a backoff."""
         return not self._backoffs.active(endpoint_id)
 
+    def claim_send(self, endpoint_id: str) -> bool:
+        """Return whether a request may be sent to an endpoint now, which may be cold, and count it.
+
+        Called right before the first byte, as the last check.
+        """
+        return self._limits.claim_send(endpoint_id)
+
     def refused(self, slot: Slot) -> None:
         """Record that an endpoint refused a request without running it.
 
@@ -392,9 +405,21 @@
         if not self._kv_tokens():
             return True
         return self._claims.may_acquire(
-            self._slots.free(), self._expected_arrivals(), self._propagation_delay(), returned
+            self._claimable(), self._expected_arrivals(), self._propagation_delay(), returned
         )
 
+    def _claimable(self) -> int:
+        """Return the known number of free slots that requests of this entry may take.
+
+        Free slots of cold endpoints that get no request of this entry would let its requests
+        claim more slots of warm ones than are free.
+        """
+        room = self._limits.cold_room()
+        if room is None:
+            return self._slots.free()
+        warm = self._limits.warm_endpoints(self._accepting())
+        return min(self._slots.free(), self._warm_slots.count_free(warm) + room)
+
     def _fleet_rate(self) -> float:
         """Return the requests per second for the service at all entries."""
         delay = self._propagation_delay()
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -17,6 +17,7 @@
 from carawayhub.gateway.admission import AdmissionControl
 from carawayhub.gateway.app import GatewayApp
 from carawayhub.gateway.calls import CallerWire
+from carawayhub.gateway.coldreplicas import ColdReplicas
 from carawayhub.gateway.directory import ANSWER_TTL_SECONDS, EntryDirectory
 from carawayhub.gateway.follower import Follower
 from carawayhub.gateway.freshness import Bounds, read_times
@@ -25,7 +26,7 @@
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.hello import News, Phase
 from carawayhub.gateway.loads import Loads, work_key
-from carawayhub.gateway.model import CallerLimits
+from carawayhub.gateway.model import CallerLimits, Service
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.ports import PublishedState, ReloadableSettings
 from carawayhub.gateway.relay import GatewayRelay, RelayParts
@@ -35,6 +36,7 @@
 from carawayhub.gateway.telling import OwnAddress
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
+from carawayhub.limits.coldquota import ColdQuotas
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.replicarate import ReplicaRates
 from carawayhub.peers.pace import LinkPacer
@@ -143,6 +145,8 @@
     __slots__ = (
         "_app",
         "_clock",
+        "_cold",
+        "_cold_quotas",
         "_directory",
         "_eras",
         "_follower",
@@ -200,7 +204,20 @@
         self._records = PoisonRecords(clock)
         self._records.on_ends = self._apply_peer_ends
         self._rates = ReplicaRates(clock, rng, work_key)
-        self._statements = ReplicaStatements(self._rates, self._view)
+        self._cold_quotas = ColdQuotas(
+            clock,
+            options.ip,
+            options.seeds,
+            self._known_peers,
+            lambda: bool(self._gossip.settled_entries()),
+        )
+        self._cold = ColdReplicas(
+            clock, rng, self._cold_quotas, self._configured_service, options.cold_overage
+        )
+        self._view.on_registration = self._cold.record_registration
+        self._view.on_evacuation_ended = self._cold.record_evacuation_ended
+        self._health.on_unreachable = self._cold.record_unreachable
+        self._statements = ReplicaStatements(self._rates, self._view, self._cold)
         self._limit_cleanup_at = float("-inf")
         self._gossip = Gossip(
             own, options.seeds, self._loads, self._records, self._rates, clock, rng
@@ -292,6 +309,7 @@
                 lambda: self._gossip.propagation_seconds,
                 self._rates,
                 self._gossip.reachable_fraction,
+                self._cold,
             )
         return found
 
@@ -361,6 +379,7 @@
     async def _tick(self) -> None:
         while True:
             self._update_phase()
+            self._update_cold()
             self._check_groups()
             self._serve_queues()
             self._drop_stale_records()
@@ -378,6 +397,7 @@
         if now >= self._limit_cleanup_at:
             self._limit_cleanup_at = now + LIMIT_CLEANUP_SECONDS
             self._rates.forget(published)
+            self._cold.forget(published)
 
     def _update_phase(self) -> None:
         """Accept callers only while a configuration is known and was recently proved the newest."""
@@ -429,6 +449,25 @@
             self._health.unreachable(endpoint.id)
             self._view.rank_ended(endpoint)
 
+    def _update_cold(self) -> None:
+        """Update the entries among which the bounds of cold replicas are divided."""
+        table = self._view.table
+        if table is not None and any(each.cold_rate > 0 for each in table.services.values()):
+            self._cold_quotas.update()
+        self._cold.expire()
+
+    def _known_peers(self) -> dict[str, bool]:
+        """Return the other entries that run, and whether each is leaving."""
+        return {
+            each.ip: phase is Phase.LEAVING
+            for phase in Phase
+            for each in self._gossip.entries(phase)
+        }
+
+    def _configured_service(self, name: str) -> Service | None:
+        table = self._view.table
+        return None if table is None else table.services.get(name)
+
     def _serve_queues(self) -> None:
         for pool in self._pools.values():
             if len(pool.queue):
@@ -440,7 +479,9 @@
 
     def _limits_met(self) -> ReplicaLimits:
         held_back = sum(each.held_back for each in self._pools.values())
-        return ReplicaLimits(self._rates.limits(), held_back)
+        return ReplicaLimits(
+            self._rates.limits(), held_back, self._cold.counts(), self._cold.held_back
+        )
 
     def _statements_met(self) -> StatementCounts:
         found = {name: each.backoff_rejections for name, each in self._pools.items()}
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -418,6 +418,8 @@
             return False
         if not self._may_resend(progress):
             return False
+        if not pool.claim_send(endpoint_id):
+            return False
         progress.sends += 1
         progress.sent_to.add(endpoint_id)
         self._log_send(progress, endpoint_id)
--- a/carawayhub/gateway/servicelimits.py
+++ b/carawayhub/gateway/servicelimits.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from carawayhub.gateway.calls import Admitted
+from carawayhub.gateway.coldreplicas import ColdReplicas
 from carawayhub.gateway.model import Endpoint
 from carawayhub.gateway.placement import Selection
 from carawayhub.limits.replicarate import FleetEstimate, ReplicaRates
@@ -30,12 +31,14 @@
         fleet_delay: Returns the propagation delay in seconds, multiplied by the number of entries.
         propagation_delay: Returns the seconds after which entries know of each other's choices.
         known_share: Returns the share of all entries from which this one receives updates.
+        cold: Cold replicas, None if they are not tracked.
 
     Attributes:
         held_back: Number of times that an endpoint was skipped because of its limit.
     """
 
     __slots__ = (
+        "_cold",
         "_counted",
         "_counted_from",
         "_fleet_delay",
@@ -56,7 +59,9 @@
         fleet_delay: Callable[[], float],
         propagation_delay: Callable[[], float],
         known_share: Callable[[], float],
+        cold: ColdReplicas | None = None,
     ) -> None:
+        self._cold = cold
         self._service = service
         self._rates = rates
         self._rate = rate
@@ -94,10 +99,11 @@
             tried: Ids of endpoints that the request may not go to.
             arrivals: Requests that arrive at all entries within one propagation delay.
         """
+        cold = self._without_capacity()
         if not self.any_limits:
-            return pick(tried)
+            return pick(tried | cold) if cold else pick(tried)
         surroundings = FleetEstimate(arrivals, self._propagation_delay(), self._known_share())
-        excluded = set(tried)
+        excluded = set(tried) | cold
         while True:
             chosen = pick(excluded)
             if chosen is None or self._rates.may_send(chosen.endpoint.id, surroundings):
@@ -105,9 +111,35 @@
             excluded.add(chosen.endpoint.id)
             self.held_back += 1
 
+    def _without_capacity(self) -> Set[str]:
+        """Return the cold endpoints that get no request of this entry now."""
+        if self._cold is None or not self._cold.any_cold:
+            return frozenset()
+        found = self._cold.without_capacity(self._service)
+        self._cold.held_back += bool(found)
+        return found
+
+    def cold_room(self) -> int | None:
+        """Return how many cold endpoints get a request of this entry now, None if none is cold."""
+        if self._cold is None or not self._cold.any_cold:
+            return None
+        return self._cold.room(self._service)
+
+    def warm_endpoints(self, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
+        """Return the endpoints that are not cold; the same sequence while little has changed."""
+        if self._cold is None or not self._cold.any_cold:
+            return endpoints
+        return self._cold.warm_endpoints(self._service, endpoints)
+
     def sent(self, endpoint: Endpoint) -> None:
         """Count a request that is sent to an endpoint."""
         self._rates.record_send(endpoint.id)
+        if self._cold is not None:
+            self._cold.reserve(endpoint)
+
+    def claim_send(self, endpoint_id: str) -> bool:
+        """Return whether a request may be sent now; called before its first byte."""
+        return self._cold is None or self._cold.claim_send(endpoint_id)
 
     def mean_interval(self, endpoints: Sequence[Endpoint]) -> float:
         """Return the mean seconds between two requests that the limits allow, 0 if there are none.
--- a/carawayhub/gateway/statements.py
+++ b/carawayhub/gateway/statements.py
@@ -18,6 +18,7 @@
     RequestedBackoff,
     UnreadableValue,
 )
+from carawayhub.gateway.coldreplicas import ColdReplicas
 from carawayhub.gateway.model import Endpoint
 from carawayhub.gateway.pool import ServicePool
 from carawayhub.gateway.view import FleetView
@@ -48,14 +49,18 @@
     Args:
         rates: Rate limits that replicas state.
         view: Known state of the fleet.
+        cold: Cold replicas, None if they are not tracked.
 
     Attributes:
         counts: Statements received so far.
     """
 
-    __slots__ = ("_rates", "_unreadable", "_view", "counts")
+    __slots__ = ("_cold", "_rates", "_unreadable", "_view", "counts")
 
-    def __init__(self, rates: ReplicaRates, view: FleetView) -> None:
+    def __init__(
+        self, rates: ReplicaRates, view: FleetView, cold: ColdReplicas | None = None
+    ) -> None:
+        self._cold = cold
         self._rates = rates
         self._view = view
         self._unreadable: set[str] = set()
@@ -82,6 +87,8 @@
             return
         self._record_limit(endpoint, head, sent_at)
         self._record_backoff(call, pool, endpoint, head)
+        if self._cold is not None and head.cold_left is not None:
+            self._cold.record_response(endpoint, head.cold_left, sent_at)
         if head.leaving:
             self._record_leaving(call, endpoint)
 
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -19,10 +19,14 @@
     Attributes:
         limits: Requests per second, by key of the replica.
         held_back: Number of times that a request wasn't sent to a replica because of its limit.
+        cold: Number of cold replicas by service.
+        held_back_cold: Number of times that requests weren't sent to cold replicas.
     """
 
     limits: Mapping[int, float] = field(default_factory=dict)
     held_back: int = 0
+    cold: Mapping[str, int] = field(default_factory=dict)
+    held_back_cold: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +138,7 @@
             lines.append(f'carawayhub_gateway_replica_limit{{replica="{key}"}} {per_second}')
         lines.append("# TYPE carawayhub_gateway_held_back_total counter")
         lines.append(f"carawayhub_gateway_held_back_total {met.held_back}")
+        lines += _cold_lines(met)
         lines += self._poison_lines()
         lines += self._statement_lines()
         lines += self._view_lines()
@@ -193,6 +198,18 @@
         ]
 
 
+def _cold_lines(met: ReplicaLimits) -> list[str]:
+    return [
+        "# TYPE carawayhub_gateway_cold_replicas gauge",
+        *(
+            f'carawayhub_gateway_cold_replicas{{service="{service}"}} {count}'
+            for service, count in sorted(met.cold.items())
+        ),
+        "# TYPE carawayhub_gateway_held_back_cold_total counter",
+        f"carawayhub_gateway_held_back_cold_total {met.held_back_cold}",
+    ]
+
+
 def _evacuation_lines(seen: ViewStatus) -> list[str]:
     domains, rejections = (
         "carawayhub_gateway_evacuated_domains",
--- a/carawayhub/gateway/view.py
+++ b/carawayhub/gateway/view.py
@@ -69,6 +69,8 @@
         on_table: Called when a configuration comes into force, with the longest time in seconds
             since it was published; infinite for the first configuration.
         on_evacuation_ended: Called with the endpoints of a failure domain that is used again.
+        on_registration: Called with a registration, the last one of the same lifetime if one is
+            known, and where it was read.
     """
 
     __slots__ = (
@@ -93,6 +95,7 @@
         "_unreadable",
         "confirmed_at",
         "on_evacuation_ended",
+        "on_registration",
         "on_table",
         "revision",
         "table",
@@ -125,6 +128,9 @@
         self.unreadable_entries = 0
         self.on_table: Callable[[float], None] = _ignore_delay
         self.on_evacuation_ended: Callable[[Sequence[Endpoint]], None] = _ignore_endpoints
+        self.on_registration: Callable[[Endpoint, Endpoint | None, Source], None] = (
+            _ignore_registration
+        )
 
     @property
     def age(self) -> float:
@@ -398,7 +404,7 @@
                 case TablePublished(table):
                     self._apply_table(table, source)
                 case EndpointPublished(endpoint):
-                    self._apply_endpoint(endpoint)
+                    self._apply_endpoint(endpoint, source)
                 case EndpointRemoved(replica):
                     self._remove_or_hold(replica)
                 case EndpointUnreadable(replica, problem, revision):
@@ -435,7 +441,7 @@
         ).info("configuration in force")
         self.on_table(self.age)
 
-    def _apply_endpoint(self, endpoint: Endpoint) -> None:
+    def _apply_endpoint(self, endpoint: Endpoint, source: Source) -> None:
         if endpoint.id in self._misdirected or self._is_from_former_lifetime(endpoint):
             return
         self._unreadable.pop(endpoint.incarnation.replica, None)
@@ -444,6 +450,7 @@
         self._current[endpoint.incarnation.replica] = endpoint.id
         self._endpoints[endpoint.id] = endpoint
         self._lapsed.pop(endpoint.id, None)
+        self.on_registration(endpoint, before, source)
         if before is None or before.state is not endpoint.state:
             logger.bind(
                 endpoint=endpoint.id,
@@ -575,3 +582,7 @@
 
 def _ignore_endpoints(endpoints: Sequence[Endpoint]) -> None:
     return
+
+
+def _ignore_registration(endpoint: Endpoint, before: Endpoint | None, source: Source) -> None:
+    return
--- /dev/null
+++ b/carawayhub/limits/coldquota.py
@@ -0,0 +1,168 @@
+"""Divides the bound on the requests to a cold replica among all entries.
+
+Handles many replicas that start at once while callers send more than these accept. Entries learn of
+each other's requests late, and not at all while they are cut off from each other, so a bound that
+may never be exceeded can't rest on counts that they exchange. It is divided into units of one
+request instead, and each entry computes its own units from the set of all entries alone: entries
+are ranked by a hash for each replica, and the units are dealt out in this order. No messages are
+needed, and a lost one changes nothing.
+"""
+
+import zlib
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum
+
+from loguru import logger
+
+from carawayhub.clock import Clock
+
+STARTING_SECONDS = 20.0
+"""Time since its start within which an entry may know too few others: it may have started in a
+part of the network that is cut off. Entries that fell silent are assumed to run for the same time
+(``MISSING_TTL_SECONDS``)."""
+
+STARTING_PART = 0.01
+"""Part of the rate that an entry uses within this time."""
+
+MEMBER_SECONDS = 86_400.0
+"""Time for which an entry that fell silent keeps its units: it may be cut off from this entry and
+still reach the replicas. A partition that lasts longer is expected to have been repaired."""
+
+LEFT_SECONDS = 5.0
+"""Time for which an entry that announced its leaving keeps its units after its last datagram."""
+
+ORDERS = 256
+"""Number of orders in which entries are ranked. Replicas that share one have the same entries; with
+an order for each of 5,400 replicas, a start of all would take 780 entries over a second of CPU."""
+
+HASH_RANGE = 2**32
+
+
+class Stage(Enum):
+    """How much an entry knows of the others."""
+
+    UNKNOWN = "too few others known"
+    STARTING = "others known, started recently"
+    MEMBER = "all others known"
+
+
+class ColdQuotas:
+    """Computes the units of one entry.
+
+    Args:
+        clock: Source of time; it must count suspensions.
+        own: Name of this entry.
+        seeds: Names of entries that may be running.
+        peers: Returns the other entries that are known to run, and whether each is leaving.
+        is_settled: Returns whether no further entries are about to be discovered.
+
+    Attributes:
+        version: Number that changes whenever units may have changed.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_is_settled",
+        "_members",
+        "_names",
+        "_own",
+        "_peers",
+        "_ranks",
+        "_seeds",
+        "_stage",
+        "_started_at",
+        "version",
+    )
+
+    def __init__(
+        self,
+        clock: Clock,
+        own: str,
+        seeds: Iterable[str],
+        peers: Callable[[], Mapping[str, bool]],
+        is_settled: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._own = own.encode()
+        self._seeds = frozenset(seeds) - {own}
+        self._peers = peers
+        self._is_settled = is_settled
+        self._members: dict[str, float] = {}
+        self._names = frozenset(each.encode() for each in self._seeds)
+        self._started_at = clock.monotonic()
+        self._stage = Stage.UNKNOWN if self._names else Stage.MEMBER
+        self._ranks: dict[int, int] = {}
+        self.version = 0
+
+    def update(self) -> None:
+        """Update the set of all entries."""
+        now = self._clock.monotonic()
+        for name, leaving in self._peers().items():
+            self._members[name] = now + (LEFT_SECONDS if leaving else MEMBER_SECONDS)
+        for name in [each for each, until in self._members.items() if until <= now]:
+            del self._members[name]
+        names = frozenset(each.encode() for each in self._seeds | self._members.keys())
+        stage = self._next_stage(now)
+        if names != self._names:
+            self._names = names
+            self._ranks.clear()
+            self.version += 1
+        if stage is not self._stage:
+            logger.bind(before=self._stage.value, now=stage.value, entries=len(names) + 1).info(
+                "units for cold replicas changed"
+            )
+            self._stage = stage
+            self.version += 1
+
+    def _next_stage(self, now: float) -> Stage:
+        """Return the stage; only an entry that knew another one can have learned of the rest."""
+        if self._stage is Stage.MEMBER and (self._members or not self._seeds):
+            return Stage.MEMBER
+        if not self._members:
+            return Stage.UNKNOWN if self._seeds else Stage.MEMBER
+        if now >= self._started_at + STARTING_SECONDS:
+            return Stage.MEMBER
+        return Stage.STARTING if self._is_settled() else Stage.UNKNOWN
+
+    def quota(self, key: int, units: int) -> int:
+        """Return how many of the units at a cold replica belong to this entry.
+
+        The first call for an order takes time in proportion to the number of entries; see
+        ``is_ranked``. The result holds for one ``version``.
+
+        Args:
+            key: Identifies one lifetime of the replica.
+            units: Requests that all entries together may send in one window.
+        """
+        if self._stage is Stage.UNKNOWN:
+            return 0
+        entries = len(self._names) + 1
+        order = key % ORDERS
+        rank = self._ranks.get(order)
+        if rank is None:
+            rank = self._ranks[order] = self._rank(order)
+        quota = units // entries + (rank < units % entries)
+        if self._stage is Stage.MEMBER:
+            return quota
+        is_drawn = _position(order, self._own) < units * STARTING_PART * HASH_RANGE
+        return min(quota, int(is_drawn))
+
+    def is_ranked(self, key: int) -> bool:
+        """Return whether the order for a replica is known."""
+        return self._stage is Stage.UNKNOWN or key % ORDERS in self._ranks
+
+    def _rank(self, order: int) -> int:
+        own = (_position(order, self._own), self._own)
+        return sum((_position(order, each), each) < own for each in self._names)
+
+
+def _position(order: int, name: bytes) -> int:
+    """Return the position of an entry in an order, as an evenly distributed number.
+
+    CRC-32 is linear: with the number of the order as its initial value, many orders would be alike.
+    The multiplications and shifts mix its bits.
+    """
+    mixed = zlib.crc32(name) ^ order * 0x9E3779B1 % HASH_RANGE
+    mixed = (mixed ^ mixed >> 16) * 0x7FEB352D % HASH_RANGE
+    mixed = (mixed ^ mixed >> 15) * 0x846CA68B % HASH_RANGE
+    return mixed ^ mixed >> 16
--- a/carawayhub/platform/headers.py
+++ b/carawayhub/platform/headers.py
@@ -31,6 +31,7 @@
 LAST_EVENT_ID = b"last-event-id"
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+COLD_REMAINING = b"carawayhub-cold-remaining"
 RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 BEARER = "bearer "
@@ -46,8 +47,8 @@
 _NOT_FORWARDED = (
     HOP_BY_HOP_HEADERS | _FLEET_ONLY_HEADERS | {b"content-length", b"expect", AUTHORIZATION}
 )
-_NOT_RETURNED = HOP_BY_HOP_HEADERS | {b"proxy-connection", LIMIT, LEAVING}
-"""Callers cannot act on the limit or the leaving of one replica: the entry chooses the replica."""
+_NOT_RETURNED = HOP_BY_HOP_HEADERS | {b"proxy-connection", LIMIT, LEAVING, COLD_REMAINING}
+"""Callers cannot act on what one replica states of itself: the entry chooses the replica."""
 
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _SECONDS = re.compile(rb"[0-9]{1,19}(\.[0-9]{1,9})?")
@@ -125,6 +126,7 @@
             limit=_limit(_values(headers, LIMIT)),
             backoff=_backoff(status, _values(headers, RETRY_AFTER)),
             leaving=found.get(LEAVING, b"").strip() == b"1",
+            cold_left=_cold_left(_values(headers, COLD_REMAINING)),
         )
 
 
@@ -151,6 +153,12 @@
     return RequestedBackoff(max(found)) if found else _unreadable(values)
 
 
+def _cold_left(values: list[bytes]) -> float | None:
+    """Return the seconds for which a replica stays cold; of several values, the longest time."""
+    found = _decimals(values, _SECONDS)
+    return max(found) / MS_PER_SECOND if found else None
+
+
 def _decimals(values: list[bytes], form: re.Pattern[bytes]) -> list[float]:
     return [float(value) for value in values if form.fullmatch(value)]
 
