--- a/benchmarks/request_fleet.py
+++ b/benchmarks/request_fleet.py
@@ -45,6 +45,10 @@
 CONNECT_SECONDS = 0.001
 DOMAINS = 5
 
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5.0
+COLD_SECONDS = 3.0
+
 
 class _Net(httpcore.AsyncNetworkBackend):
     """The way from one entry to the replicas."""
@@ -190,6 +194,8 @@
         ends: When replicas ended, by each content that they were running.
         told: What callers got.
         limits: Rate limits that replicas name, and to whom they named them.
+        cold_rate: Requests a second that a cold replica accepts, 0 where none is ever cold.
+        cold_until: Until when lifetimes of replicas are cold, by id.
         stated: Backoffs and leavings that replicas state, and what reached them.
         starts: Starts of entries so far.
         lifted: Fingerprints that an operator lists in the settings.
@@ -224,6 +230,8 @@
     ends: dict[bytes, list[float]] = field(default_factory=dict)
     told: list[Told] = field(default_factory=list)
     limits: NamedLimits = field(default_factory=NamedLimits)
+    cold_rate: float = 0.0
+    cold_until: dict[str, float] = field(default_factory=dict)
     stated: Stated = field(default_factory=Stated)
     starts: int = 0
     lifted: frozenset[bytes] = frozenset()
@@ -269,6 +277,8 @@
     def start_entry(self, ip: str) -> None:
         """Start an entry that knows nobody."""
         options = replace(entry_options(ip, self.ips), regions=self.regions | self.entry_regions)
+        if self.cold_rate:
+            options = replace(options, cold_overage=COLD_OVERAGE, cold_slack=COLD_SLACK)
         rng = random.Random(self.rng.random())
         process = GatewayProcess(
             options,
@@ -310,8 +320,17 @@
             config.add(replace(self._route(), name="anywhere", prefix="/anywhere/"))
         if self.organisation is not None:
             config.organisations = {KEY: self.organisation}
+        if self.cold_rate:
+            config.services = {
+                name: replace(each, cold_seconds=COLD_SECONDS, cold_rate=self.cold_rate)
+                for name, each in config.services.items()
+            }
         return config
 
+    def cold_left(self, replica_id: str) -> float:
+        """Return the seconds for which a lifetime of a replica stays cold."""
+        return max(0.0, self.cold_until.get(replica_id, 0.0) - _now())
+
     def _route(self) -> Route:
         if self.plain:
             return route(service="plain", repeat=Repeat.IDEMPOTENT, attempts=2)
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -13,6 +13,8 @@
 from carawayhub.errors import RequestError
 from carawayhub.gateway.backoff import Backoffs
 from carawayhub.gateway.calls import Admitted
+from carawayhub.gateway.coldreplicas import ColdReplicas
+from carawayhub.gateway.freeslots import FreeSlots
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.line import RequestQueue, Requirements, Waiter
 from carawayhub.gateway.loads import Loads, Work, work_key
@@ -108,6 +110,7 @@
         failure_domain: Failure domain of this entry.
         domain_margin: See ``GatewayOptions``.
         allowed: Allowed regions of requests; None if the regions of endpoints are unknown.
+        cold: Cold replicas, None if they are not tracked.
 
     Attributes:
         locality: Preference for the failure domain of this entry, None if the margin is 0.
@@ -140,6 +143,7 @@
         "_selection",
         "_slots",
         "_view",
+        "_warm_slots",
         "backoff_rejections",
         "evacuation_rejections",
         "locality",
@@ -164,6 +168,7 @@
         failure_domain: str = "",
         domain_margin: float = 0.0,
         allowed: AllowedRegions | None = None,
+        cold: ColdReplicas | None = None,
     ) -> None:
         self._name = name
         self._view = view
@@ -197,6 +202,7 @@
             self._counted_endpoints,
             self._fleet_rate,
         )
+        self._warm_slots = FreeSlots(loads)
         self._fleet_delay = fleet_delay
         self._forecast = SlotForecast(clock)
         self._first_event_seconds = 0.0
@@ -205,7 +211,7 @@
         self.retries = retries
         rates = rates or ReplicaRates(clock, rng, work_key)
         self._limits = ServiceLimits(
-            name, rates, retries.rate, fleet_delay, propagation_delay, known_share
+            name, rates, retries.rate, fleet_delay, propagation_delay, known_share, cold
         )
 
     @property
@@ -306,6 +312,13 @@
         """Return whether an endpoint has not requested a backoff."""
         return not self._backoffs.active(endpoint_id)
 
+    def claim_send(self, endpoint_id: str) -> bool:
+        """Return whether a request may be sent to an endpoint now, which may be cold, and count it.
+
+        Called right before the first byte, as the last check.
+        """
+        return self._limits.claim_send(endpoint_id)
+
     def refused(self, slot: Slot) -> None:
         """Record that an endpoint refused a request without running it.
 
@@ -492,11 +505,23 @@
                 self._propagation_delay(),
                 returned=call.returned,
             )
-        free = self._slots.free() - (self._reserved() if call.returned else 0.0)
+        free = self._claimable() - (self._reserved() if call.returned else 0.0)
         return self._claims.may_acquire(
             free, self._expected_arrivals(), self._propagation_delay(), call.returned
         )
 
+    def _claimable(self) -> int:
+        """Return the known number of free slots that requests of this entry may take.
+
+        Free slots of cold endpoints that get no request of this entry would let its requests
+        claim more slots of warm ones than are free.
+        """
+        room = self._limits.cold_room()
+        if room is None:
+            return self._slots.free()
+        warm = self._limits.warm_endpoints(self._accepting())
+        return min(self._slots.free(), self._warm_slots.count_free(warm) + room)
+
     def _reserved(self) -> float:
         """Return the slots that new requests at all entries will lack while passes are bounded."""
         return self._forecast.shortage() * self._entries() if self._slots.pass_bounds() else 0.0
--- a/tests/broken_entries.py
+++ b/tests/broken_entries.py
@@ -17,6 +17,7 @@
 from carawayhub.gateway.hello import News
 from carawayhub.gateway.model import EndpointState, Repeat
 from carawayhub.gateway.pool import ServicePool
+from carawayhub.gateway.ports import Source
 from carawayhub.gateway.revision import Eras, Revision
 from carawayhub.gateway.view import FleetView
 from carawayhub.limits.blame import Suspects, is_part
@@ -115,9 +116,9 @@
     """Take no notice of endpoints that say that they leave."""
     take = FleetView._apply_endpoint
 
-    def take_ready(self: FleetView, endpoint: Any) -> None:
+    def take_ready(self: FleetView, endpoint: Any, source: Source) -> None:
         if endpoint.state is EndpointState.READY:
-            take(self, endpoint)
+            take(self, endpoint, source)
 
     FleetView._apply_endpoint = take_ready  # type: ignore[method-assign]
 
--- a/tests/test_allowed_regions.py
+++ b/tests/test_allowed_regions.py
@@ -456,8 +456,8 @@
     def test_entries_in_the_regions_of_the_caller_and_of_the_host(self) -> None:
         async def story(fleet: RequestFleet) -> None:
             for host in ("caraway.example", "Caraway.example:80"):
-                self.assertEqual(self.found(fleet, DirectoryQuery(host)), {"1"})
-            asked = DirectoryQuery("caraway.example", "north")
+                self.assertEqual(self.found(fleet, DirectoryQuery(host=host)), {"1"})
+            asked = DirectoryQuery(host="caraway.example", region="north")
             self.assertEqual(self.found(fleet, asked), {"1", "3"})
 
         self.play(story)
@@ -465,11 +465,11 @@
     def test_all_entries_for_other_hosts_and_where_none_is_in_the_regions(self) -> None:
         async def story(fleet: RequestFleet) -> None:
             every = {"1", "2", "3", "4", "5"}
-            for query in (DirectoryQuery(), DirectoryQuery("other.example", "north")):
+            for query in (DirectoryQuery(), DirectoryQuery(host="other.example", region="north")):
                 self.assertEqual(self.found(fleet, query), every)
             fleet.allowed = frozenset({"south"})
             fleet.publish(TablePublished(fleet.table(2)))
-            self.assertEqual(self.found(fleet, DirectoryQuery("caraway.example")), every)
+            self.assertEqual(self.found(fleet, DirectoryQuery(host="caraway.example")), every)
 
         self.play(story)
 
