--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -39,6 +39,7 @@
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.poisonnews import PoisonUpdates
 from carawayhub.limits.replicarate import RateRow, ReplicaRates
+from carawayhub.limits.slotrows import SlotCounts
 
 FULL_MESH_MAX_ENTRIES = 12
 """Largest fleet in which each entry sends to all others. A full mesh of 15 entries in five failure
@@ -81,6 +82,8 @@
         rates: Rate limits reported by replicas and requests sent to them, here and at peers.
         clock: Source of time.
         rng: Source of jitter.
+        slot_counts: Requests by priority and organisation, here and at peers; None for a separate
+            set.
 
     Attributes:
         own: State that this entry announces.
@@ -104,6 +107,7 @@
         "_seeds",
         "_builder",
         "_reported_at",
+        "_slot_counts",
         "_urgent",
         "_wake",
         "on_backing_off",
@@ -123,7 +127,9 @@
         rates: ReplicaRates,
         clock: Clock,
         rng: random.Random,
+        slot_counts: SlotCounts | None = None,
     ) -> None:
+        self._slot_counts = slot_counts or SlotCounts(clock)
         self.own = OwnState(address, f"{rng.getrandbits(INCARNATION_BITS):08x}")
         self._seeds = seeds - {address.ip}
         self._loads = loads
@@ -133,7 +139,7 @@
         self._poison_updates = PoisonUpdates(records)
         self._rates = rates
         self._builder = DatagramBuilder(
-            self.own, self._peers, loads, self._poison_updates, rates, clock
+            self.own, self._peers, loads, self._poison_updates, rates, clock, self._slot_counts
         )
         self._reported_at: dict[str, float] = {}
         self._urgent = False
@@ -309,6 +315,7 @@
     def _apply_reported(self, reporter: str, report: Hello | Digest) -> None:
         works = {row.key: Work(row.requests, row.reading, row.tokens) for row in report.works}
         self._loads.update_peer(reporter, works)
+        self._slot_counts.receive_rows(reporter, report.slots)
         self._reported_at[reporter] = self._clock.monotonic()
         self.own.told_refusing[reporter] = report.refusing
         self.own.told_slow[reporter] = report.slow
@@ -374,6 +381,7 @@
 
     def _forget_reporter(self, reporter: str) -> None:
         self._loads.remove_peer(reporter)
+        self._slot_counts.forget(reporter)
         self._reported_at.pop(reporter, None)
         self.own.told_refusing.pop(reporter, None)
         self.own.told_slow.pop(reporter, None)
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -9,6 +9,7 @@
 from carawayhub.gateway.revision import Revision
 from carawayhub.limits.evidence import EndsRow
 from carawayhub.limits.replicarate import RateRow
+from carawayhub.limits.slotrows import SlotRow
 
 
 class Phase(IntEnum):
@@ -80,6 +81,7 @@
         rates: Replicas that report a rate limit, and its own requests to them.
         slow: Endpoints that agents reported to it as slow ranks.
         backing_off: Endpoints that requested a backoff of it.
+        slots: Its own requests by priority and organisation.
     """
 
     ip: str
@@ -96,6 +98,7 @@
     rates: list[RateRow] = []
     slow: list[str] = []
     backing_off: list[str] = []
+    slots: list[SlotRow] = []
 
 
 class MemberRow(msgspec.Struct, array_like=True):
@@ -119,6 +122,7 @@
         rates: Replicas that report a rate limit, and their requests to them.
         slow: Endpoints that agents reported to them as slow ranks.
         backing_off: Endpoints that requested a backoff of them.
+        slots: Sum of their requests by priority and organisation.
     """
 
     members: list[MemberRow] | None
@@ -127,6 +131,7 @@
     rates: list[RateRow] = []
     slow: list[str] = []
     backing_off: list[str] = []
+    slots: list[SlotRow] = []
 
 
 NO_DIGEST = msgspec.Raw(msgspec.msgpack.encode(None))
--- a/carawayhub/gateway/line.py
+++ b/carawayhub/gateway/line.py
@@ -80,6 +80,7 @@
         longest: Maximum wait in seconds; after it, the caller's silence timeout would be exceeded.
         recovery_wait: Seconds within which endpoints that refuse all requests are expected to
             accept them again, 0 if they do not refuse all.
+        entitled: Whether it gets one of the next slots, however many requests wait.
     """
 
     rank: int
@@ -88,6 +89,7 @@
     left: float
     longest: float
     recovery_wait: float = 0.0
+    entitled: bool = False
 
 
 class RequestQueue:
@@ -131,6 +133,7 @@
         patience = self._max_wait(requirements)
         if (
             not requirements.recovery_wait
+            and not requirements.entitled
             and (self._heap or self._ends)
             and self._is_futile(requirements, patience)
         ):
@@ -172,9 +175,28 @@
             self._drop_gone()
         return self._heap[0] if self._heap else None
 
+    def heads(self) -> list[Waiter]:
+        """Return the first request of each priority, first attempts and returned ones apart.
+
+        One that may not be served yet doesn't block those of other priorities.
+        """
+        found: dict[tuple[int, bool], Waiter] = {}
+        now = self._clock.monotonic()
+        for each in self._heap:
+            if each.gone or each.expires_at <= now:
+                continue
+            key = each.rank, each.returned
+            if key not in found or each < found[key]:
+                found[key] = each
+        return sorted(found.values())
+
     def serve(self, waiter: Waiter) -> None:
-        """Remove the first request and notify it that it has a slot."""
-        heapq.heappop(self._heap)
+        """Remove a request and notify it that it has a slot."""
+        if self._heap[0] is waiter:
+            heapq.heappop(self._heap)
+        else:
+            self._heap = [each for each in self._heap if each is not waiter]
+            heapq.heapify(self._heap)
         waiter.gone = True
         waiter.notify(True)
 
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -21,11 +21,14 @@
 from carawayhub.gateway.refusals import Refusals
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.servicelimits import ServiceLimits
+from carawayhub.gateway.serviceorder import ServiceOrder
 from carawayhub.gateway.serviceoutages import ServiceOutages
 from carawayhub.gateway.serviceslots import ServiceSlots
 from carawayhub.gateway.view import FleetView
+from carawayhub.limits.allotment import Key
 from carawayhub.limits.claims import Claims
 from carawayhub.limits.replicarate import ReplicaRates
+from carawayhub.limits.slotrows import SlotCounts
 
 FIRST_EVENT_WEIGHT = 0.1
 """Weight of one request in the moving average of the time from dispatch to first event."""
@@ -66,11 +69,13 @@
         endpoint: The endpoint.
         work: Work that the request causes at the endpoint.
         read: Whether the endpoint has processed the prompt.
+        key: Priority and organisation of the request.
     """
 
     endpoint: Endpoint
     work: Work
     read: bool = False
+    key: Key | None = None
 
 
 @dataclass(slots=True)
@@ -101,8 +106,10 @@
         propagation_delay: Returns the seconds after which entries know of each other's choices.
         rates: Rate limits announced by replicas; None for a separate set for this pool.
         known_share: Returns the share of all entries from which this one receives updates.
+        slot_counts: Requests by priority and organisation; None for a separate set for this pool.
 
     Attributes:
+        order: Order of the service's requests by priority.
         queue: Requests that wait for a slot.
         retries: This entry's share of the service's retry budget.
         backoff_rejections: Requests rejected since all endpoints had requested a backoff.
@@ -128,6 +135,7 @@
         "_view",
         "backoff_rejections",
         "evacuation_rejections",
+        "order",
         "queue",
         "retries",
     )
@@ -145,8 +153,12 @@
         propagation_delay: Callable[[], float] = lambda: 0.0,
         rates: ReplicaRates | None = None,
         known_share: Callable[[], float] = lambda: 1.0,
+        slot_counts: SlotCounts | None = None,
     ) -> None:
         self._name = name
+        self.order = ServiceOrder(
+            name, clock, slot_counts or SlotCounts(clock), lambda: view.table, propagation_delay
+        )
         self._view = view
         self._loads = loads
         self._clock = clock
@@ -170,7 +182,7 @@
         )
         self._fleet_delay = fleet_delay
         self._first_event_seconds = 0.0
-        self._pending: dict[int, tuple[_PendingSlot, Work]] = {}
+        self._pending: dict[int, tuple[_PendingSlot, Admitted]] = {}
         self.queue = RequestQueue(clock, rng)
         self.retries = retries
         rates = rates or ReplicaRates(clock, rng, work_key)
@@ -189,7 +201,8 @@
         Raises:
             RequestError: NO_ENDPOINT, OVERLOADED.
         """
-        slot = self._acquire_now(call.work, returned=call.returned)
+        self.order.record_arrival(call)
+        slot = self._acquire_now(call.work, returned=call.returned, call=call)
         if slot is not None:
             return slot
         return await self._wait(call, now)
@@ -200,7 +213,7 @@
         The request is not queued again: its caller has already waited once.
         """
         chosen = self._choose(call.work, tried)
-        return None if chosen is None else self._begin(chosen.endpoint, call.work)
+        return None if chosen is None else self._begin(chosen.endpoint, call.work, call)
 
     async def wait_for_retry(self, call: Admitted, only: Set[str] | None) -> Slot | None:
         """Return a slot for a refused request once its endpoints accept requests again.
@@ -226,7 +239,7 @@
         while self._clock.monotonic() < ends_at and self._may_recover(only):
             chosen = self._choose(call.work, frozenset(), only)
             if chosen is not None and chosen.free:
-                return self._begin(chosen.endpoint, call.work)
+                return self._begin(chosen.endpoint, call.work, call)
             await anyio.sleep(RETRY_POLL_SECONDS)
         return None
 
@@ -333,6 +346,7 @@
         left = Work(work.requests, 0 if slot.read else work.reading, work.tokens)
         self._loads.end(slot.endpoint.id, left)
         self._claims.record_release()
+        self.order.record_end(slot.key)
         if ran:
             self.queue.ended()
         self.serve_queue()
@@ -343,13 +357,35 @@
 
     def serve_queue(self) -> None:
         """Assign free slots to queued requests in queue order."""
+        if self.order.active and len(self.queue):
+            self._serve_minimum()
         while (waiter := self.queue.first()) is not None:
-            pending, work = self._pending[id(waiter)]
-            slot = self._acquire_free(work, returned=waiter.returned)
-            if slot is None:
+            if not self._serve(waiter) and not self._serve_others(waiter):
                 return
-            pending.slot = slot
-            self.queue.serve(waiter)
+
+    def _serve(self, waiter: Waiter) -> bool:
+        """Assign a free slot to a queued request; return whether it has one."""
+        pending, call = self._pending[id(waiter)]
+        slot = self._acquire_free(call.work, returned=waiter.returned, call=call)
+        if slot is None:
+            return False
+        pending.slot = slot
+        self.order.leave(call)
+        self.queue.serve(waiter)
+        return True
+
+    def _serve_minimum(self) -> None:
+        """Assign slots to less urgent requests that have waited while urgent ones took them."""
+        for waiter in self.queue.heads():
+            if not waiter.returned and self.order.decision.is_due(waiter.rank):
+                self._serve(waiter)
+
+    def _serve_others(self, held_back: Waiter) -> bool:
+        """Assign a slot to a request behind the first one, where priorities differ."""
+        if not self.order.active or self._slots.free() < 1:
+            return False
+        others = (each for each in self.queue.heads() if each is not held_back)
+        return any(self._serve(each) for each in others)
 
     def rejection(self, call: Admitted, now: float, code: Code) -> RequestError:
         """Return the error for a request that is not run now, with its retry time."""
@@ -375,22 +411,35 @@
             return False
         return self._slots.free() >= self._expected_arrivals() + 1.0
 
-    def _acquire_now(self, work: Work, *, returned: bool) -> Slot | None:
-        return None if len(self.queue) else self._acquire_free(work, returned=returned)
+    def _acquire_now(
+        self, work: Work, *, returned: bool, call: Admitted | None = None
+    ) -> Slot | None:
+        return None if len(self.queue) else self._acquire_free(work, returned=returned, call=call)
 
-    def _acquire_free(self, work: Work, *, returned: bool) -> Slot | None:
-        if not self._may_claim(returned=returned):
+    def _acquire_free(
+        self, work: Work, *, returned: bool, call: Admitted | None = None
+    ) -> Slot | None:
+        if not self._may_claim(returned=returned, call=call):
             return None
         chosen = self._choose(work, frozenset())
         if chosen is None or not chosen.free:
             return None
         self._claims.record_acquisition()
-        return self._begin(chosen.endpoint, work)
+        self.order.record_acquisition(call)
+        return self._begin(chosen.endpoint, work, call)
 
-    def _may_claim(self, *, returned: bool) -> bool:
+    def _may_claim(self, *, returned: bool, call: Admitted | None = None) -> bool:
         """Return whether this entry may claim a free slot of the engines."""
         if not self._kv_tokens():
             return True
+        if call is not None and self.order.active:
+            return self._claims.may_acquire(
+                self.order.free_for(call, self._slots.free()),
+                self.order.competing(call, self._expected_arrivals()),
+                self._propagation_delay(),
+                returned,
+                call.priority,
+            )
         return self._claims.may_acquire(
             self._slots.free(), self._expected_arrivals(), self._propagation_delay(), returned
         )
@@ -441,6 +490,7 @@
             left=call.ends_at - now,
             longest=longest,
             recovery_wait=self._recovery_wait(call, away, longest),
+            entitled=self.order.entitled(call),
         )
         limited = self._limits.expected_wait(self._accepting(), len(self.queue))
         if limited > min(longest, max(0.0, requirements.patience)):
@@ -451,8 +501,10 @@
         if waiter is None:
             self._log_rejection(call, requirements)
             raise self.rejection(call, now, Code.OVERLOADED)
-        self._pending[id(waiter)] = pending, call.work
+        self._pending[id(waiter)] = pending, call
+        self.order.join(call)
         self.serve_queue()
+        self._note_held_back(call, pending)
         try:
             with anyio.move_on_after(max(0.0, waiter.expires_at - now)):
                 await pending.settled.wait()
@@ -461,11 +513,18 @@
                 self.release(pending.slot)
             raise
         finally:
+            if pending.slot is None:
+                self.order.leave(call)
             self._leave(waiter)
         if pending.slot is None:
+            self.order.log_expiry(call, self._clock.monotonic() - now)
             raise self.rejection(call, now, Code.OVERLOADED)
         return pending.slot
 
+    def _note_held_back(self, call: Admitted, pending: _PendingSlot) -> None:
+        if pending.slot is None and self.order.active and self._kv_tokens():
+            self.order.note_waiting(call, self._slots.free())
+
     def _recovery_wait(self, call: Admitted, away: float | None, longest: float) -> float:
         """Return the seconds that a request waits for endpoints to recover, 0 for no wait.
 
@@ -502,6 +561,7 @@
             limited_pause=round(self._limits.mean_interval(self._endpoints()), 3),
             patience=round(requirements.patience, 3),
             returned=requirements.returned,
+            **self.order.log_fields(call),
         ).info("request rejected: no slot expected in time")
 
     def _log_no_endpoint(self, call: Admitted, away: float | None, longest: float) -> None:
@@ -527,11 +587,11 @@
             returned=call.returned,
         ).info("request rejected: all endpoints requested a backoff")
 
-    def _begin(self, endpoint: Endpoint, work: Work) -> Slot:
+    def _begin(self, endpoint: Endpoint, work: Work, call: Admitted | None = None) -> Slot:
         self._refusals.sent()
         self._limits.sent(endpoint)
         self._loads.begin(endpoint.id, work)
-        return Slot(endpoint, work)
+        return Slot(endpoint, work, key=self.order.begin(call))
 
     def _endpoints(self, only: Set[str] | None = None) -> tuple[Endpoint, ...]:
         found = self._view.serving(self._name)
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -37,6 +37,7 @@
 from carawayhub.http import ConnectionLimits, HttpServer, bind
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.replicarate import ReplicaRates
+from carawayhub.limits.slotrows import SlotCounts
 from carawayhub.peers.pace import LinkPacer
 
 DIRECTORY_TTL_FACTOR = 3.0
@@ -157,6 +158,7 @@
         "_read_settings",
         "_records",
         "_rng",
+        "_slot_counts",
         "_statements",
         "_stopping",
         "_tally",
@@ -189,6 +191,7 @@
             self._view_seen,
             self._statements_met,
             lambda: self._records.counts,
+            lambda: {name: each.order.status() for name, each in self._pools.items()},
         )
         self._view.on_table = self._tally.table_applied
         own = OwnAddress(
@@ -202,8 +205,16 @@
         self._rates = ReplicaRates(clock, rng, work_key)
         self._statements = ReplicaStatements(self._rates, self._view)
         self._limit_cleanup_at = float("-inf")
+        self._slot_counts = SlotCounts(clock)
         self._gossip = Gossip(
-            own, options.seeds, self._loads, self._records, self._rates, clock, rng
+            own,
+            options.seeds,
+            self._loads,
+            self._records,
+            self._rates,
+            clock,
+            rng,
+            self._slot_counts,
         )
         self._handing = ContentForwarder(
             options.ip,
@@ -292,6 +303,7 @@
                 lambda: self._gossip.propagation_seconds,
                 self._rates,
                 self._gossip.reachable_fraction,
+                self._slot_counts,
             )
         return found
 
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -7,6 +7,7 @@
 
 from carawayhub.codes import Code
 from carawayhub.gateway.revision import Revision
+from carawayhub.gateway.serviceorder import OrderStatus
 from carawayhub.gateway.statements import StatementCounts
 from carawayhub.limits.poison import PoisonCounts
 from carawayhub.output.metrics import Recorder, summary_lines
@@ -59,6 +60,7 @@
         view_status: Returns the status of the view of the published state.
         statement_counts: Returns how often replicas stated something about themselves.
         poison_counts: Returns how many requests were rejected since they end endpoints.
+        slot_order: Returns the requests by priority and organisation, by service.
     """
 
     __slots__ = (
@@ -67,6 +69,7 @@
         "_table_delays",
         "_poison_counts",
         "_replica_limits",
+        "_slot_order",
         "_statement_counts",
         "_times",
         "_unreadable_entries",
@@ -80,7 +83,9 @@
         view_status: Callable[[], ViewStatus] = ViewStatus,
         statement_counts: Callable[[], StatementCounts] = StatementCounts,
         poison_counts: Callable[[], PoisonCounts] = PoisonCounts,
+        slot_order: Callable[[], Mapping[str, OrderStatus]] = dict,
     ) -> None:
+        self._slot_order = slot_order
         self._unreadable_entries = unreadable_entries
         self._replica_limits = replica_limits
         self._view_status = view_status
@@ -137,6 +142,7 @@
         lines += self._poison_lines()
         lines += self._statement_lines()
         lines += self._view_lines()
+        lines += _order_lines(self._slot_order())
         lines.append("# TYPE carawayhub_gateway_milliseconds summary")
         for route, recorder in sorted(self._times.items()):
             labels = f'route="{route}"'
@@ -193,6 +199,20 @@
         ]
 
 
+def _order_lines(by_service: Mapping[str, OrderStatus]) -> list[str]:
+    lines = []
+    for name, kind, field_name in (
+        ("carawayhub_gateway_order_waiting", "gauge", "waiting"),
+        ("carawayhub_gateway_order_in_flight", "gauge", "in_flight"),
+        ("carawayhub_gateway_order_held_back_total", "counter", "held_back"),
+    ):
+        lines.append(f"# TYPE {name} {kind}")
+        for service, status in sorted(by_service.items()):
+            for priority, count in sorted(getattr(status, field_name).items()):
+                lines.append(f'{name}{{service="{service}",priority="{priority}"}} {count}')
+    return lines
+
+
 def _evacuation_lines(seen: ViewStatus) -> list[str]:
     domains, rejections = (
         "carawayhub_gateway_evacuated_domains",
--- a/carawayhub/gateway/telling.py
+++ b/carawayhub/gateway/telling.py
@@ -30,6 +30,7 @@
 from carawayhub.gateway.peers import Peers
 from carawayhub.limits.poisonnews import PoisonUpdates
 from carawayhub.limits.replicarate import ReplicaRates
+from carawayhub.limits.slotrows import SlotCounts, SlotRow
 
 GOSSIP_INTERVAL_SECONDS = 0.1
 """Interval between two datagrams to one receiver. It is a tenth of a typical request duration of
@@ -168,6 +169,7 @@
         poison_updates: Requests during which endpoints crashed.
         rates: Rate limits reported by replicas, and requests sent to them.
         clock: Source of time.
+        slot_counts: Requests by priority and organisation; None for a separate set.
 
     Attributes:
         part: Role of this entry in the exchange.
@@ -184,6 +186,7 @@
         "_rates",
         "_rounds",
         "_sent",
+        "_slot_counts",
         "part",
     )
 
@@ -195,7 +198,9 @@
         poison_updates: PoisonUpdates,
         rates: ReplicaRates,
         clock: Clock,
+        slot_counts: SlotCounts | None = None,
     ) -> None:
+        self._slot_counts = slot_counts or SlotCounts(clock)
         self._own = own
         self._rates = rates
         self._peers = peers
@@ -248,7 +253,11 @@
             urgent: Whether there is an update that all entries need immediately.
         """
         self._rounds += 1
-        hello = self._hello(self._rows(self._loads.own()), lists_peers=self._is_member_list_due())
+        hello = self._hello(
+            self._rows(self._loads.own()),
+            lists_peers=self._is_member_list_due(),
+            slots=self._slot_counts.rows(),
+        )
         match self.part:
             case Part.EQUAL:
                 return {ip: self._datagram(ip, hello) for ip in self._peers.ips()}
@@ -292,6 +301,7 @@
                 rates=self._rates.rows(reporters),
                 slow=self._slow(reporters),
                 backing_off=self._backing_off(reporters),
+                slots=self._slot_counts.rows_of(reporters),
             )
         )
         hello = self._hello([])
@@ -318,6 +328,7 @@
                     rates=rates,
                     slow=slow,
                     backing_off=backing_off,
+                    slots=self._slot_counts.rows_without(each.ip),
                 )
             )
             datagrams[each.ip] = self._datagram(each.ip, hello, digest)
@@ -366,7 +377,12 @@
         return rows[:MAX_WORK_ROWS]
 
     def _hello(
-        self, works: list[WorkRow], *, lists_peers: bool = False, interval: float = 0.0
+        self,
+        works: list[WorkRow],
+        *,
+        lists_peers: bool = False,
+        interval: float = 0.0,
+        slots: list[SlotRow] | None = None,
     ) -> _NumberedHello:
         self._number += 1
         self._sent[self._number] = self._clock.monotonic()
@@ -387,6 +403,7 @@
             backing_off=own.backing_off()[:MAX_ENDPOINTS],
             works=works,
             rates=self._rates.rows(),
+            slots=slots or [],
         )
         return _NumberedHello(self._number, _raw(hello))
 
--- a/carawayhub/limits/claims.py
+++ b/carawayhub/limits/claims.py
@@ -32,7 +32,7 @@
         self._clock = clock
         self._rng = rng
         self._releases: deque[float] = deque(maxlen=MAX_RELEASES)
-        self._next_draw_at = float("-inf")
+        self._next_draw_at: dict[int, float] = {}
 
     def record_release(self) -> None:
         """Record that a request of this entry released its slot."""
@@ -44,6 +44,7 @@
         expected_arrivals: float,
         propagation_delay: float,
         returned: bool = False,
+        rank: int = 0,
     ) -> bool:
         """Return whether this entry may acquire a slot.
 
@@ -55,6 +56,8 @@
             expected_arrivals: Requests that arrive at all entries within the propagation delay.
             propagation_delay: Seconds until entries receive each other's updates.
             returned: Whether the slot is for a request that was refused before.
+            rank: Priority of the request where priorities compete for the slots. Each has draws of
+                its own, so that a draw for a less urgent request doesn't delay an urgent one.
         """
         if free < 1.0:
             return False
@@ -65,9 +68,9 @@
             self._releases.popleft()
         if self._releases or free >= expected_arrivals:
             return True
-        if now < self._next_draw_at:
+        if now < self._next_draw_at.get(rank, now):
             return False
-        self._next_draw_at = now + propagation_delay
+        self._next_draw_at[rank] = now + propagation_delay
         return self._rng.random() < free / expected_arrivals
 
     def record_acquisition(self) -> None:
