--- a/benchmarks/slot_order.py
+++ b/benchmarks/slot_order.py
@@ -430,6 +430,20 @@
 )
 """The load of deployment B, with the means of the stated ranges of the bursts."""
 
+ONE_BURSTS = Load(
+    kinds=(
+        Kind(rate=burst(45.0, 2.5, *LEAST_BURST), priority=1, organisation="large"),
+        Kind(rate=burst(30.0), priority=1, organisation="medium"),
+        Kind(rate=burst(30.0), priority=1, organisation="small"),
+    ),
+)
+"""One priority; an organisation has a burst beyond its share of the slots."""
+
+ALL_ALIKE = Load(
+    kinds=tuple(Kind(rate=burst(16.0), priority=1, organisation=f"o{at}") for at in range(8)),
+)
+"""One priority and eight organisations with equal rates, a little more than can be served."""
+
 LOADS = {
     "deployment B": DEPLOYMENT_B,
     "deployment B, a tenth fewer slots": replace(DEPLOYMENT_B, replicas=32),
@@ -446,6 +460,15 @@
 }
 
 
+def play_without_shares(load: Load, seed: int) -> Fleet:
+    """Play a load without shares of organisations."""
+    with (
+        mock.patch.object(ServiceOrder, "sharing", False),
+        mock.patch.object(ServiceOrder, "precedes", lambda self, call: frozenset()),
+    ):
+        return play(load, seed)
+
+
 def play_without_order(load: Load, seed: int) -> Fleet:
     """Play a load with the decisions that services without priorities have."""
     with mock.patch.object(ServiceOrder, "active", False):
@@ -463,8 +486,9 @@
         "worth least burst": mean(lambda each: each.worth(*LEAST_BURST)),
         "worth most burst": mean(lambda each: each.worth(*MOST_BURST)),
     }
-    for number in range(len(fleets[0].load.kinds)):
-        found[f"p{number}"] = mean(lambda each, at=number: each.outcome.in_time(at))  # type: ignore[misc]
+    for number, kind in enumerate(fleets[0].load.kinds):
+        in_time = sum(each.outcome.in_time(number) for each in fleets) / len(fleets)
+        found[kind.organisation or f"p{kind.priority}"] = round(in_time, 3)
     return found
 
 
@@ -480,6 +504,11 @@
     for name, load in LOADS.items():
         alike = [play_without_order(load, seed) for seed in range(seeds)]
         rows[f"{name}: no order"] = figures(alike)
+    for name, load in {"one bursts": ONE_BURSTS, "all alike": ALL_ALIKE}.items():
+        rows[f"{name}: shares"] = figures([play(load, seed) for seed in range(seeds)])
+        rows[f"{name}: no shares"] = figures(
+            [play_without_shares(load, seed) for seed in range(seeds)]
+        )
     if "--json" in argv:
         print(msgspec.json.encode(rows).decode())
         return 0
--- a/carawayhub/gateway/line.py
+++ b/carawayhub/gateway/line.py
@@ -58,6 +58,7 @@
         expires_at: When it is rejected.
         notify: Called with True when it has a slot, with False when it is rejected.
         gone: Whether its caller has left or it was notified.
+        organisation: Hash of its organisation, 0 if it has none.
     """
 
     rank: int
@@ -66,6 +67,7 @@
     expires_at: float = field(compare=False)
     notify: Callable[[bool], None] = field(compare=False)
     gone: bool = field(default=False, compare=False)
+    organisation: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,6 +83,8 @@
         recovery_wait: Seconds within which endpoints that refuse all requests are expected to
             accept them again, 0 if they do not refuse all.
         entitled: Whether it gets one of the next slots, however many requests wait.
+        organisation: Hash of its organisation, 0 if it has none.
+        precedes: Organisations whose requests are served after it.
     """
 
     rank: int
@@ -90,6 +94,8 @@
     longest: float
     recovery_wait: float = 0.0
     entitled: bool = False
+    organisation: int = 0
+    precedes: frozenset[int] = frozenset()
 
 
 class RequestQueue:
@@ -141,6 +147,7 @@
         now = self._clock.monotonic()
         expires_at = now + min(patience, requirements.longest)
         waiter = Waiter(requirements.rank, requirements.returned, now, expires_at, notify)
+        waiter.organisation = requirements.organisation
         heapq.heappush(self._heap, waiter)
         return waiter
 
@@ -152,12 +159,22 @@
         an entry with four completions a second would reject every request that does not find a
         free slot at once, even with an empty queue.
         """
-        ahead = self._count_ahead(requirements.rank, returned=requirements.returned)
+        ahead = self._count_ahead(
+            requirements.rank, returned=requirements.returned, precedes=requirements.precedes
+        )
         return ahead >= max(1.0, self.rate() * patience)
 
-    def _count_ahead(self, rank: int, *, returned: bool) -> int:
+    def _count_ahead(
+        self, rank: int, *, returned: bool, precedes: frozenset[int] = frozenset()
+    ) -> int:
         mine = (rank, returned)
-        return sum(1 for each in self._heap if not each.gone and (each.rank, each.returned) <= mine)
+        return sum(
+            1
+            for each in self._heap
+            if not each.gone
+            and (each.rank, each.returned) <= mine
+            and not (each.rank == rank and each.organisation in precedes)
+        )
 
     def leave(self, waiter: Waiter) -> None:
         """Remove a request whose caller has left or whose time has expired."""
@@ -175,17 +192,20 @@
             self._drop_gone()
         return self._heap[0] if self._heap else None
 
-    def heads(self) -> list[Waiter]:
+    def heads(self, *, by_organisation: bool = False) -> list[Waiter]:
         """Return the first request of each priority, first attempts and returned ones apart.
 
         One that may not be served yet doesn't block those of other priorities.
+
+        Args:
+            by_organisation: Whether to return the first request of each organisation, too.
         """
-        found: dict[tuple[int, bool], Waiter] = {}
+        found: dict[tuple[int, bool, int], Waiter] = {}
         now = self._clock.monotonic()
         for each in self._heap:
             if each.gone or each.expires_at <= now:
                 continue
-            key = each.rank, each.returned
+            key = each.rank, each.returned, each.organisation if by_organisation else 0
             if key not in found or each < found[key]:
                 found[key] = each
         return sorted(found.values())
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -21,11 +21,10 @@
 from carawayhub.gateway.refusals import Refusals
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.servicelimits import ServiceLimits
-from carawayhub.gateway.serviceorder import ServiceOrder
+from carawayhub.gateway.serviceorder import Holding, ServiceOrder, organisation_hash
 from carawayhub.gateway.serviceoutages import ServiceOutages
 from carawayhub.gateway.serviceslots import ServiceSlots
 from carawayhub.gateway.view import FleetView
-from carawayhub.limits.allotment import Key
 from carawayhub.limits.claims import Claims
 from carawayhub.limits.replicarate import ReplicaRates
 from carawayhub.limits.slotrows import SlotCounts
@@ -69,13 +68,13 @@
         endpoint: The endpoint.
         work: Work that the request causes at the endpoint.
         read: Whether the endpoint has processed the prompt.
-        key: Priority and organisation of the request.
+        holding: What counts the request in the order, None if nothing does.
     """
 
     endpoint: Endpoint
     work: Work
     read: bool = False
-    key: Key | None = None
+    holding: Holding | None = None
 
 
 @dataclass(slots=True)
@@ -346,7 +345,7 @@
         left = Work(work.requests, 0 if slot.read else work.reading, work.tokens)
         self._loads.end(slot.endpoint.id, left)
         self._claims.record_release()
-        self.order.record_end(slot.key)
+        self.order.record_end(slot.holding)
         if ran:
             self.queue.ended()
         self.serve_queue()
@@ -381,10 +380,11 @@
                 self._serve(waiter)
 
     def _serve_others(self, held_back: Waiter) -> bool:
-        """Assign a slot to a request behind the first one, where priorities differ."""
-        if not self.order.active or self._slots.free() < 1:
+        """Assign a slot to a request behind the first one, where an order applies."""
+        if not (self.order.active or self.order.sharing) or self._slots.free() < 1:
             return False
-        others = (each for each in self.queue.heads() if each is not held_back)
+        heads = self.queue.heads(by_organisation=self.order.sharing)
+        others = (each for each in heads if each is not held_back)
         return any(self._serve(each) for each in others)
 
     def rejection(self, call: Admitted, now: float, code: Code) -> RequestError:
@@ -432,13 +432,13 @@
         """Return whether this entry may claim a free slot of the engines."""
         if not self._kv_tokens():
             return True
-        if call is not None and self.order.active:
+        if call is not None and (self.order.active or self.order.sharing):
             return self._claims.may_acquire(
                 self.order.free_for(call, self._slots.free()),
                 self.order.competing(call, self._expected_arrivals()),
                 self._propagation_delay(),
                 returned,
-                call.priority,
+                call.priority if self.order.active else 0,
             )
         return self._claims.may_acquire(
             self._slots.free(), self._expected_arrivals(), self._propagation_delay(), returned
@@ -491,6 +491,8 @@
             longest=longest,
             recovery_wait=self._recovery_wait(call, away, longest),
             entitled=self.order.entitled(call),
+            organisation=organisation_hash(call),
+            precedes=self.order.precedes(call),
         )
         limited = self._limits.expected_wait(self._accepting(), len(self.queue))
         if limited > min(longest, max(0.0, requirements.patience)):
@@ -522,7 +524,7 @@
         return pending.slot
 
     def _note_held_back(self, call: Admitted, pending: _PendingSlot) -> None:
-        if pending.slot is None and self.order.active and self._kv_tokens():
+        if pending.slot is None and self._kv_tokens():
             self.order.note_waiting(call, self._slots.free())
 
     def _recovery_wait(self, call: Admitted, away: float | None, longest: float) -> float:
@@ -591,7 +593,7 @@
         self._refusals.sent()
         self._limits.sent(endpoint)
         self._loads.begin(endpoint.id, work)
-        return Slot(endpoint, work, key=self.order.begin(call))
+        return Slot(endpoint, work, holding=self.order.begin(call))
 
     def _endpoints(self, only: Set[str] | None = None) -> tuple[Endpoint, ...]:
         found = self._view.serving(self._name)
--- a/carawayhub/gateway/serviceorder.py
+++ b/carawayhub/gateway/serviceorder.py
@@ -1,4 +1,8 @@
-"""Order of one service's requests by priority: which free slots a request may compete for."""
+"""Order of one service's requests: which free slots a request may compete for.
+
+Priorities are ordered where the configuration gives a service's requests different ones, and slots
+are shared among organisations where more than one waits.
+"""
 
 from collections import Counter
 from collections.abc import Callable, Mapping
@@ -12,25 +16,63 @@
 from carawayhub.limits.allotment import Key
 from carawayhub.limits.slotorder import SlotOrder, part_up_to, reserved_slots
 from carawayhub.limits.slotrows import ALL, SlotCounts, row_hash
+from carawayhub.limits.slotshares import (
+    above_share,
+    shares,
+    slots_left_to_others,
+    waiting_organisations,
+)
 
 LOG_INTERVAL_SECONDS = 0.1
 """Time between two lines about requests that were held back. At a burst there are a hundred such
 requests a second; ten lines state the counts, the others are only counted."""
 
+SHARING_CHECK_SECONDS = 0.02
+"""Time for which a division among organisations is kept: a fifth of the time between two datagrams.
+Each passes over all known organisations, which would otherwise happen for each waiting request at
+each datagram."""
+
+MAX_STATUS_ORGANISATIONS = 8
+"""Organisations on the metrics page, those with the most slots."""
+
+
+HOLD_TIME_GAIN = 0.05
+"""Weight of one request in the mean time for which a slot is held, about three seconds of one
+entry."""
+
+
+@dataclass(frozen=True, slots=True)
+class Holding:
+    """A slot in use.
+
+    Attributes:
+        key: Priority and organisation of the request.
+        began_at: Time since which it is in use.
+    """
+
+    key: Key
+    began_at: float
+
 
 @dataclass(frozen=True, slots=True)
 class OrderStatus:
-    """Requests of a service by priority.
+    """Requests of a service by priority and organisation.
 
     Attributes:
         waiting: First attempts that wait at all known entries.
         in_flight: Requests that hold a slot, of all known entries.
         held_back: Requests of this entry that waited while slots were free.
+        held_back_shares: Those of them that were held back by the share of their organisation.
+        shares: Slots that the largest organisations may use, by name.
+        uses: Slots that they use, by name.
     """
 
     waiting: Mapping[int, int] = field(default_factory=dict)
     in_flight: Mapping[int, int] = field(default_factory=dict)
     held_back: Mapping[int, int] = field(default_factory=dict)
+    held_back_shares: int = 0
+    shares: Mapping[str, float] = field(default_factory=dict)
+    uses: Mapping[str, int] = field(default_factory=dict)
 
 
 class ServiceOrder:
@@ -46,6 +88,7 @@
     Attributes:
         decision: Decides which free slots a priority may compete for.
         held_back: Requests of this entry that waited while slots were free, by priority.
+        held_back_shares: Requests that waited because of the share of their organisation.
     """
 
     __slots__ = (
@@ -55,12 +98,18 @@
         "_counts",
         "_delay",
         "_hash",
+        "_held",
+        "_left_to_others",
         "_log_at",
+        "_precedes",
         "_service",
+        "_sharing",
+        "_sharing_until",
         "_table",
         "_unlogged",
         "decision",
         "held_back",
+        "held_back_shares",
     )
 
     def __init__(
@@ -83,6 +132,12 @@
         self._unlogged = 0
         self.decision = SlotOrder()
         self.held_back: Counter[int] = Counter()
+        self.held_back_shares = 0
+        self._held = 0.0
+        self._left_to_others: dict[tuple[int, int, int], float] = {}
+        self._precedes: dict[tuple[int, int], frozenset[int]] = {}
+        self._sharing = False
+        self._sharing_until = float("-inf")
 
     @property
     def active(self) -> bool:
@@ -97,38 +152,58 @@
                 self._counts.ordered.discard(self._hash)
         return self._active
 
+    @property
+    def sharing(self) -> bool:
+        """Whether several organisations wait for the service, as far as this entry knows."""
+        self._refresh()
+        return self._sharing
+
+    def _refresh(self) -> None:
+        now = self._clock.monotonic()
+        if now < self._sharing_until:
+            return
+        self._sharing_until = now + SHARING_CHECK_SECONDS
+        self._sharing = waiting_organisations(self._counts.demands(self._hash)) > 1
+        self._left_to_others.clear()
+        self._precedes.clear()
+
     def record_arrival(self, call: Admitted) -> None:
         """Count a request that has arrived; returned ones reserve no slots, as they are late."""
         if call.returned:
             return
-        self._counts.record_arrival(self._hash, call.priority, _organisation(call))
+        self._counts.record_arrival(self._hash, call.priority, organisation_hash(call))
 
     def join(self, call: Admitted) -> None:
         """Count a request that waits; returned ones reserve no slots, as they are late."""
         if not call.returned:
-            self._counts.add_waiting(self._hash, call.priority, _organisation(call), 1)
+            self._counts.add_waiting(self._hash, call.priority, organisation_hash(call), 1)
 
     def leave(self, call: Admitted) -> None:
         """Count a request that no longer waits."""
         if not call.returned:
-            self._counts.add_waiting(self._hash, call.priority, _organisation(call), -1)
+            self._counts.add_waiting(self._hash, call.priority, organisation_hash(call), -1)
 
-    def begin(self, call: Admitted | None) -> Key | None:
-        """Count a request that has a slot; return the key under which it is counted."""
+    def begin(self, call: Admitted | None) -> Holding | None:
+        """Count a request that has a slot; return what counts it."""
         if call is None:
             return None
-        self._counts.add_in_flight(self._hash, call.priority, _organisation(call), 1)
-        return Key(call.priority, call.organisation.name if call.organisation is not None else "")
+        self._counts.add_in_flight(self._hash, call.priority, organisation_hash(call), 1)
+        name = call.organisation.name if call.organisation is not None else ""
+        return Holding(Key(call.priority, name), self._clock.monotonic())
 
     def record_acquisition(self, call: Admitted | None) -> None:
         """Record that a waiting or new request took a free slot."""
         if call is not None and self.active:
             self.decision.record_acquisition(call.priority)
 
-    def record_end(self, key: Key | None) -> None:
+    def record_end(self, holding: Holding | None) -> None:
         """Count a request that released its slot."""
-        if key is None:
+        if holding is None:
             return
+        key = holding.key
+        seconds = self._clock.monotonic() - holding.began_at
+        gain = HOLD_TIME_GAIN if self._held else 1.0
+        self._held += gain * (seconds - self._held)
         organisation = row_hash(key.organisation) if key.organisation else ALL
         self._counts.add_in_flight(self._hash, key.priority, organisation, -1)
         if self.active:
@@ -145,9 +220,36 @@
 
     def free_for(self, call: Admitted, free: float) -> float:
         """Return the free slots for which a request competes."""
+        left = self._free_for_priority(call, free)
+        if call.organisation is None or not self.sharing:
+            return left
+        key = call.priority, organisation_hash(call), int(left)
+        others = self._left_to_others.get(key)
+        if others is None:
+            demands = self._counts.demands(self._hash)
+            others = self._left_to_others[key] = slots_left_to_others(
+                call.priority, key[1], left, demands, self._held, self._delay()
+            )
+        return left - others
+
+    def _free_for_priority(self, call: Admitted, free: float) -> float:
+        if not self.active:
+            return free
         demands = self._counts.demands(self._hash)
         return self.decision.free_for(call.priority, free, demands, self._delay())
 
+    def precedes(self, call: Admitted) -> frozenset[int]:
+        """Return the organisations whose waiting requests are served after a request."""
+        if call.organisation is None or call.returned:
+            return frozenset()
+        self._refresh()
+        key = call.priority, organisation_hash(call)
+        found = self._precedes.get(key)
+        if found is None:
+            demands = self._counts.demands(self._hash)
+            found = self._precedes[key] = above_share(*key, demands, self._held)
+        return found
+
     def competing(self, call: Admitted, expected: float) -> float:
         """Return how many of the expected arrivals compete with a request for free slots.
 
@@ -156,13 +258,25 @@
         """
         if call.returned:
             return expected
-        return expected * part_up_to(call.priority, self._counts.demands(self._hash))
+        demands = self._counts.demands(self._hash)
+        if self.active:
+            expected *= part_up_to(call.priority, demands)
+        if not self.sharing:
+            return expected
+        yielding = sum(demands[call.priority, each].arrived for each in self.precedes(call))
+        arrived = sum(
+            each.arrived
+            for key, each in demands.items()
+            if key[0] == call.priority and key[1] != ALL
+        )
+        return expected * (1.0 - yielding / max(1, arrived))
 
     def note_waiting(self, call: Admitted, free: int) -> None:
-        """Count and log a request that waits though slots are free, because of its priority."""
-        if free < 1 or self.free_for(call, free) >= 1.0:
+        """Count and log a request that waits though slots are free for others."""
+        if free < 1 or not (self.active or self.sharing) or self.free_for(call, free) >= 1.0:
             return
         self.held_back[call.priority] += 1
+        self.held_back_shares += self._free_for_priority(call, free) >= 1.0
         now = self._clock.monotonic()
         if now < self._log_at + LOG_INTERVAL_SECONDS:
             self._unlogged += 1
@@ -174,7 +288,7 @@
             free=free,
             unlogged=self._unlogged,
             **self.log_fields(call),
-        ).info("request held back: free slots are reserved for more urgent requests")
+        ).info("request held back: free slots are left to other requests")
         self._unlogged = 0
 
     def log_expiry(self, call: Admitted, waited: float) -> None:
@@ -190,7 +304,7 @@
 
     def log_fields(self, call: Admitted) -> dict[str, object]:
         """Return what a log line states about the order of a request, nothing if it is off."""
-        if not self.active:
+        if not (self.active or self.sharing):
             return {}
         demands = self._counts.demands(self._hash)
         return {
@@ -202,13 +316,21 @@
                 for (priority, organisation), each in sorted(demands.items())
                 if organisation == ALL
             },
+            "own_row": self._own_row(call),
             "rows_age": round(self._counts.oldest_age(), 3),
         }
 
+    def _own_row(self, call: Admitted) -> tuple[int, int, int]:
+        """Return the counts of a request's organisation."""
+        key = call.priority, organisation_hash(call)
+        found = self._counts.demands(self._hash).get(key)
+        return (found.arrived, found.waiting, found.in_flight) if found is not None else (0, 0, 0)
+
     def status(self) -> OrderStatus:
-        """Return the requests by priority, nothing if the order is off."""
+        """Return the requests by priority and organisation, those of the order that applies."""
+        parts, uses = self._largest()
         if not self.active:
-            return OrderStatus()
+            return OrderStatus({}, {}, {}, self.held_back_shares, parts, uses)
         totals = {
             priority: each
             for (priority, organisation), each in self._counts.demands(self._hash).items()
@@ -218,8 +340,30 @@
             {priority: each.waiting for priority, each in totals.items()},
             {priority: each.in_flight for priority, each in totals.items()},
             dict(self.held_back),
+            self.held_back_shares,
+            parts,
+            uses,
         )
 
+    def _largest(self) -> tuple[dict[str, float], dict[str, int]]:
+        """Return shares and slots in use of the largest organisations, by name."""
+        demands = self._counts.demands(self._hash)
+        table = self._table()
+        if table is None or not self.sharing:
+            return {}, {}
+        names = {row_hash(each.name): each.name for each in table.organisations.values()}
+        parts: Counter[str] = Counter()
+        uses: Counter[str] = Counter()
+        for priority in {key[0] for key in demands}:
+            for key, part in shares(priority, 0.0, demands, self._held).items():
+                name = names.get(key, f"{key:08x}")
+                parts[name] += part  # type: ignore[assignment]
+                uses[name] += demands[priority, key].in_flight
+        largest = [name for name, _ in uses.most_common(MAX_STATUS_ORGANISATIONS)]
+        return {name: float(parts[name]) for name in largest}, {
+            name: uses[name] for name in largest
+        }
+
 
 def priorities(table: RouteTable, service: str) -> set[int]:
     """Return the priorities that requests for a service may have."""
@@ -234,5 +378,6 @@
     return found
 
 
-def _organisation(call: Admitted) -> int:
+def organisation_hash(call: Admitted) -> int:
+    """Return the hash of a request's organisation in rows, ``ALL`` if it has none."""
     return ALL if call.organisation is None else row_hash(call.organisation.name)
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -210,6 +210,20 @@
         for service, status in sorted(by_service.items()):
             for priority, count in sorted(getattr(status, field_name).items()):
                 lines.append(f'{name}{{service="{service}",priority="{priority}"}} {count}')
+    lines.append("# TYPE carawayhub_gateway_share_held_back_total counter")
+    lines += [
+        f'carawayhub_gateway_share_held_back_total{{service="{service}"}} {status.held_back_shares}'
+        for service, status in sorted(by_service.items())
+    ]
+    for name, field_name in (
+        ("carawayhub_gateway_organisation_share", "shares"),
+        ("carawayhub_gateway_organisation_slots", "uses"),
+    ):
+        lines.append(f"# TYPE {name} gauge")
+        for service, status in sorted(by_service.items()):
+            for holder, value in sorted(getattr(status, field_name).items()):
+                labels = f'service="{service}",organisation="{holder}"'
+                lines.append(f"{name}{{{labels}}} {value:g}")
     return lines
 
 
--- a/tests/test_slot_order.py
+++ b/tests/test_slot_order.py
@@ -8,8 +8,11 @@
 from loguru import logger
 
 from benchmarks.slot_order import (
+    ALL_ALIKE,
     DEPLOYMENT_B,
+    LEAST_BURST,
     MOST_BURST,
+    ONE_BURSTS,
     Fleet,
     Kind,
     Load,
@@ -18,6 +21,7 @@
     burst,
     play,
     play_without_order,
+    play_without_shares,
 )
 from benchmarks.virtual_time import run
 from carawayhub.clock import ManualClock
@@ -35,7 +39,10 @@
     SlotCounts,
     SlotRow,
 )
+from carawayhub.limits.slotshares import above_share, slots_left_to_others
 from tests.gateway_world import route
+from tests.test_gateway_large import Fleet as LargeFleet
+from tests.test_gateway_large import run_scenario, until
 
 SECONDS = 20.0
 """Length of a replay: until one second after the burst of the most urgent priority."""
@@ -119,6 +126,31 @@
             self.assertLessEqual(len(msgspec.msgpack.encode(row)), MAX_ROW_BYTES)
 
 
+class GossipTest(unittest.TestCase):
+    """Counts in the gossip of 98 entries in five failure domains."""
+
+    def test_each_request_is_counted_once_at_all_entries(self) -> None:
+        """Guards against counts that miss entries or count requests twice through delegates."""
+        fleet = LargeFleet(98)
+
+        def totals() -> set[int]:
+            found = (each._slot_counts.demands(1).get((0, ALL)) for each in fleet.entries.values())
+            return {each.in_flight if each is not None else 0 for each in found}
+
+        async def scenario() -> None:
+            for entry in fleet.entries.values():
+                entry._slot_counts.ordered.add(1)
+                entry._slot_counts.add_in_flight(1, 0, ALL, 1)
+            await until(lambda: totals() == {98}, 0.5)
+            fleet.kill("10.1.0.10")
+            await until(lambda: totals() == {97}, 3.0)
+            for entry in fleet.entries.values():
+                entry._slot_counts.add_in_flight(1, 0, ALL, -1)
+            await until(lambda: totals() == {0}, 0.5)
+
+        run_scenario(fleet, scenario)
+
+
 class SlotOrderTest(unittest.TestCase):
     """Which free slots a priority may compete for."""
 
@@ -170,6 +202,61 @@
         self.assertEqual(priorities(table(1, 2), "another"), set())
 
 
+class SharesTest(unittest.TestCase):
+    """Slots that an organisation leaves to others."""
+
+    def left(self, organisation: int, free: float, demands: dict[int, Demand]) -> float:
+        known = {(1, key): each for key, each in demands.items()}
+        return slots_left_to_others(1, organisation, free, known, 1.5, 0.1)
+
+    def test_burst_leaves_slots_to_those_below_their_share(self) -> None:
+        """Guards against an organisation whose burst takes the slots of others."""
+        demands = {7: Demand(110, 20, 130), 8: Demand(30, 3, 25), 9: Demand(30, 2, 25)}
+        self.assertGreaterEqual(self.left(7, 4.0, demands), 4.0)
+        self.assertEqual(self.left(8, 4.0, demands), 0.0)
+
+    def test_single_active_organisation_uses_all_slots(self) -> None:
+        """Guards against slots kept for organisations without requests."""
+        self.assertEqual(self.left(7, 1.0, {7: Demand(110, 20, 180)}), 0.0)
+        self.assertEqual(self.left(7, 1.0, {7: Demand(110, 20, 170), 8: Demand(5, 0, 7)}), 0.0)
+
+    def test_free_slots_for_all_that_wait_are_left_to_nobody(self) -> None:
+        """Guards against requests that wait for their organisation while slots are free."""
+        demands = {7: Demand(110, 20, 130), 8: Demand(30, 3, 25)}
+        self.assertEqual(self.left(7, 23.0, demands), 0.0)
+
+    def test_burst_does_not_reject_others_at_the_queue(self) -> None:
+        """A queue full of requests of one organisation rejected those of others as hopeless."""
+        demands = {(1, 7): Demand(110, 20, 130), (1, 8): Demand(30, 0, 25)}
+        self.assertEqual(above_share(1, 8, demands, 1.5), {7})
+        self.assertEqual(above_share(1, 7, demands, 1.5), frozenset())
+
+    def test_lent_slots_return_and_bursts_do_not_displace_others(self) -> None:
+        """Guards against others' requests that are rejected during a burst of one organisation."""
+        load = replace(ONE_BURSTS, seconds=14.0)
+        for kind in (1, 2):
+            shared = sum(play(load, seed).outcome.in_time(kind, *LEAST_BURST) for seed in (0, 1))
+            alike = sum(
+                play_without_shares(load, seed).outcome.in_time(kind, *LEAST_BURST)
+                for seed in (0, 1)
+            )
+            self.assertGreater(shared, alike)
+
+    def test_equal_organisations_lose_nothing(self) -> None:
+        """Guards against slots left idle where all organisations have the same demand."""
+        load = replace(ALL_ALIKE, seconds=14.0)
+        shared = sum(play(load, seed).worth() for seed in (0, 1))
+        alike = sum(play_without_shares(load, seed).worth() for seed in (0, 1))
+        self.assertGreater(shared, 0.98 * alike)
+
+    def test_no_shares_while_slots_suffice(self) -> None:
+        """Guards against other decisions for organisations while none is short of slots."""
+        load = replace(ALL_ALIKE, replicas=70, seconds=10.0)
+        shared = play(load, 0)
+        self.assertEqual(shared.sent, play_without_shares(load, 0).sent)
+        self.assertEqual(sum(each.order.held_back_shares for each in shared.pools), 0)
+
+
 class PoolTest(unittest.TestCase):
     """The order in the pool of a service."""
 
