--- a/carawayhub/gateway/serviceorder.py
+++ b/carawayhub/gateway/serviceorder.py
@@ -145,7 +145,11 @@
         table = self._table()
         if table is not self._active_from:
             self._active_from = table
-            self._active = table is not None and len(priorities(table, self._service)) > 1
+            self._active = (
+                table is not None
+                and _has_engine(table, self._service)
+                and len(priorities(table, self._service)) > 1
+            )
             if self._active:
                 self._counts.ordered.add(self._hash)
             else:
@@ -163,7 +167,10 @@
         if now < self._sharing_until:
             return
         self._sharing_until = now + SHARING_CHECK_SECONDS
-        self._sharing = waiting_organisations(self._counts.demands(self._hash)) > 1
+        self._sharing = (
+            _has_engine(self._table(), self._service)
+            and waiting_organisations(self._counts.demands(self._hash)) > 1
+        )
         self._left_to_others.clear()
         self._precedes.clear()
 
@@ -242,6 +249,8 @@
         """Return the organisations whose waiting requests are served after a request."""
         if call.organisation is None or call.returned:
             return frozenset()
+        if not _has_engine(self._table(), self._service):
+            return frozenset()
         self._refresh()
         key = call.priority, organisation_hash(call)
         found = self._precedes.get(key)
@@ -365,6 +374,12 @@
         }
 
 
+def _has_engine(table: RouteTable | None, service: str) -> bool:
+    """Return whether a service has engines; plain services have no claims and thus no order."""
+    found = table.services.get(service) if table is not None else None
+    return found is not None and found.engine is not None
+
+
 def priorities(table: RouteTable, service: str) -> set[int]:
     """Return the priorities that requests for a service may have."""
     routes = [
--- a/tests/test_slot_order.py
+++ b/tests/test_slot_order.py
@@ -295,12 +295,16 @@
         self.assertEqual(served, [1])
 
     def test_metrics_state_requests_by_priority(self) -> None:
-        status = OrderStatus({0: 3}, {0: 9}, {1: 4})
+        """Guards against a contention that operators can't see."""
+        status = OrderStatus({0: 3}, {0: 9}, {1: 4}, 2, {"acme": 12.5}, {"acme": 14})
         page = Tally(slot_order=lambda: {"llm": status}).page()
         for line in (
             'carawayhub_gateway_order_waiting{service="llm",priority="0"} 3',
             'carawayhub_gateway_order_in_flight{service="llm",priority="0"} 9',
             'carawayhub_gateway_order_held_back_total{service="llm",priority="1"} 4',
+            'carawayhub_gateway_share_held_back_total{service="llm"} 2',
+            'carawayhub_gateway_organisation_share{service="llm",organisation="acme"} 12.5',
+            'carawayhub_gateway_organisation_slots{service="llm",organisation="acme"} 14',
         ):
             self.assertIn(line, page)
 
