--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -9,6 +9,7 @@
 from carawayhub.gateway.revision import Revision
 from carawayhub.limits.evidence import EndsRow
 from carawayhub.limits.replicarate import RateRow
+from carawayhub.limits.slotrows import SlotRow
 
 
 class Phase(IntEnum):
@@ -82,6 +83,7 @@
         backing_off: Endpoints that requested a backoff of it.
         capacity: Requests that it can have in flight, 0 if unknown.
         in_flight: Requests that it has in flight, -1 if not stated.
+        slots: Its own requests by priority and organisation.
     """
 
     ip: str
@@ -100,6 +102,7 @@
     backing_off: list[str] = []
     capacity: int = 0
     in_flight: int = -1
+    slots: list[SlotRow] = []
 
 
 class MemberRow(msgspec.Struct, array_like=True):
@@ -129,6 +132,7 @@
         rates: Replicas that report a rate limit, and their requests to them.
         slow: Endpoints that agents reported to them as slow ranks.
         backing_off: Endpoints that requested a backoff of them.
+        slots: Sum of their requests by priority and organisation.
     """
 
     members: list[MemberRow] | None
@@ -137,6 +141,7 @@
     rates: list[RateRow] = []
     slow: list[str] = []
     backing_off: list[str] = []
+    slots: list[SlotRow] = []
 
 
 NO_DIGEST = msgspec.Raw(msgspec.msgpack.encode(None))
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -26,12 +26,14 @@
 from carawayhub.gateway.regionslots import RegionShares
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.servicelimits import ServiceLimits
+from carawayhub.gateway.serviceorder import Holding, ServiceOrder, organisation_hash
 from carawayhub.gateway.serviceoutages import ServiceOutages
 from carawayhub.gateway.serviceslots import ServiceSlots
 from carawayhub.gateway.slotforecast import SlotForecast
 from carawayhub.gateway.view import FleetView
 from carawayhub.limits.claims import Claims
 from carawayhub.limits.replicarate import ReplicaRates
+from carawayhub.limits.slotrows import SlotCounts
 
 FIRST_EVENT_WEIGHT = 0.1
 """Weight of one request in the moving average of the time from dispatch to first event."""
@@ -72,11 +74,13 @@
         endpoint: The endpoint.
         work: Work that the request causes at the endpoint.
         read: Whether the endpoint has processed the prompt.
+        holding: What counts the request in the order, None if nothing does.
     """
 
     endpoint: Endpoint
     work: Work
     read: bool = False
+    holding: Holding | None = None
 
 
 @dataclass(slots=True)
@@ -114,6 +118,11 @@
 
     Attributes:
         locality: Preference for the failure domain of this entry, None if the margin is 0.
+        slot_counts: Requests by priority and organisation; None for a separate set for this pool.
+        fair_shares: See ``GatewayOptions``.
+
+    Attributes:
+        order: Order of the service's requests by priority.
         queue: Requests that wait for a slot.
         retries: This entry's share of the service's retry budget.
         backoff_rejections: Requests rejected since all endpoints had requested a backoff.
@@ -147,6 +156,7 @@
         "backoff_rejections",
         "evacuation_rejections",
         "locality",
+        "order",
         "queue",
         "region_rejections",
         "retries",
@@ -169,8 +179,18 @@
         domain_margin: float = 0.0,
         allowed: AllowedRegions | None = None,
         cold: ColdReplicas | None = None,
+        slot_counts: SlotCounts | None = None,
+        fair_shares: bool = False,
     ) -> None:
         self._name = name
+        self.order = ServiceOrder(
+            name,
+            clock,
+            slot_counts or SlotCounts(clock),
+            lambda: view.table,
+            propagation_delay,
+            fair_shares=fair_shares,
+        )
         self._view = view
         self._loads = loads
         self._clock = clock
@@ -228,6 +248,7 @@
         self._check_regions(call, now)
         if not call.returned:
             self._forecast.record_arrival()
+        self.order.record_arrival(call)
         slot = self._acquire_now(call)
         if slot is not None:
             return slot
@@ -239,7 +260,7 @@
         The request is not queued again: its caller has already waited once.
         """
         chosen = self._choose(call, tried)
-        return None if chosen is None else self._begin(chosen.endpoint, call.work)
+        return None if chosen is None else self._begin(chosen.endpoint, call.work, call)
 
     async def wait_for_retry(self, call: Admitted, only: Set[str] | None) -> Slot | None:
         """Return a slot for a refused request once its endpoints accept requests again.
@@ -265,7 +286,7 @@
         while self._clock.monotonic() < ends_at and self._may_recover(call, only):
             chosen = self._choose(call, frozenset(), only)
             if chosen is not None and chosen.free:
-                return self._begin(chosen.endpoint, call.work)
+                return self._begin(chosen.endpoint, call.work, call)
             await anyio.sleep(RETRY_POLL_SECONDS)
         return None
 
@@ -383,6 +404,7 @@
         left = Work(work.requests, 0 if slot.read else work.reading, work.tokens)
         self._loads.end(slot.endpoint.id, left)
         self._claims.record_release()
+        self.order.record_end(slot.holding)
         if ran:
             self.queue.ended()
             self._forecast.record_end()
@@ -396,15 +418,13 @@
         """Assign free slots to queued requests in queue order."""
         if len(self.queue) and self._is_evacuated():
             self._reject_waiting()
+        if self.order.active and len(self.queue):
+            self._serve_minimum()
         full: list[frozenset[str]] = []
         while (waiter := self._next_waiter(full)) is not None:
-            pending, call = self._pending[id(waiter)]
-            slot = self._acquire_free(call)
-            if slot is not None:
-                pending.slot = slot
-                self.queue.serve(waiter)
+            if self._serve(waiter) or self._serve_others(waiter):
                 continue
-            regions = self._allowed.of(call)
+            regions = self._allowed.of(self._pending[id(waiter)][1])
             if regions is None:
                 return
             full.append(regions)
@@ -436,6 +456,31 @@
             self.queue.leave(waiter)
             waiter.notify(False)
 
+    def _serve(self, waiter: Waiter) -> bool:
+        """Assign a free slot to a queued request; return whether it has one."""
+        pending, call = self._pending[id(waiter)]
+        slot = self._acquire_free(call)
+        if slot is None:
+            return False
+        pending.slot = slot
+        self.order.leave(call)
+        self.queue.serve(waiter)
+        return True
+
+    def _serve_minimum(self) -> None:
+        """Assign slots to less urgent requests that have waited while urgent ones took them."""
+        for waiter in self.queue.heads():
+            if not waiter.returned and self.order.decision.is_due(waiter.rank):
+                self._serve(waiter)
+
+    def _serve_others(self, held_back: Waiter) -> bool:
+        """Assign a slot to a request behind the first one, where an order applies."""
+        if not (self.order.active or self.order.sharing) or self._slots.free() < 1:
+            return False
+        heads = self.queue.heads(by_organisation=self.order.sharing)
+        others = (each for each in heads if each is not held_back)
+        return any(self._serve(each) for each in others)
+
     def rejection(self, call: Admitted, now: float, code: Code) -> RequestError:
         """Return the error for a request that is not run now, with its retry time."""
         left = max(0.0, call.ends_at - now)
@@ -489,7 +534,8 @@
         if chosen is None or not chosen.free:
             return None
         self._claims.record_acquisition()
-        return self._begin(chosen.endpoint, call.work)
+        self.order.record_acquisition(call)
+        return self._begin(chosen.endpoint, call.work, call)
 
     def _may_claim(self, call: Admitted) -> bool:
         """Return whether this entry may claim a free slot of the engines for a request."""
@@ -506,6 +552,14 @@
                 returned=call.returned,
             )
         free = self._claimable() - (self._reserved() if call.returned else 0.0)
+        if self.order.active or self.order.sharing:
+            return self._claims.may_acquire(
+                self.order.free_for(call, free),
+                self.order.competing(call, self._expected_arrivals()),
+                self._propagation_delay(),
+                call.returned,
+                self.order.rank(call) if self.order.active else 0,
+            )
         return self._claims.may_acquire(
             free, self._expected_arrivals(), self._propagation_delay(), call.returned
         )
@@ -569,13 +623,16 @@
             self._log_backoff_rejection(call, backoff, longest)
             raise self.rejection(call, now, Code.NO_ENDPOINT)
         requirements = Requirements(
-            rank=call.priority,
+            rank=self.order.rank(call),
             returned=call.returned,
             patience=self._patience(call, now),
             left=call.ends_at - now,
             longest=longest,
             recovery_wait=self._recovery_wait(call, away, longest),
             apart=self._count_apart(call),
+            entitled=self.order.entitled(call),
+            organisation=organisation_hash(call),
+            precedes=self.order.precedes(call),
         )
         limited = self._limits.expected_wait(self._accepting(call), len(self.queue))
         if limited > min(longest, max(0.0, requirements.patience)):
@@ -587,7 +644,9 @@
             self._log_rejection(call, requirements)
             raise self.rejection(call, now, Code.OVERLOADED)
         self._pending[id(waiter)] = pending, call
+        self.order.join(call)
         self.serve_queue()
+        self._note_held_back(call, pending)
         try:
             with anyio.move_on_after(max(0.0, waiter.expires_at - now)):
                 await pending.settled.wait()
@@ -596,15 +655,22 @@
                 self.release(pending.slot)
             raise
         finally:
+            if pending.slot is None:
+                self.order.leave(call)
             self._leave(waiter)
         if pending.slot is None and self._is_evacuated():
             self._log_no_endpoint(call, None, longest)
             raise self.rejection(call, self._clock.monotonic(), Code.NO_ENDPOINT)
         if pending.slot is None:
             self._check_regions(call, now)
+            self.order.log_expiry(call, self._clock.monotonic() - now)
             raise self.rejection(call, now, Code.OVERLOADED)
         return pending.slot
 
+    def _note_held_back(self, call: Admitted, pending: _PendingSlot) -> None:
+        if pending.slot is None and self._kv_tokens():
+            self.order.note_waiting(call, self._slots.free())
+
     def _recovery_wait(self, call: Admitted, away: float | None, longest: float) -> float:
         """Return the seconds that a request waits for endpoints to recover, 0 for no wait.
 
@@ -642,6 +708,7 @@
             limited_pause=round(self._limits.mean_interval(self._endpoints()), 3),
             patience=round(requirements.patience, 3),
             returned=requirements.returned,
+            **self.order.log_fields(call),
         ).info("request rejected: no slot expected in time")
 
     def _log_no_endpoint(self, call: Admitted, away: float | None, longest: float) -> None:
@@ -667,12 +734,12 @@
             returned=call.returned,
         ).info("request rejected: all endpoints requested a backoff")
 
-    def _begin(self, endpoint: Endpoint, work: Work) -> Slot:
+    def _begin(self, endpoint: Endpoint, work: Work, call: Admitted | None = None) -> Slot:
         self._refusals.sent()
         self._limits.sent(endpoint)
         self._placement.sent(endpoint)
         self._loads.begin(endpoint.id, work)
-        return Slot(endpoint, work)
+        return Slot(endpoint, work, holding=self.order.begin(call))
 
     def endpoints(self, call: Admitted) -> Sequence[Endpoint]:
         """Return the endpoints that a request may be sent to."""
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -46,6 +46,7 @@
 from carawayhub.limits.coldquota import ColdQuotas
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.replicarate import ReplicaRates
+from carawayhub.limits.slotrows import SlotCounts
 from carawayhub.peers.pace import LinkPacer
 
 DIRECTORY_TTL_FACTOR = 3.0
@@ -112,6 +113,7 @@
         resources: Resources of the VM.
         cold_overage: Factor on the rate that a cold endpoint accepts, up to which it gets requests.
         cold_slack: Additional requests that a cold endpoint may get in one second.
+        fair_shares: Whether organisations get even shares of contended slots.
         domain_margin: Relative load by which endpoints of the entry's own failure domain may be
             fuller than others before these get its requests, 0 to ignore failure domains.
     """
@@ -135,6 +137,7 @@
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     domain_margin: float = 0.0
+    fair_shares: bool = False
 
 
 class GatewayProcess:
@@ -169,6 +172,7 @@
         "_read_settings",
         "_records",
         "_rng",
+        "_slot_counts",
         "_statements",
         "_stopping",
         "_tally",
@@ -203,6 +207,7 @@
             lambda: self._records.counts,
             self._locality_counts,
             self._pass_bounds,
+            lambda: {name: each.order.status() for name, each in self._pools.items()},
         )
         own_region = {options.failure_domain: options.region}
         self._allowed = AllowedRegions(self._view, own_region | dict(options.regions))
@@ -232,8 +237,16 @@
         self._health.on_unreachable = self._cold.record_unreachable
         self._statements = ReplicaStatements(self._rates, self._view, self._cold)
         self._limit_cleanup_at = float("-inf")
+        self._slot_counts = SlotCounts(clock)
         self._gossip = Gossip(
-            own, options.seeds, self._loads, self._records, self._rates, clock, rng
+            own,
+            options.seeds,
+            self._loads,
+            self._records,
+            self._rates,
+            clock,
+            rng,
+            self._slot_counts,
         )
         self._handing = ContentForwarder(
             options.ip,
@@ -335,6 +348,8 @@
                 options.domain_margin,
                 self._allowed,
                 self._cold,
+                self._slot_counts,
+                options.fair_shares,
             )
         return found
 
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -7,6 +7,7 @@
 
 from carawayhub.codes import Code
 from carawayhub.gateway.revision import Revision
+from carawayhub.gateway.serviceorder import OrderStatus
 from carawayhub.gateway.statements import StatementCounts
 from carawayhub.limits.poison import PoisonCounts
 from carawayhub.output.metrics import Recorder, summary_lines
@@ -81,6 +82,7 @@
         poison_counts: Returns how many requests were rejected since they end endpoints.
         locality_counts: Returns the decisions by failure domain.
         pass_bounds: Returns the bounds on the requests in flight of groups, by group.
+        slot_order: Returns the requests by priority and organisation, by service.
     """
 
     __slots__ = (
@@ -91,6 +93,7 @@
         "_pass_bounds",
         "_poison_counts",
         "_replica_limits",
+        "_slot_order",
         "_statement_counts",
         "_times",
         "_unreadable_entries",
@@ -106,7 +109,9 @@
         poison_counts: Callable[[], PoisonCounts] = PoisonCounts,
         locality_counts: Callable[[], LocalityCounts] = LocalityCounts,
         pass_bounds: Callable[[], Mapping[str, int]] = dict,
+        slot_order: Callable[[], Mapping[str, OrderStatus]] = dict,
     ) -> None:
+        self._slot_order = slot_order
         self._unreadable_entries = unreadable_entries
         self._replica_limits = replica_limits
         self._view_status = view_status
@@ -170,6 +175,7 @@
         lines += self._statement_lines()
         lines += self._view_lines()
         lines += _locality_lines(self._locality_counts())
+        lines += _order_lines(self._slot_order())
         lines.append("# TYPE carawayhub_gateway_milliseconds summary")
         for route, recorder in sorted(self._times.items()):
             labels = f'route="{route}"'
@@ -239,6 +245,34 @@
     ]
 
 
+def _order_lines(by_service: Mapping[str, OrderStatus]) -> list[str]:
+    lines = []
+    for name, kind, field_name in (
+        ("carawayhub_gateway_order_waiting", "gauge", "waiting"),
+        ("carawayhub_gateway_order_in_flight", "gauge", "in_flight"),
+        ("carawayhub_gateway_order_held_back_total", "counter", "held_back"),
+    ):
+        lines.append(f"# TYPE {name} {kind}")
+        for service, status in sorted(by_service.items()):
+            for priority, count in sorted(getattr(status, field_name).items()):
+                lines.append(f'{name}{{service="{service}",priority="{priority}"}} {count}')
+    lines.append("# TYPE carawayhub_gateway_share_held_back_total counter")
+    lines += [
+        f'carawayhub_gateway_share_held_back_total{{service="{service}"}} {status.held_back_shares}'
+        for service, status in sorted(by_service.items())
+    ]
+    for name, field_name in (
+        ("carawayhub_gateway_organisation_share", "shares"),
+        ("carawayhub_gateway_organisation_slots", "uses"),
+    ):
+        lines.append(f"# TYPE {name} gauge")
+        for service, status in sorted(by_service.items()):
+            for holder, value in sorted(getattr(status, field_name).items()):
+                labels = f'service="{service}",organisation="{holder}"'
+                lines.append(f"{name}{{{labels}}} {value:g}")
+    return lines
+
+
 def _evacuation_lines(seen: ViewStatus) -> list[str]:
     domains, rejections = (
         "carawayhub_gateway_evacuated_domains",
--- a/carawayhub/platform/entry.py
+++ b/carawayhub/platform/entry.py
@@ -85,6 +85,7 @@
         cold_overage=bounds.cold_overage,
         cold_slack=bounds.cold_slack,
         domain_margin=settings.domain_margin,
+        fair_shares=settings.fair_shares,
     )
 
 
--- a/carawayhub/platform/settings.py
+++ b/carawayhub/platform/settings.py
@@ -97,6 +97,7 @@
         bounds: Bounds that the fleet guarantees.
         regions: Region of each failure domain, empty if not stated.
         domain_margin: See ``GatewayOptions``.
+        fair_shares: See ``GatewayOptions``.
         lifted: Fingerprints of requests or parts of prompts that an operator allows again.
     """
 
@@ -117,6 +118,7 @@
     bounds: GuaranteeBounds
     regions: Mapping[str, str] = field(default_factory=dict)
     domain_margin: float = 0.0
+    fair_shares: bool = False
     lifted: frozenset[bytes] = frozenset()
 
     @property
@@ -205,6 +207,7 @@
         "zones": "Zones",
         "contracts": "Contracts",
         "domain_margin": "DomainMargin",
+        "fair_shares": "FairShares",
     },
 ):
     node: str
@@ -224,6 +227,7 @@
     zones: dict[str, str] = {}
     contracts: list[str] = []
     domain_margin: Annotated[float, msgspec.Meta(ge=0.0)] | None = None
+    fair_shares: bool = False
 
 
 def load_node_settings(path: Path) -> NodeSettings:
@@ -289,6 +293,7 @@
         ),
         regions=wire.zones,
         domain_margin=_domain_margin(wire),
+        fair_shares=wire.fair_shares,
         lifted=frozenset(_fingerprint(text) for text in wire.lifted),
     )
 
