--- a/tests/test_slot_order.py
+++ b/tests/test_slot_order.py
@@ -27,7 +27,7 @@
 from benchmarks.virtual_time import run
 from carawayhub.clock import ManualClock
 from carawayhub.gateway.model import CallerLimits, Organisation, RouteTable
-from carawayhub.gateway.serviceorder import OrderStatus, priorities
+from carawayhub.gateway.serviceorder import OrderStatus, ServiceOrder, priorities
 from carawayhub.gateway.tally import Tally
 from carawayhub.limits.slotorder import SlotOrder
 from carawayhub.limits.slotrows import (
@@ -41,7 +41,7 @@
     SlotRow,
 )
 from carawayhub.limits.slotshares import above_share, slots_left_to_others
-from tests.gateway_world import route
+from tests.gateway_world import route, table
 from tests.test_gateway_large import Fleet as LargeFleet
 from tests.test_gateway_large import run_scenario, until
 
@@ -183,7 +183,7 @@
     def test_off_without_different_priorities(self) -> None:
         """Guards against an order in deployments with one priority."""
 
-        def table(*found: int, organisation: int | None = None) -> RouteTable:
+        def configuration(*found: int, organisation: int | None = None) -> RouteTable:
             made = RouteTable(
                 version=1,
                 services={},
@@ -196,26 +196,28 @@
             return made
 
         service = route().shares[0].service
-        self.assertEqual(priorities(table(1, 1), service), {1})
-        self.assertEqual(priorities(table(1, 1, organisation=1), service), {1})
-        self.assertEqual(priorities(table(1, 1, organisation=0), service), {1})
-        self.assertEqual(priorities(table(1, 2), service), {1, 2})
-        self.assertEqual(priorities(table(1, 2), "another"), set())
+        self.assertEqual(priorities(configuration(1, 1), service), {1})
+        self.assertEqual(priorities(configuration(1, 1, organisation=1), service), {1})
+        self.assertEqual(priorities(configuration(1, 1, organisation=0), service), {1})
+        self.assertEqual(priorities(configuration(1, 2), service), {1, 2})
+        self.assertEqual(priorities(configuration(1, 2), "another"), set())
 
     def test_priority_of_the_organisation_precedes_that_of_the_route(self) -> None:
         """Guards against routes that all count alike since all organisations have a priority."""
-        pool = Fleet(replace(DEPLOYMENT_B, entries=1, replicas=1), 0).pools[0]
+        clock = ManualClock(0.0)
+        found = table(1, route(), replace(route("/others/"), priority=2))
+        order = ServiceOrder("llm", clock, SlotCounts(clock), lambda: found, lambda: 0.1)
 
         def rank(organisation: int | None, priority: int) -> int:
             call = mock.Mock(route=replace(route(), priority=priority))
             call.priority = priority if organisation is None else organisation
-            return pool.order.rank(call)
+            return order.rank(call)
 
         asked = [(0, 2), (1, 0), (1, 1), (1, 2), (2, 0)]
         ranks = [rank(*each) for each in asked]
         self.assertEqual(ranks, sorted(set(ranks)))
         self.assertEqual(rank(None, 1), rank(1, 1))
-        pool.order._active_from, pool.order._active = pool.order._table(), False
+        found = table(1)
         self.assertEqual(rank(1, 0), rank(1, 2))
 
 
