--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -4,6 +4,7 @@
 
 from carawayhub.addresses import Address
 from carawayhub.clock import Clock
+from carawayhub.gateway.calls import Admitted, CallerRequest
 from carawayhub.gateway.freshness import Bounds
 from carawayhub.gateway.loads import Work, work_key
 from carawayhub.gateway.model import (
@@ -141,3 +142,29 @@
 def rates(clock: Clock) -> ReplicaRates:
     """Return rate limits of replicas, of which none is known yet."""
     return ReplicaRates(clock, random.Random(5), work_key)
+
+
+def admitted(caused: Work | None = None) -> Admitted:
+    """Return a first attempt of a stream that causes some work."""
+    return Admitted(
+        req=CallerRequest(
+            id=b"1",
+            method="POST",
+            host="caraway.example",
+            path="/songs/1",
+            target=b"/songs/1",
+            headers=[],
+            key="",
+            wait_seconds=None,
+            prompt_tokens=0,
+            answer_tokens=0,
+            last_event_id=b"",
+        ),
+        route=route(),
+        service="llm",
+        organisation=None,
+        arrived_at=0.0,
+        ends_at=8.0,
+        returned=False,
+        work=caused or work(),
+    )
--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -30,7 +30,7 @@
 from carawayhub.limits.coldsends import WINDOW_SECONDS
 from carawayhub.limits.replicarate import ReplicaRates
 from carawayhub.platform.headers import PlatformWire
-from tests.gateway_world import endpoint, table, work
+from tests.gateway_world import admitted, endpoint, table, work
 
 UNITS = 39
 
@@ -335,7 +335,7 @@
         )
 
     def acquired(self, pool: ServicePool, count: int) -> list[str]:
-        slots = (pool._acquire_now(work(1, 1), returned=False) for _ in range(count))
+        slots = (pool._acquire_now(admitted(work(1, 1))) for _ in range(count))
         return [each.endpoint.id for each in slots if each is not None]
 
     def replicas(self, *places: int) -> list[Endpoint]:
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -12,7 +12,6 @@
 from benchmarks.locality import SCENARIOS, compare
 from benchmarks.request_fleet import RequestFleet
 from carawayhub.clock import ManualClock
-from carawayhub.gateway.calls import Admitted, CallerRequest
 from carawayhub.gateway.health import Health
 from carawayhub.gateway.loads import Loads
 from carawayhub.gateway.locality import Locality, Origin
@@ -30,34 +29,11 @@
 from carawayhub.gateway.retryshare import RetryShare
 from carawayhub.gateway.revision import Revision
 from carawayhub.gateway.view import FleetView
-from tests.gateway_world import endpoint, entry_options, route, table, work
+from tests.gateway_world import admitted, endpoint, entry_options, table, work
 
 MARGIN = 0.2
 KV_TOKENS = 186_000
 
-CALL = Admitted(
-    req=CallerRequest(
-        id=b"1",
-        method="POST",
-        host="caraway.example",
-        path="/songs/1",
-        target=b"/songs/1",
-        headers=[],
-        key="",
-        wait_seconds=None,
-        prompt_tokens=0,
-        answer_tokens=0,
-        last_event_id=b"",
-    ),
-    route=route(),
-    service="llm",
-    organisation=None,
-    arrived_at=0.0,
-    ends_at=8.0,
-    returned=False,
-    work=work(),
-)
-
 
 def setUpModule() -> None:
     logger.disable("carawayhub")
@@ -206,7 +182,7 @@
             if at % 50 == 0:
                 self.health.unreachable(script.choice(endpoints).id)
             tried = frozenset({script.choice(endpoints).id} if at % 7 == 0 else ())
-            found = [pool._choose(CALL, tried) for pool in pools]
+            found = [pool._choose(admitted(), tried) for pool in pools]
             self.assertEqual(*(each and (each.endpoint.id, each.free) for each in found))
             self.assertEqual(*(rng.getstate() for rng in rngs))
             if found[0].free:
@@ -231,7 +207,7 @@
             failure_domain="b",
             domain_margin=MARGIN,
         )
-        slot = pool._acquire_free(CALL)
+        slot = pool._acquire_free(admitted())
         self.assertEqual(slot.endpoint.failure_domain, "b")
         self.assertEqual(pool.locality.counts(), {"own": 1, "overflow": 0, "absent": 0})
 
