--- a/tests/test_pass_bounds.py
+++ b/tests/test_pass_bounds.py
@@ -186,9 +186,9 @@
     found = []
     begin = ServicePool._begin
 
-    def note(pool, chosen, work):
+    def note(pool, chosen, work, call=None):
         found.append((chosen.id, work.reading))
-        return begin(pool, chosen, work)
+        return begin(pool, chosen, work, call)
 
     with mock.patch.object(ServicePool, "_begin", note):
         play(load, seed)
--- a/tests/test_platform_demands.py
+++ b/tests/test_platform_demands.py
@@ -82,7 +82,8 @@
 
         anyio.run(look_up, b"Name=caraway.example%3A80&Region=west&Zone=d%201&Other=1")
         anyio.run(look_up, b"Name=")
-        expected = [DirectoryQuery("caraway.example:80", "west", "d 1"), DirectoryQuery()]
+        stated = DirectoryQuery(host="caraway.example:80", region="west", failure_domain="d 1")
+        expected = [stated, DirectoryQuery()]
         self.assertEqual(asked, expected)
 
 
