--- a/carawayhub/gateway/passbound.py
+++ b/carawayhub/gateway/passbound.py
@@ -21,37 +21,42 @@
 before it is computed again: about one pass. Entries must not do so at the same instants: all would
 send the requests that a higher bound allows."""
 
-WINDOW_SECONDS = 0.5
-"""Time over which passes are averaged: a few of them. The bound follows from the window with the
-shorter passes of the two latest: after a change of demand passes are long for about a second, until
-the expert map follows, and a bound would refuse callers for most of that time in vain."""
+HISTORY_SECONDS = 8.0
+"""Age of the oldest sample: two changes of demand, each of which is followed by long passes until
+the expert map follows. A stream of two or three seconds meets one of them as likely as not."""
 
-WINDOWS = 2
-
-MAX_SAMPLES = round(WINDOWS * WINDOW_SECONDS / SAMPLE_SECONDS)
+MAX_SAMPLES = round(HISTORY_SECONDS / SAMPLE_SECONDS)
 """Samples of a group that are kept."""
 
+MIN_SAMPLES = 8
+"""Samples from which a bound is computed: about a second of one stream."""
+
+LONG_QUANTILE = 0.95
+"""Quantile of the observed passes that has to stay within the pause. One of the twenty passes of a
+stream that is too long makes it late, so the mean says too little."""
+
 KEEP_SECONDS = 2.0
-"""Time for which a bound outlasts the newest pause while a window has none. An entry that has one
-or two streams at a group meets this often, and would fill the group alone without its bound."""
+"""Time for which a bound outlasts the newest pause. An entry that has one or two streams at a group
+often sees none for a second, and would fill the group alone without its bound."""
 
-PASS_MARGIN = 0.1
-"""Fraction of the accepted pause that is left for single passes, which differ from the mean by
-about that much: one long pass of twenty makes a stream late."""
+PASS_MARGIN = 0.05
+"""Fraction of the accepted pause that is left for the passes that are longer than the quantile."""
 
 MIN_FRACTION = 0.5
 """Smallest bound as a fraction of the slots. If passes are so long that fewer requests were needed,
 something else than the requests makes them long, and a bound would leave slots empty in vain."""
 
 
-def request_bound(shape: GroupShape, windows: Sequence[float]) -> int | None:
+def request_bound(shape: GroupShape, stretches: Sequence[float]) -> int | None:
     """Return the maximum number of requests in flight, None for no bound.
 
     Args:
         shape: The group.
-        windows: Mean duration of passes in relation to the profile, for each of the latest windows.
+        stretches: Observed durations of passes in relation to the profile, at least one.
     """
-    most = requests_within(shape, min(windows))
+    found = sorted(stretches)
+    longest = found[min(len(found) - 1, int(LONG_QUANTILE * len(found)))]
+    most = requests_within(shape, longest)
     if most >= shape.slots or most < MIN_FRACTION * shape.slots:
         return None
     return int(most)
@@ -116,15 +121,10 @@
         sample.stretches += seconds / sample.usual
         sample.count += 1
 
-    def windows(self, now: float) -> list[float]:
-        """Return the mean stretch of each of the latest windows that has a pass."""
-        totals, counts = [0.0] * WINDOWS, [0] * WINDOWS
-        for each in self._samples:
-            window = int((now - each.began_at) / WINDOW_SECONDS)
-            if window < WINDOWS:
-                totals[window] += each.stretches
-                counts[window] += each.count
-        return [total / count for total, count in zip(totals, counts, strict=True) if count]
+    def stretches(self, now: float) -> list[float]:
+        """Return the mean stretch of each sample that is recent enough."""
+        oldest = now - HISTORY_SECONDS
+        return [each.stretches / each.count for each in self._samples if each.began_at >= oldest]
 
     def is_outdated(self, now: float) -> bool:
         """Return whether the newest pause is too old for a bound to be kept."""
@@ -194,29 +194,27 @@
 
 
 def _update(name: str, group: _Group, shape: GroupShape, now: float) -> None:
-    windows = group.windows(now)
-    bound = _next_bound(group, shape, windows, now)
+    stretches = group.stretches(now)
+    bound = _next_bound(group, shape, stretches, now)
     if (bound is None) != (group.bound is None):
         logger.bind(
             group=name,
             epoch=group.epoch,
             bound=bound,
             slots=shape.slots,
-            stretches=[round(each, 2) for each in windows],
+            longest_stretch=round(max(stretches, default=0.0), 2),
+            samples=len(stretches),
             gap=shape.gap,
         ).info("bound on the requests of a group begins or ends")
     group.bound = bound
 
 
 def _next_bound(
-    group: _Group, shape: GroupShape, windows: Sequence[float], now: float
+    group: _Group, shape: GroupShape, stretches: Sequence[float], now: float
 ) -> int | None:
-    """Return the bound of a group; with too few passes for a new one, that in force or more."""
-    if len(windows) == WINDOWS:
-        return request_bound(shape, windows)
-    if group.bound is None or group.is_outdated(now):
+    """Return the bound of a group; with too few samples for a new one, that in force."""
+    if group.is_outdated(now):
         return None
-    if not windows:
+    if len(stretches) < MIN_SAMPLES:
         return group.bound
-    found = request_bound(shape, windows)
-    return None if found is None else max(found, group.bound)
+    return request_bound(shape, stretches)
--- a/carawayhub/limits/coldquota.py
+++ b/carawayhub/limits/coldquota.py
@@ -24,6 +24,11 @@
 STARTING_PART = 0.01
 """Part of the rate that an entry uses within this time."""
 
+UNKNOWN_PART = 0.005
+"""Part of the rate that an entry uses while it knows too few others. After a power failure all
+entries and replicas start at once; entries that sent nothing until they knew each other refused 107
+callers of four seconds. Two hundred entries that all use their part keep within the bound."""
+
 MEMBER_SECONDS = 86_400.0
 """Time for which an entry that fell silent keeps its units: it may be cut off from this entry and
 still reach the replicas. A partition that lasts longer is expected to have been repaired."""
@@ -139,7 +144,7 @@
             units: Requests that all entries together may send in one window.
         """
         if self._stage is Stage.UNKNOWN:
-            return 0
+            return int(self._is_drawn(key % ORDERS, units * UNKNOWN_PART))
         entries = len(self._names) + 1
         order = key % ORDERS
         rank = self._ranks.get(order)
@@ -148,8 +153,11 @@
         quota = units // entries + (rank < units % entries)
         if self._stage is Stage.MEMBER:
             return quota
-        is_drawn = _position(order, self._own) < units * STARTING_PART * HASH_RANGE
-        return min(quota, int(is_drawn))
+        return min(quota, int(self._is_drawn(order, units * STARTING_PART)))
+
+    def _is_drawn(self, order: int, part: float) -> bool:
+        """Return whether this entry is among a part of all entries, drawn for each order."""
+        return _position(order, self._own) < part * HASH_RANGE
 
     def is_ranked(self, key: int) -> bool:
         """Return whether the order for a replica is known."""
