--- a/carawayhub/gateway/coldreplicas.py
+++ b/carawayhub/gateway/coldreplicas.py
@@ -199,7 +199,9 @@
         if seconds <= 0.0 and known is not None and sent_at < known.since:
             return
         self._services[endpoint.id] = endpoint.service
-        self._set(endpoint.id, seconds, ColdSource.RESPONSE)
+        service = self._service(endpoint.service)
+        longest = service.cold_seconds if service is not None and service.cold_rate > 0.0 else 0.0
+        self._set(endpoint.id, min(seconds, longest), ColdSource.RESPONSE)
 
     def record_evacuation_ended(self, endpoints: Iterable[Endpoint]) -> None:
         """Record that replicas are used again after an evacuation."""
@@ -222,7 +224,9 @@
         # A stalled group got no requests before it formed anew.
         is_unused = source is ColdSource.FORMATION
         self._set(endpoint_id, max(service.cold_seconds, stated, left), source, is_unused=is_unused)
-        self._cold[endpoint_id].since = self._clock.monotonic()
+        known = self._cold.get(endpoint_id)
+        if known is not None:
+            known.since = self._clock.monotonic()
 
     def _set(
         self, endpoint_id: str, seconds: float, source: ColdSource, *, is_unused: bool = False
--- a/carawayhub/gateway/directory.py
+++ b/carawayhub/gateway/directory.py
@@ -123,7 +123,12 @@
     def _wanted_regions(self, query: DirectoryQuery) -> frozenset[str]:
         """Return the regions whose entries suit a query, empty for all regions."""
         allowed = self._allowed.of_host(query.host)
-        return allowed | {query.region} if allowed and query.region else allowed
+        # Callers may state any text; each set of regions has a plan of its own.
+        return (
+            allowed | {query.region}
+            if allowed and self._allowed.is_region(query.region)
+            else allowed
+        )
 
     def _chosen(self, query: DirectoryQuery, clock: Clock) -> list[str]:
         now = clock.monotonic()
--- a/carawayhub/gateway/entrychoice.py
+++ b/carawayhub/gateway/entrychoice.py
@@ -27,6 +27,11 @@
 MAX_SHARED = 0.75
 """Largest part of the callers of a failure domain that get other entries because of its load."""
 
+SHARING_DECAY = 0.8
+"""Part of the shared callers that are assumed to return if none were shared. Their failure domain
+also serves callers of others; if all were assumed to return, domains that share with each other
+would go on for good."""
+
 SHARING_LAG_SECONDS = 3.0
 """Time after which an answer shows in the known load: callers use it for one to three seconds, and
 the load is up to two seconds old."""
@@ -164,7 +169,8 @@
     weights = _weights(options, capacities)
     used = _utilisation(own, capacities)
     others_used = _utilisation(others, capacities)
-    shared = _shared(len(own), used / (1.0 - recent), others_used) if others else 0.0
+    demand = used / (1.0 - SHARING_DECAY * recent)
+    shared = _shared(len(own), demand, others_used) if others else 0.0
     shares: list[tuple[EntryOption, float]] = []
     for entries, part in ((own, 1.0 - shared), (others, shared)):
         total = sum(weights[each.callers] for each in entries)
--- a/carawayhub/gateway/passbound.py
+++ b/carawayhub/gateway/passbound.py
@@ -112,6 +112,8 @@
 
     def record(self, now: float, seconds: float, usual: Callable[[], float]) -> None:
         """Record a pause; see ``PassBounds.record_pause``."""
+        if seconds <= 0.0:
+            return
         if not self._samples or now >= self._samples[-1].began_at + SAMPLE_SECONDS:
             predicted = usual()
             if predicted <= 0.0:
--- a/carawayhub/gateway/placement.py
+++ b/carawayhub/gateway/placement.py
@@ -141,11 +141,15 @@
             return best_far, Origin.ABSENT
         if best_far is None:
             return best_near, Origin.OWN
-        waits = not self.is_free(best_near, work, kv_tokens)
-        if waits and self.is_free(best_far, work, kv_tokens):
+        is_near_free = self.is_free(best_near, work, kv_tokens)
+        is_far_free = self.is_free(best_far, work, kv_tokens)
+        if is_far_free and not is_near_free:
             return best_far, Origin.OVERFLOW
         if locality.prefers_own(costs[best_near.id][0], costs[best_far.id][0]):
             return best_near, Origin.OWN
+        if is_near_free and not is_far_free:
+            # Averages include idle endpoints that this request may not use, such as cold ones.
+            return best_near, Origin.OWN
         return best_far, Origin.OVERFLOW
 
     def _sample(self, endpoints: Sequence[Endpoint], size: int) -> Sequence[Endpoint]:
--- a/carawayhub/gateway/pool.py
+++ b/carawayhub/gateway/pool.py
@@ -645,9 +645,9 @@
             raise self.rejection(call, now, Code.OVERLOADED)
         self._pending[id(waiter)] = pending, call
         self.order.join(call)
-        self.serve_queue()
-        self._note_held_back(call, pending)
         try:
+            self.serve_queue()
+            self._note_held_back(call, pending)
             with anyio.move_on_after(max(0.0, waiter.expires_at - now)):
                 await pending.settled.wait()
         except anyio.get_cancelled_exc_class():
--- a/carawayhub/gateway/regions.py
+++ b/carawayhub/gateway/regions.py
@@ -60,6 +60,10 @@
         """Return the region of a failure domain, empty if unknown."""
         return self._regions.get(failure_domain, "")
 
+    def is_region(self, name: str) -> bool:
+        """Return whether a failure domain is in a region of this name."""
+        return name in self._regions.values()
+
     def allows(self, call: Admitted, endpoint: Endpoint) -> bool:
         """Return whether a request may run at an endpoint."""
         regions = self.of(call)
--- a/carawayhub/gateway/serviceorder.py
+++ b/carawayhub/gateway/serviceorder.py
@@ -294,17 +294,17 @@
         """
         if call.returned:
             return expected
-        demands = self._counts.demands(self._hash)
+        rank = self.rank(call)
         if self.active:
-            expected *= part_up_to(self.rank(call), demands)
+            expected *= part_up_to(rank, self._counts.demands(self._hash))
         if not self.sharing:
             return expected
-        yielding = sum(demands[self.rank(call), each].arrived for each in self.precedes(call))
-        arrived = sum(
-            each.arrived
-            for key, each in demands.items()
-            if key[0] == self.rank(call) and key[1] != ALL
-        )
+        preceded = self.precedes(call)
+        arrived = yielding = 0
+        for (priority, organisation), each in self._counts.demands(self._hash).items():
+            if priority == rank and organisation != ALL:
+                arrived += each.arrived
+                yielding += each.arrived if organisation in preceded else 0
         return expected * (1.0 - yielding / max(1, arrived))
 
     def note_waiting(self, call: Admitted, free: int) -> None:
--- a/carawayhub/limits/coldquota.py
+++ b/carawayhub/limits/coldquota.py
@@ -27,7 +27,7 @@
 UNKNOWN_PART = 0.005
 """Part of the rate that an entry uses while it knows too few others. After a power failure all
 entries and replicas start at once; entries that sent nothing until they knew each other refused 107
-callers of four seconds. Two hundred entries that all use their part keep within the bound."""
+callers of four seconds. A hundred entries that all use their part keep within the bound."""
 
 MEMBER_SECONDS = 86_400.0
 """Time for which an entry that fell silent keeps its units: it may be cut off from this entry and
