--- a/review/standin.py
+++ b/review/standin.py
@@ -120,6 +120,14 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        del self._items[key]
+        self.revision += 1
+        self._events.append({"Key": key, "Rev": self.revision, "Deleted": True})
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the calls of one connection."""
         while (req := await read_request(reader)) is not None:
