--- a/review/1/case.py
+++ b/review/1/case.py
@@ -39,6 +39,7 @@
 FROZEN_RANK = 3
 FREEZE_SECONDS = 2.6
 TROUBLE_SECONDS = 5.5
+MAX_CALM_SECONDS = 2.2
 MAX_UNANSWERED_SHARE = 0.35
 MIN_LATE_SECONDS, MAX_LATE_SECONDS = 2.0, 12.0
 
@@ -189,6 +190,8 @@
         """Return whether the disturbance strikes an order."""
         if not self.trouble_at or self.trouble_ended_at:
             return False
+        if time.monotonic() - self.trouble_at > TROUBLE_SECONDS:
+            raise CannotRunError("the disturbance lasted too long")
         match body["Operation"]:
             case "go":
                 return self.hold_sent
@@ -216,13 +219,14 @@
         return json_answer(status, {})
 
     def on_hold(self) -> None:
-        """Begin the disturbance with the third change, and freeze a machine at the fourth."""
-        if not self.trouble_at:
-            if self.switches >= 2:
-                self.trouble_at = time.monotonic()
-                self.record("orders begin to get lost")
+        """Begin the disturbance with a change, and freeze a machine at the next one."""
+        if self.hold_sent or self.switches < 2:
             return
-        if self.hold_sent:
+        now = time.monotonic()
+        if not self.trouble_at or now - self.trouble_at > MAX_CALM_SECONDS:
+            # The whole change before the one that is disturbed counts for the share of late orders.
+            self.trouble_at, self.total = now, 0
+            self.record("orders may get lost from now on")
             return
         self.hold_sent = True
         self.frozen.add(FROZEN_RANK)
