--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """A late ``go`` releases a held pass while its ranks are being armed.
 
-Twelve replicas form one group, with an agent beside each. Work waits at all of them all the time, and
-the experts in demand change every two seconds, so the agents change the map again and again.
+Twelve replicas form one group, with an agent beside each. Work waits at all of them all the time,
+and the experts in demand change every two seconds, so the agents change the map again and again.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standin import (  # noqa: E402
+from standin import (
     TROUBLE,
     CannotRunError,
     Daemon,
@@ -102,6 +102,7 @@
                 self.begin_pass()
 
     def begin_pass(self) -> None:
+        """Begin a pass at all ranks."""
         self.step += 1
         switched = False
         for each in self.ranks:
@@ -122,6 +123,7 @@
             self.record(f"pass {self.step} begins with map {versions[0]} at all ranks")
 
     def report(self, at: int) -> dict:
+        """Return the report of a rank."""
         rank = self.ranks[at]
         copied = rank.copied_at <= time.monotonic()
         armed = {"Version": rank.armed, "step": rank.armed_step} if rank.armed else None
@@ -235,6 +237,7 @@
         asyncio.get_running_loop().call_later(FREEZE_SECONDS, self.thaw)
 
     def thaw(self) -> None:
+        """Wake the machine."""
         self.frozen.clear()
         self.agents[FROZEN_RANK].signal(signal.SIGCONT)
         self.thawed.set()
@@ -376,7 +379,9 @@
         store.put(f"servers/i-{at}", entry)
         top = 'Role = "agent"\nMachineClass = "side"\nServes = ["side"]\nSeeds = []\n'
         top += f'app = "{replica}"\nService = "llm"'
-        daemon = Daemon("agent", f"side-{at}", settings(f"side-{at}", ip, store_address, top=top), folder)
+        daemon = Daemon(
+            "agent", f"side-{at}", settings(f"side-{at}", ip, store_address, top=top), folder
+        )
         daemons.append(daemon)
         group.agents.append(daemon)
         daemon.start()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,7 @@
 """A stream that a leaving replica cuts off looks complete to its caller.
 
-Two entries stand before eight replicas, each a process. One replica gives one long answer no length,
-so that it ends with its connection; then this replica drains, serves on for its time and exits.
+Two entries stand before eight replicas, each a process. One replica gives one long answer no
+length, so that it ends with its connection; then this replica drains, serves on for its time and exits.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standin import (  # noqa: E402
+from standin import (
     TROUBLE,
     CannotRunError,
     Daemon,
@@ -115,7 +115,9 @@
                 writer = None
                 await asyncio.sleep(retry_after)
 
-    async def _status(self, request: str, events: int, reader: asyncio.StreamReader) -> tuple[str, float]:
+    async def _status(
+        self, request: str, events: int, reader: asyncio.StreamReader
+    ) -> tuple[str, float]:
         """Return how a stream ended and when to come back.
 
         One that ends properly must have all events in order.
--- a/review/3/replica.py
+++ b/review/3/replica.py
@@ -1,8 +1,8 @@
 """A replica as a process of its own: ``replica.py INSTANCE HOST:PORT``.
 
-Each line that it prints tells what it does. On ``unframed`` at its standard input it gives one long
-answer no length, so that this answer ends with its connection; on ``exit`` or the end of the input it
-exits.
+Each line that it prints tells what it does. On ``unframed`` at its standard input it gives one
+long answer no length, so that this answer ends with its connection; on ``exit`` or the end of the
+input it exits.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standin import answer, json_answer, read_request  # noqa: E402
+from standin import answer, json_answer, read_request
 
 SLOTS = 6
 EVENT_SECONDS, EVENT_TOKENS = 0.1, 5
@@ -43,7 +43,9 @@
             else:
                 busy += 1
                 try:
-                    events = int(req.headers["carawayhub-token-counts"].split(",")[1]) // EVENT_TOKENS
+                    events = (
+                        int(req.headers["carawayhub-token-counts"].split(",")[1]) // EVENT_TOKENS
+                    )
                     after = int(req.headers.get("last-event-id", "0"))
                     if not await stream(request, after, events, writer):
                         return
--- a/review/standin.py
+++ b/review/standin.py
@@ -18,6 +18,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+CONTRACTS = json.dumps(
+    "base drain config cost retry recover engine stream tenants platform experts".split()
+)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -252,7 +255,7 @@
 Discovery = "platform"
 Entry = "directory"
 BeatIntervalMs = 1200
-Contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","experts"]
+Contracts = {CONTRACTS}
 {tables.get("top", "")}
 [Zones]
 z1 = "r1"
--- a/review/x/case.py
+++ b/review/x/case.py
@@ -1,9 +1,9 @@
 """A request without a limit on its answer ends the entry that takes it.
 
-Two entries stand before three engines and three replicas of a plain service. Callers book, each on a
-connection that it keeps. Some others state the largest unsigned 64-bit number as the maximum number
-of output tokens of a stream. Engines reject a request that is larger than their memory. The platform
-starts a process that has ended again.
+Two entries stand before three engines and three replicas of a plain service. Callers book, each on
+a connection that it keeps. Some others state the largest unsigned 64-bit number as the maximum
+number of output tokens of a stream. Engines reject a request that is larger than their memory. The
+platform starts a process that has ended again.
 """
 
 import asyncio
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standin import (  # noqa: E402
+from standin import (
     TROUBLE,
     CannotRunError,
     Daemon,
