Hold a pass at a second rank before arming where a release may be under way

Cause: the agent beside rank 0 releases a held pass unchanged when a rank does not answer. It bounded the time in which it sends that order, not the time at which the order takes effect. Whoever found the pass still held later armed ranks for it, and the former release began the pass meanwhile. The same holds for another agent that takes over, for the next process of the agent, and for the next change of an idle group, which holds a pass of the same number.

Ruled out: late orders to arm (refused once the pass has begun), late maps (versions only increase), one version with two maps (the record shows the versions).

Change: an order to release rank 0 may be late, so where one may be under way the pass is also held at another rank, which is released only after every rank was read as armed. The issuer of a fresh hold needs none. Only the issuer releases unchanged.

--- a/carawayhub/experts/agent.py
+++ b/carawayhub/experts/agent.py
@@ -29,7 +29,7 @@
 from carawayhub.experts.planner import Plan
 from carawayhub.experts.remote import RankResponder, RemoteRank, relay
 from carawayhub.experts.slowranks import SlowRankNotifier, slow_ranks
-from carawayhub.experts.switch import Switch
+from carawayhub.experts.switch import ChangeOutcome, Switch
 from carawayhub.experts.tally import GroupTally
 from carawayhub.gateway.model import ExpertShape
 from carawayhub.peers.pace import LinkPacer
@@ -66,6 +66,10 @@
 that was left held, and the additional delay of each further rank. Together they bound how long a
 group stalls after its order issuer dies."""
 
+STALL_SECONDS = 1.2
+"""Time without a pass after which the leader of a group with requests looks for a held pass at all
+ranks. A pass lasts a few tenths of a second even with a slow rank."""
+
 SUSPENDED_SECONDS = 2.5
 """Time between two polls above which this agent counts as having been suspended."""
 
@@ -103,8 +107,8 @@
         balancer: Decides when to change them.
         version: Version of ``placement``, -1 while it is unknown.
         placement: The map in force.
-        held: The last pass that was observed as held.
-        held_since: When it was first observed.
+        step: The last pass that was observed as begun.
+        step_at: When it was first observed, or the group last had no requests.
         slowdowns: Last known slowdown of each rank.
     """
 
@@ -115,8 +119,8 @@
     balancer: Balancer
     version: int = -1
     placement: Placement = ()
-    held: int = 0
-    held_since: float = 0.0
+    step: int = -1
+    step_at: float = 0.0
     slowdowns: dict[int, float] = field(default_factory=dict)
 
 
@@ -256,12 +260,13 @@
         if not family.includes(report) or not report.open:
             return
         ranks = self._members.ranks(report.rank, self._rank)
-        if not (await ranks[0].report()).held:
+        if not report.held and not (await ranks[0].report()).held:
             return
         logger.bind(silent_seconds=round(silent, 2)).warning(
             "order issuer is silent while a pass is held; taking over"
         )
-        ended = await Switch(ranks, self._clock, self._members.announce_with_retry).finish()
+        switch = Switch(ranks, self._clock, self._members.announce_with_retry, own_rank=report.rank)
+        ended = await switch.finish()
         logger.bind(ended=ended.value).info("interrupted change of expert map ended")
 
     async def _run_leader(self, report: RankReport) -> None:
@@ -270,10 +275,8 @@
         leader = await self._find_group(report)
         if leader is None:
             return
-        if report.held:
-            await self._members.announce()
-            ended = await leader.switch.finish(self._held_seconds(leader, report))
-            logger.bind(ended=ended.value).info("interrupted change of expert map ended")
+        if report.held or self._is_stalled(leader, report):
+            await self._end_hold(leader, report)
             return
         growths = await self._growths(leader)
         self._update_slowdowns(leader, growths)
@@ -344,12 +347,24 @@
         self._leader_state = _LeaderState(family, ranks, profile.experts, switch, balancer)
         return self._leader_state
 
-    def _held_seconds(self, leader: _LeaderState, report: RankReport) -> float:
-        """Return the time since this agent first observed the current hold."""
+    def _is_stalled(self, leader: _LeaderState, report: RankReport) -> bool:
+        """Return whether a group with requests has begun no pass for ``STALL_SECONDS``."""
         now = self._clock.monotonic()
-        if leader.held != report.held:
-            leader.held, leader.held_since = report.held, now
-        return now - leader.held_since
+        if leader.step != report.step or not report.running + report.waiting:
+            leader.step, leader.step_at = report.step, now
+        return now - leader.step_at > STALL_SECONDS
+
+    async def _end_hold(self, leader: _LeaderState, report: RankReport) -> None:
+        """Release a pass that some rank holds, by a change to the map in force if need be."""
+        leader.step_at = self._clock.monotonic()
+        await self._members.announce()
+        ended = await leader.switch.finish()
+        if ended is ChangeOutcome.STUCK and not report.armed:
+            await self._update_placement(leader, report)
+            ended = await leader.switch.change(leader.placement)
+        logger.bind(ended=ended.value, step=report.step, held=report.held).info(
+            "interrupted change of expert map ended"
+        )
 
     async def _update_placement(self, leader: _LeaderState, report: RankReport) -> None:
         """Update the map in force; read it from the ranks only if it was not set here."""
--- a/carawayhub/experts/switch.py
+++ b/carawayhub/experts/switch.py
@@ -11,12 +11,19 @@
 3. arm that map for that pass at every rank, and confirm it by each rank's report;
 4. release the held pass.
 
-Only the agent beside rank 0 begins a change, so a hold has only one continuation: the one map that
-all ranks have prepared is armed for the held pass at every rank, then the pass is released. An
-agent that finds a hold whose order issuer is gone does the same. Two processes that finish one
-change issue the same orders, and an order that arrives late finds its work done or its pass begun.
-The one exception is the issuer itself: as long as no other agent can have armed a rank, it may
-release the pass unchanged.
+Only the agent beside rank 0 begins a change. If a rank does not answer in step 2, that agent, and
+no other, releases the pass unchanged. Such a release may take effect at any later time, also while
+ranks are being armed for the same pass: by the agent itself once the rank answers, by another agent
+that finds its issuer gone, or by the agent's next process, which knows of no release. Whoever arms
+ranks for a pass that such a release may concern therefore holds the pass at another rank first. The
+other rank is ordered to release it only after every rank has been reported as armed, so that the
+pass has one continuation, whatever takes effect at rank 0. This second hold is left out where no
+release can be under way: for the issuer of a hold of a pass that no former hold can have concerned.
+
+All other orders are harmless when late. A late order to arm is refused, since its pass begins only
+after every rank is armed. A late hold delays the group until an agent finds it and finishes the
+change, with a new map if the ranks have no common one. Versions only increase. Nothing depends on a
+limit on how late an order takes effect, so orders that another agent relays need none either.
 
 The number of orders that a rank reports does not increase with these orders, so it cannot serve as
 a fencing token. For engines that check one, the version is the fencing token instead.
@@ -63,19 +70,14 @@
 which neither ranks nor reports can distinguish. If it used a lower number, a late order of the
 first issuer could replace its map."""
 
-EXCLUSIVE_SECONDS = 0.9
-"""Time after an announcement to the other agents during which none of them takes over the change,
-less a margin; see ``TAKEOVER_SECONDS`` in ``agent.py``."""
-
 PREPARED_CHECK_SECONDS = 0.3
 """Time within which every rank must answer between the hold and the first arm order. A live rank
 answers within a few milliseconds, or after one retry if a datagram is lost; a slower one may be
-suspended. With 0.75 s, after which a silent rank counts as unreachable, the pass could no longer be
-released unchanged if the hold order had taken 0.3 s: a group stalled for 4.1 s, until the VM of its
-issuer resumed. This bound limits the stall to about 0.5 s."""
+suspended, and its group would stall until it resumes."""
 
-ORDER_EXPIRY_SECONDS = 13.0
-"""Time after which an order that had no answer can no longer take effect."""
+SECOND_HOLD_SECONDS = 0.3
+"""Time within which a rank other than 0 must confirm a second hold before the pass is released
+unchanged."""
 
 COPY_TIMEOUT_SECONDS = 6.0
 """Timeout for copying the experts of one change (about half a second) and for holding a pass."""
@@ -88,8 +90,11 @@
 """Interval between polls of a rank that has not reached the expected state yet."""
 
 RELEASE_TIMEOUT_SECONDS = 12.0
-"""Time for which the release of a held pass is retried before all reports are read again; orders
-may take effect this late."""
+"""Time for which the release of a held pass is retried before all reports are read again."""
+
+UNCHANGED_RELEASE_SECONDS = 0.6
+"""Time for which the release of a pass without a change is retried before all reports are read
+again. By then the rank for which the change was given up may be back."""
 
 
 class ChangeOutcome(Enum):
@@ -134,14 +139,12 @@
     Attributes:
         epoch: Formation of the group.
         version: Version of the map.
-        step: The pass at which all ranks switch to it.
-        held: The held pass; it differs from ``step`` if a hold order took effect late.
+        step: The pass at which all ranks switch to it, which is held.
     """
 
     epoch: int
     version: int
     step: int
-    held: int
 
 
 class Switch:
@@ -156,6 +159,7 @@
             of rank 0 sent the order and were suspended right after, its replica would be suspended
             as well, and nobody could release the pass until it resumes. With another sending VM,
             the group continues.
+        own_rank: Position of the rank beside the issuer.
         sleep: Waits for some seconds.
 
     Attributes:
@@ -167,9 +171,11 @@
         "_announce",
         "_born",
         "_clock",
-        "_exclusive_until",
         "_hold_receiver",
+        "_other_ranks",
         "_ranks",
+        "_releasable_until",
+        "_released",
         "_sleep",
         "_started_at",
         "latest",
@@ -182,6 +188,7 @@
         clock: Clock,
         announce: Callable[[], Awaitable[bool]],
         hold_receiver: OrderReceiver | None = None,
+        own_rank: int = 0,
         sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
     ) -> None:
         self._ranks = ranks
@@ -190,7 +197,10 @@
         self._hold_receiver = hold_receiver or ranks[0]
         self._sleep = sleep
         self._born: dict[int, int] = {}
-        self._exclusive_until = float("-inf")
+        # Orders from the rank's own VM are free, and need no other agent.
+        self._other_ranks = sorted(set(ranks) - {0}, key=lambda rank: (rank != own_rank, rank))
+        self._releasable_until: int | None = None
+        self._released = 0
         self._started_at = clock.monotonic()
         self.latest: Prepare | None = None
         self.times = ChangeTimes()
@@ -202,70 +212,68 @@
         try:
             reports = await self._reports()
             first = reports[0]
-            if not _may_begin_change(reports):
-                return await self.finish()
+            held = _held_passes(reports)
+            if held and not _needs_map(reports):
+                return await self._finish(reports)
+            _check_may_begin(reports)
             version = self._next_version(reports)
             await self._prepare(placement, version, reports)
             self.times.copied = self._elapsed()
+            if held:
+                return await self.finish()
             lead = await self._lead(first)
-            await self._renew_exclusivity()
-            held = await self._hold(first.epoch, version, lead)
+            if not await self._announce():
+                raise _GivenUpError("an agent did not acknowledge the announcement")
+            step = await self._hold(first.epoch, version, lead)
             self.times.held = self._elapsed()
         except (_GivenUpError, GroupError) as exc:
             logger.bind(reason=str(exc)).info("change of expert map given up")
             return ChangeOutcome.GIVEN_UP
         except _OvertakenError:
             return ChangeOutcome.OVERTAKEN
-        point = _SwitchPoint(first.epoch, version, held, held)
-        if await self._all_prepared(point):
-            return await self._complete(point)
-        return await self._release_unchanged(point, self._exclusive_until)
-
-    async def finish(self, held_seconds: float = 0.0) -> ChangeOutcome:
-        """Finish a change whose issuer is gone.
-
-        Args:
-            held_seconds: Time since the hold was first observed.
-        """
+        point = _SwitchPoint(first.epoch, version, step)
+        if not await self._all_prepared(point):
+            return await self._release_unchanged(point)
+        if not self._is_releasable(step):
+            return await self._complete(point, {0}, may_arm=True)
+        second = await self._hold_second_in_time(point)
+        if second is None:
+            return await self._release_unchanged(point)
+        return await self._complete(point, {0, second}, may_arm=True)
+
+    async def finish(self) -> ChangeOutcome:
+        """Finish a change whose issuer is gone, or one that this issuer could not release."""
         try:
             reports = await self._reports()
         except GroupError as exc:
             logger.bind(reason=str(exc)).info("could not read the reports of all ranks")
-            return ChangeOutcome.STUCK
+            return await self._release_again()
+        return await self._finish(reports)
+
+    async def _finish(self, reports: Mapping[int, RankReport]) -> ChangeOutcome:
         first = reports[0]
-        if not first.held:
+        held = _held_passes(reports)
+        if not held:
             return ChangeOutcome.GIVEN_UP
         versions = {_pending_version(each) for each in reports.values()}
         epochs = {each.epoch for each in reports.values()}
-        # An armed rank reports the pass of the change. If it were armed for the held pass instead,
-        # a late order of that change could revert this.
-        steps = {each.armed_step for each in reports.values() if each.armed} or {first.held}
+        # An armed rank reports the pass of the change, which a late hold may precede.
+        steps = {each.armed_step for each in reports.values() if each.armed} or {min(held.values())}
         if len(versions) == len(epochs) == len(steps) == 1 and min(versions):
-            point = _SwitchPoint(first.epoch, min(versions), min(steps), first.held)
-            logger.bind(step=point.step, version=point.version).warning(
+            point = _SwitchPoint(first.epoch, min(versions), min(steps))
+            logger.bind(step=point.step, version=point.version, held=held).warning(
                 "finishing an interrupted change of expert map"
             )
-            return await self._complete(point)
-        logger.bind(step=first.held, versions=sorted(versions)).error(
+            may_arm = any(held.get(rank) == point.step for rank in self._other_ranks)
+            return await self._complete(point, set(held), may_arm=may_arm)
+        logger.bind(held=held, versions=sorted(versions)).error(
             "a pass is held but the ranks have no common prepared map"
         )
-        if held_seconds < ORDER_EXPIRY_SECONDS or any(each.armed for each in reports.values()):
-            return ChangeOutcome.STUCK
-        deadline_at = self._clock.monotonic() + RELEASE_TIMEOUT_SECONDS
-        return await self._release_unchanged(
-            _SwitchPoint(first.epoch, 0, 0, first.held), deadline_at
-        )
-
-    async def _renew_exclusivity(self) -> None:
-        """Prevent the other agents from taking over this change for ``EXCLUSIVE_SECONDS``.
+        return ChangeOutcome.STUCK
 
-        Raises:
-            _GivenUpError: An agent has not received the announcement, so it could take over.
-        """
-        until = self._clock.monotonic() + EXCLUSIVE_SECONDS
-        if not await self._announce():
-            raise _GivenUpError("an agent did not acknowledge the announcement")
-        self._exclusive_until = until
+    def _is_releasable(self, step: int) -> bool:
+        """Return whether an order to release a pass unchanged may still take effect."""
+        return self._releasable_until is None or step <= self._releasable_until
 
     def _next_version(self, reports: Mapping[int, RankReport]) -> int:
         highest = max(max(each.version, each.prepared, each.armed) for each in reports.values())
@@ -290,25 +298,103 @@
         if _pending_version(await self._read(rank, point.epoch)) != point.version:
             raise _GivenUpError(f"rank {rank} has another map prepared")
 
-    async def _release_unchanged(self, point: _SwitchPoint, until: float) -> ChangeOutcome:
-        """Release a held pass for which no rank can be armed before the time ``until``."""
-        logger.bind(step=point.held).warning("releasing the held pass without a change of map")
+    async def _release_unchanged(self, point: _SwitchPoint) -> ChangeOutcome:
+        """Release a pass for which this agent has armed no rank, without a change of map."""
+        logger.bind(step=point.step).warning("releasing the held pass without a change of map")
+        self._released = point.step
+        self._releasable_until = max(self._releasable_until or 0, point.step)
+        deadline_at = self._clock.monotonic() + UNCHANGED_RELEASE_SECONDS
         try:
-            await self._release_pass(point, until)
+            await self._release(0, point, deadline_at)
         except (GroupError, _OvertakenError) as exc:
             logger.bind(reason=str(exc)).warning("could not release the held pass")
             return ChangeOutcome.STUCK
         return ChangeOutcome.GIVEN_UP
 
-    async def _complete(self, point: _SwitchPoint) -> ChangeOutcome:
-        """Arm every rank for a held pass, confirm it by the reports, and release the pass."""
+    async def _release_again(self) -> ChangeOutcome:
+        """Retry the release of a pass that this agent has decided to release unchanged."""
+        try:
+            first = await self._ranks[0].report()
+        except GroupError as exc:
+            logger.bind(reason=str(exc)).info("could not read the report of rank 0")
+            return ChangeOutcome.STUCK
+        if not first.held or first.held != self._released:
+            return ChangeOutcome.STUCK
+        return await self._release_unchanged(_SwitchPoint(first.epoch, 0, first.held))
+
+    async def _hold_second_in_time(self, point: _SwitchPoint) -> int | None:
+        """Hold a pass at a second rank within ``SECOND_HOLD_SECONDS``; return it, None if none."""
+        deadline_at = self._clock.monotonic() + SECOND_HOLD_SECONDS
+        try:
+            with anyio.fail_after(SECOND_HOLD_SECONDS):
+                return await self._hold_second(point, deadline_at)
+        except (TimeoutError, GroupError, _GivenUpError, _OvertakenError) as exc:
+            logger.bind(reason=repr(exc), step=point.step).warning(
+                "pass held, but no second rank confirmed that it holds it too"
+            )
+            return None
+
+    async def _hold_second(self, point: _SwitchPoint, deadline_at: float) -> int:
+        """Hold the pass of a change at a rank other than 0; return that rank.
+
+        Raises:
+            GroupError: No rank confirmed it before the deadline.
+            _GivenUpError: The pass has begun without the change.
+            _OvertakenError: The group was formed anew.
+        """
+        if len(self._ranks) == 1:
+            return 0
+        for rank in self._other_ranks:
+            if await self._hold_at(rank, point, deadline_at):
+                return rank
+        raise GroupError(Code.RANK_UNREACHABLE, "every rank holds another pass")
+
+    async def _hold_at(self, rank: int, point: _SwitchPoint, deadline_at: float) -> bool:
+        """Hold the pass of a change at a rank; return False if it holds another pass.
+
+        Raises:
+            GroupError, _GivenUpError, _OvertakenError: See ``_hold_second``.
+        """
+        while True:
+            answer = await self._ranks[rank].order(Hold(point.step), point.epoch, point.version)
+            if answer is OrderAnswer.ACCEPTED:
+                return True
+            report = await self._read(rank, point.epoch)
+            if point.step == report.held or point.version == report.version:
+                return True
+            if report.step >= point.step:
+                raise _GivenUpError(f"pass {point.step} has begun")
+            if report.held:
+                return False
+            if self._clock.monotonic() > deadline_at:
+                raise GroupError(Code.RANK_UNREACHABLE, f"rank {rank} did not hold the pass")
+            if answer is OrderAnswer.REFUSED:
+                await self._sleep(POLL_SECONDS)
+
+    async def _complete(
+        self, point: _SwitchPoint, holding: set[int], *, may_arm: bool
+    ) -> ChangeOutcome:
+        """Arm every rank for a held pass, confirm it by the reports, and release the pass.
+
+        Args:
+            point: Map and pass of the change.
+            holding: Ranks that may hold this pass or an earlier one.
+            may_arm: Whether the pass needs no second hold, or has one.
+        """
         deadline_at = self._clock.monotonic() + RELEASE_TIMEOUT_SECONDS
         while self._clock.monotonic() < deadline_at:
             try:
+                if not may_arm:
+                    holding = holding | {await self._hold_second(point, deadline_at)}
+                    may_arm = True
                 await self._run_on_all_ranks(lambda rank: self._arm_rank(rank, point, deadline_at))
-                await self._release_pass(point, deadline_at)
+                for rank in sorted(holding):
+                    await self._release(rank, point, deadline_at)
             except _OvertakenError:
                 return ChangeOutcome.OVERTAKEN
+            except _GivenUpError as exc:
+                logger.bind(reason=str(exc)).info("change of expert map given up")
+                return ChangeOutcome.GIVEN_UP
             except GroupError as exc:
                 logger.bind(reason=str(exc)).info("pass held, but a rank does not answer; retrying")
                 await self._sleep(POLL_SECONDS)
@@ -390,8 +476,6 @@
                 return report.held
             if report.prepared != version:
                 raise _GivenUpError("rank 0 has another map prepared")
-            if self._clock.monotonic() > self._exclusive_until - PREPARED_CHECK_SECONDS:
-                await self._renew_exclusivity()
             # Retry with the same pass until it begins, so that a first order that takes effect late
             # holds no other pass than the second one.
             if step <= report.step:
@@ -404,10 +488,10 @@
         while not _is_armed(report := await self._read(rank, point.epoch), point):
             await self._send_order(rank, Arm(point.version, point.step), report, point, deadline_at)
 
-    async def _release_pass(self, point: _SwitchPoint, deadline_at: float) -> None:
-        """Release the held pass and confirm it by the report of rank 0."""
-        while (report := await self._read(0, point.epoch)).held == point.held:
-            await self._send_order(0, Go(point.held), report, point, deadline_at)
+    async def _release(self, rank: int, point: _SwitchPoint, deadline_at: float) -> None:
+        """Release the pass of a change, or one before it, at a rank; confirm it by its report."""
+        while 0 < (report := await self._read(rank, point.epoch)).held <= point.step:
+            await self._send_order(rank, Go(report.held), report, point, deadline_at)
 
     async def _send_order(
         self,
@@ -434,6 +518,9 @@
 
         await self._run_on_all_ranks(read)
         self._born = {rank: report.born for rank, report in found.items()}
+        if self._releasable_until is None:
+            # A former process of this agent may have released any pass that it could hold.
+            self._releasable_until = found[0].step + MAX_LEAD_PASSES
         return found
 
     async def _read(self, rank: int, epoch: int) -> RankReport:
@@ -475,8 +562,23 @@
             raise [*overtaken, *failures][0]
 
 
-def _may_begin_change(reports: Mapping[int, RankReport]) -> bool:
-    """Return whether a change may begin; False if a held pass must be released first.
+def _held_passes(reports: Mapping[int, RankReport]) -> dict[int, int]:
+    """Return the pass that each rank holds, without those that hold none."""
+    return {rank: each.held for rank, each in reports.items() if each.held}
+
+
+def _needs_map(reports: Mapping[int, RankReport]) -> bool:
+    """Return whether the ranks need a common map before a held pass can be released.
+
+    This is so if a hold took effect late, after the map for which it was ordered was replaced.
+    """
+    unarmed = not any(each.armed for each in reports.values())
+    versions = {each.prepared for each in reports.values()}
+    return unarmed and (len(versions) > 1 or 0 in versions)
+
+
+def _check_may_begin(reports: Mapping[int, RankReport]) -> None:
+    """Check that a change may begin.
 
     Raises:
         _GivenUpError: The group is not open, its ranks report several formations, or one is armed.
@@ -486,11 +588,8 @@
         raise _GivenUpError("the group is not open")
     if {each.epoch for each in reports.values()} != {first.epoch}:
         raise _GivenUpError("the ranks report different formations")
-    if first.held:
-        return False
     if any(each.armed for each in reports.values()):
         raise _GivenUpError("a rank is already armed")
-    return True
 
 
 def _pending_version(report: RankReport) -> int:
