Bound the numbers that other parties state, and keep processes up after an error

Cause: token counts of any size were added up and sent to other entries in 64 bits. The OverflowError left the gossip task, and an error of one task ends the process.

Ruled out: the refusal of the engine (true), memory, datagrams of peers (one entry alone ends).

Change: numbers are bounded where they are decoded. Token counts and deadlines of callers are lowered to bounds that nothing can serve, and forwarded as stated; numbers of replicas, the store, the configuration and peers beyond 2^53 - 1 make their message malformed. Ids of events are compared as digits.

--- a/carawayhub/entry/stream.py
+++ b/carawayhub/entry/stream.py
@@ -17,7 +17,7 @@
 ID = b'"id":'
 NOT_FINISHED = b'"finish_reason":null'
 NOT_FINISHED_SPACED = b'"finish_reason": null'
-NUMBER = re.compile(rb" *([0-9]+)")
+NUMBER = re.compile(rb" *([0-9]{1,18})")
 MAX_DONE_BYTES = len(DATA) + 1 + len(DONE)
 MAX_EVENT_BYTES = 1_048_576
 
--- a/carawayhub/experts/agent.py
+++ b/carawayhub/experts/agent.py
@@ -34,6 +34,7 @@
 from carawayhub.gateway.model import ExpertShape
 from carawayhub.peers.pace import LinkPacer
 from carawayhub.peers.questions import Answer, Question, QuestionLink
+from carawayhub.tasks import KeptTasks
 
 BUSY_POLL_SECONDS = 0.08
 """Polling interval of the demand of a busy group, about one pass of its engines. Demand changes
@@ -148,6 +149,7 @@
         "_responder",
         "_roster",
         "_tally",
+        "_tasks",
     )
 
     def __init__(self, options: AgentOptions, rank: Rank, roster: Roster, clock: Clock) -> None:
@@ -168,7 +170,8 @@
         self._leader_seen_at = clock.monotonic()
         self._polled_at = clock.monotonic()
         self._leader_state: _LeaderState | None = None
-        self._tally = GroupTally()
+        self._tasks = KeptTasks()
+        self._tally = GroupTally(lambda: self._tasks.failures)
 
     def metrics(self) -> str:
         """Return the metrics as text."""
@@ -177,9 +180,9 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._link.run)
-            tasks.start_soon(self._notifier.run)
-            tasks.start_soon(self._poll_loop)
+            tasks.start_soon(self._tasks.run, "questions", self._link.run)
+            tasks.start_soon(self._tasks.run, "slow ranks", self._notifier.run)
+            tasks.start_soon(self._tasks.run, "polls", self._poll_loop)
 
     async def _poll_loop(self) -> None:
         failures = 0
@@ -192,6 +195,10 @@
                 failures += 1
                 self._tally.failed_looks += 1
                 logger.bind(error=str(exc), failures=failures).info("poll of the group failed")
+            except Exception as exc:
+                failures += 1
+                self._tally.failed_looks += 1
+                self._tasks.record("poll", exc)
             await anyio.sleep(
                 max(
                     self._poll_delay(began_at),
--- a/carawayhub/experts/remote.py
+++ b/carawayhub/experts/remote.py
@@ -204,7 +204,10 @@
 def _order_answer(answer: Answer | None) -> OrderAnswer:
     if answer is None or not answer.ok:
         return OrderAnswer.UNKNOWN
-    return OrderAnswer(answer.content.decode())
+    try:
+        return OrderAnswer(answer.content.decode())
+    except ValueError:
+        return OrderAnswer.UNKNOWN
 
 
 class RankResponder:
--- a/carawayhub/gateway/events.py
+++ b/carawayhub/gateway/events.py
@@ -73,6 +73,8 @@
 
 
 def _is_at_most(event_id: bytes, last: bytes) -> bool:
+    """Return whether an id is a number up to another one; both may have any number of digits."""
     if not (event_id.isdigit() and last.isdigit()):
         return False
-    return int(event_id) <= int(last)
+    first, second = event_id.lstrip(b"0"), last.lstrip(b"0")
+    return (len(first), first) <= (len(second), second)
--- a/carawayhub/gateway/gossip.py
+++ b/carawayhub/gateway/gossip.py
@@ -40,6 +40,7 @@
 from carawayhub.limits.poisonnews import PoisonUpdates
 from carawayhub.limits.replicarate import RateRow, ReplicaRates
 from carawayhub.limits.slotrows import SlotCounts
+from carawayhub.tasks import KeptTasks
 
 FULL_MESH_MAX_ENTRIES = 12
 """Largest fleet in which each entry sends to all others. A full mesh of 15 entries in five failure
@@ -84,6 +85,7 @@
         rng: Source of jitter.
         slot_counts: Requests by priority and organisation, here and at peers; None for a separate
             set.
+        tasks: Counts and logs unexpected errors; None for a separate count.
 
     Attributes:
         own: State that this entry announces.
@@ -108,6 +110,7 @@
         "_builder",
         "_reported_at",
         "_slot_counts",
+        "_tasks",
         "_urgent",
         "_wake",
         "on_backing_off",
@@ -128,8 +131,10 @@
         clock: Clock,
         rng: random.Random,
         slot_counts: SlotCounts | None = None,
+        tasks: KeptTasks | None = None,
     ) -> None:
         self._slot_counts = slot_counts or SlotCounts(clock)
+        self._tasks = tasks or KeptTasks()
         self.own = OwnState(address, f"{rng.getrandbits(INCARNATION_BITS):08x}")
         self._seeds = seeds - {address.ip}
         self._loads = loads
@@ -246,9 +251,12 @@
 
     async def _receive(self, sock: anyio.abc.UDPSocket) -> None:
         async for data, _ in sock:
-            received = self.read(data)
-            if received is not None:
-                self.take(received)
+            try:
+                received = self.read(data)
+                if received is not None:
+                    self.take(received)
+            except Exception as exc:
+                self._tasks.record("gossip datagram", exc)
 
     def read(self, data: bytes) -> ReceivedDatagram | None:
         """Decode a datagram; return None if it is malformed."""
--- a/carawayhub/gateway/hello.py
+++ b/carawayhub/gateway/hello.py
@@ -10,6 +10,7 @@
 from carawayhub.limits.evidence import EndsRow
 from carawayhub.limits.replicarate import RateRow
 from carawayhub.limits.slotrows import SlotRow
+from carawayhub.wirenumbers import Sum
 
 
 class Phase(IntEnum):
@@ -32,9 +33,9 @@
     """
 
     key: int
-    requests: int
-    reading: int
-    tokens: int
+    requests: Sum
+    reading: Sum
+    tokens: Sum
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
@@ -50,12 +51,12 @@
         version: Version of the configuration in force, -1 if there is none.
     """
 
-    revision: int
+    revision: Sum
     age: float
     grace: float
     reads: bool = True
-    era: int = 0
-    version: int = -1
+    era: Sum = 0
+    version: Sum = -1
 
     @property
     def position(self) -> Revision:
@@ -88,7 +89,7 @@
 
     ip: str
     incarnation: str
-    number: int
+    number: Sum
     phase: int
     callers: str
     failure_domain: str
@@ -100,8 +101,8 @@
     rates: list[RateRow] = []
     slow: list[str] = []
     backing_off: list[str] = []
-    capacity: int = 0
-    in_flight: int = -1
+    capacity: Sum = 0
+    in_flight: Sum = -1
     slots: list[SlotRow] = []
 
 
@@ -114,8 +115,8 @@
     callers: str
     failure_domain: str
     reads: bool
-    capacity: int = 0
-    in_flight: int = -1
+    capacity: Sum = 0
+    in_flight: Sum = -1
 
     def lasting(self) -> "MemberRow":
         """Return the row without the requests in flight, which change all the time."""
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -48,6 +48,7 @@
 from carawayhub.limits.replicarate import ReplicaRates
 from carawayhub.limits.slotrows import SlotCounts
 from carawayhub.peers.pace import LinkPacer
+from carawayhub.tasks import KeptTasks
 
 DIRECTORY_TTL_FACTOR = 3.0
 """Some callers cache an answer of the directory for this multiple of the stated time."""
@@ -176,6 +177,7 @@
         "_statements",
         "_stopping",
         "_tally",
+        "_tasks",
         "_upstream",
         "_view",
     )
@@ -194,6 +196,7 @@
         self._options = options
         self._clock = clock
         self._rng = rng
+        self._tasks = KeptTasks()
         self._loads = Loads()
         self._health = Health(clock)
         self._view = FleetView(clock, options.heartbeat)
@@ -208,6 +211,7 @@
             self._locality_counts,
             self._pass_bounds,
             lambda: {name: each.order.status() for name, each in self._pools.items()},
+            lambda: self._tasks.failures,
         )
         own_region = {options.failure_domain: options.region}
         self._allowed = AllowedRegions(self._view, own_region | dict(options.regions))
@@ -247,6 +251,7 @@
             clock,
             rng,
             self._slot_counts,
+            self._tasks,
         )
         self._handing = ContentForwarder(
             options.ip,
@@ -362,10 +367,10 @@
         server = HttpServer(self._app, bind(self._options.callers), self._connection_limits)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_signals)
-            tasks.start_soon(self._follower.run)
-            tasks.start_soon(self._gossip.run)
-            tasks.start_soon(self._handing.run)
-            tasks.start_soon(self._tick)
+            tasks.start_soon(self._tasks.run, "follower", self._follower.run)
+            tasks.start_soon(self._tasks.run, "gossip", self._gossip.run)
+            tasks.start_soon(self._tasks.run, "content", self._handing.run)
+            tasks.start_soon(self._tasks.run, "tick", self._tick)
             for probe in probes:
                 tasks.start_soon(probe.run)
             tasks.start_soon(server.run)
@@ -398,10 +403,13 @@
     async def _watch_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async for each in signals:
-                if each is signal.SIGHUP:
-                    self._reload()
+                if each is not signal.SIGHUP:
+                    self._stopping.set()
                     continue
-                self._stopping.set()
+                try:
+                    self._reload()
+                except Exception as exc:
+                    self._tasks.record("reload", exc)
 
     def _reload(self) -> None:
         """Apply the settings that can change while the process runs."""
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -10,7 +10,7 @@
 from carawayhub.gateway.serviceorder import OrderStatus
 from carawayhub.gateway.statements import StatementCounts
 from carawayhub.limits.poison import PoisonCounts
-from carawayhub.output.metrics import Recorder, summary_lines
+from carawayhub.output.metrics import Recorder, counter_lines, summary_lines
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +83,7 @@
         locality_counts: Returns the decisions by failure domain.
         pass_bounds: Returns the bounds on the requests in flight of groups, by group.
         slot_order: Returns the requests by priority and organisation, by service.
+        task_failures: Returns how often each task of the process failed.
     """
 
     __slots__ = (
@@ -90,6 +91,7 @@
         "_ends",
         "_locality_counts",
         "_table_delays",
+        "_task_failures",
         "_pass_bounds",
         "_poison_counts",
         "_replica_limits",
@@ -110,7 +112,9 @@
         locality_counts: Callable[[], LocalityCounts] = LocalityCounts,
         pass_bounds: Callable[[], Mapping[str, int]] = dict,
         slot_order: Callable[[], Mapping[str, OrderStatus]] = dict,
+        task_failures: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
+        self._task_failures = task_failures
         self._slot_order = slot_order
         self._unreadable_entries = unreadable_entries
         self._replica_limits = replica_limits
@@ -176,6 +180,9 @@
         lines += self._view_lines()
         lines += _locality_lines(self._locality_counts())
         lines += _order_lines(self._slot_order())
+        lines += counter_lines(
+            "carawayhub_gateway_task_failures_total", "task", self._task_failures()
+        )
         lines.append("# TYPE carawayhub_gateway_milliseconds summary")
         for route, recorder in sorted(self._times.items()):
             labels = f'route="{route}"'
--- a/carawayhub/limits/evidence.py
+++ b/carawayhub/limits/evidence.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from carawayhub.limits.fingerprint import FINGERPRINT_BYTES, PART_FINGERPRINT_BYTES
+from carawayhub.wirenumbers import MAX_COUNT
 
 MAX_ENDS = 16
 """Maximum number of ends recorded per trait; more would change no decision."""
@@ -147,10 +148,10 @@
     """Return whether a row of a peer makes sense."""
     return (
         len(row.fingerprint) in (FINGERPRINT_BYTES, PART_FINGERPRINT_BYTES)
-        and row.series >= 0
+        and 0 <= row.series <= MAX_COUNT
         and len(row.ends) <= MAX_ENDS
         and all(len(each) in (0, len(row.ends)) for each in (row.end_ages, row.end_events))
-        and min([*row.end_ages, *row.end_events], default=0) >= 0
+        and all(0 <= each <= MAX_COUNT for each in (*row.end_ages, *row.end_events))
         and math.isfinite(row.age)
         and row.age >= 0.0
     )
--- a/carawayhub/limits/replicarate.py
+++ b/carawayhub/limits/replicarate.py
@@ -20,6 +20,7 @@
 
 from carawayhub.clock import Clock
 from carawayhub.limits.claims import Claims
+from carawayhub.wirenumbers import Sum
 
 WINDOW_SECONDS = 2.0
 """Window over which requests to a limited replica are counted: long enough for excess requests to
@@ -59,7 +60,7 @@
     key: int
     per_second: float
     age: float
-    sends: int
+    sends: Sum
 
 
 @dataclass(frozen=True, slots=True)
--- a/carawayhub/limits/slotrows.py
+++ b/carawayhub/limits/slotrows.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from carawayhub.clock import Clock
+from carawayhub.wirenumbers import Sum
 
 ARRIVAL_WINDOW_SECONDS = 1.0
 """Time over which arrivals are counted: long enough for some requests of each priority, and short
@@ -54,12 +55,12 @@
         in_flight: Requests that hold a slot.
     """
 
-    service: int
-    priority: int
-    organisation: int
-    arrived: int
-    waiting: int
-    in_flight: int
+    service: Sum
+    priority: Sum
+    organisation: Sum
+    arrived: Sum
+    waiting: Sum
+    in_flight: Sum
 
 
 @dataclass(slots=True)
--- a/carawayhub/output/metrics.py
+++ b/carawayhub/output/metrics.py
@@ -6,6 +6,7 @@
 """
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -194,6 +195,20 @@
     return "\n".join(lines) + "\n"
 
 
+def counter_lines(metric: str, label: str, counts: Mapping[str, int]) -> list[str]:
+    """Return a counter with one label in the text format.
+
+    Args:
+        metric: Name of the metric.
+        label: Name of the label.
+        counts: The counts by value of the label.
+    """
+    lines = [f"# TYPE {metric} counter"]
+    for name, count in sorted(counts.items()):
+        lines.append(f'{metric}{{{label}="{_escape_label(name)}"}} {count}')
+    return lines
+
+
 def summary_lines(metric: str, labels: str, recorder: Recorder) -> list[str]:
     """Return the quantiles and the count of one histogram in the text format.
 
--- a/carawayhub/peers/questions.py
+++ b/carawayhub/peers/questions.py
@@ -34,6 +34,9 @@
 
 MAX_DATAGRAM = 65_536
 
+MAX_REASON_CHARS = 200
+"""Characters of an error that an answer contains."""
+
 MAX_CONCURRENT_QUESTIONS = 64
 """Questions that a process handles concurrently; further ones are dropped and asked again."""
 
@@ -224,12 +227,22 @@
     async def _answer(self, question: Question, ip: str) -> None:
         self._running += 1
         try:
-            data = _encoded(_Datagram(answer=await self._handler(question, ip)))
+            data = _encoded(_Datagram(answer=await self._handle(question, ip)))
             await anyio.sleep(self._pace.delay(len(data)))
             self._send(ip, data)
         finally:
             self._running -= 1
 
+    async def _handle(self, question: Question, ip: str) -> Answer:
+        try:
+            return await self._handler(question, ip)
+        except Exception as exc:
+            logger.bind(peer=ip, subject=question.subject).opt(exception=exc).error(
+                "unexpected error while answering a question: {!r}", exc
+            )
+            reason = repr(exc)[:MAX_REASON_CHARS].encode()
+            return Answer(number=question.number, asker=question.asker, ok=False, content=reason)
+
     def _send(self, ip: str, data: bytes) -> None:
         if self._sock is None:
             return
--- a/carawayhub/platform/headers.py
+++ b/carawayhub/platform/headers.py
@@ -37,6 +37,13 @@
 BEARER = "bearer "
 MS_PER_SECOND = 1000.0
 MIN_DEADLINE_MS = 1
+MAX_WAIT_SECONDS = 86_400.0
+"""Longest time that a caller may state; longer ones are lowered to it."""
+
+MAX_TOKENS = 2**31 - 1
+"""Largest number of tokens that is counted; larger ones are lowered to it. Entries add these
+numbers up and exchange the sums in 64 bits, and no endpoint has memory for as many tokens."""
+
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
 LEAST_URGENT = 9
@@ -178,11 +185,19 @@
         return 0, 0
     try:
         prompt, answer = value.split(b",")
-        return max(0, int(prompt)), max(0, int(answer))
+        return _token_count(prompt), _token_count(answer)
     except ValueError as exc:
         raise RequestError(Code.BODY_MALFORMED, "token counts are not two numbers") from exc
 
 
+def _token_count(text: bytes) -> int:
+    digits = text.strip().lstrip(b"0")
+    if digits.isdigit() and len(digits) > len(str(MAX_TOKENS)):
+        # Conversion fails for numbers of thousands of digits.
+        return MAX_TOKENS
+    return max(0, min(MAX_TOKENS, int(text)))
+
+
 def _shared_parts(headers: Headers, model: bytes) -> tuple[bytes, ...]:
     """Return the fingerprints of the parts of a prompt, without the last, which is its own.
 
@@ -204,7 +219,7 @@
         raise RequestError(Code.DEADLINE_MALFORMED, repr(value)) from exc
     if not waits > 0:
         raise RequestError(Code.DEADLINE_MALFORMED, repr(value))
-    return waits
+    return min(MAX_WAIT_SECONDS, waits)
 
 
 def _key(value: bytes) -> str:
--- a/carawayhub/platform/published.py
+++ b/carawayhub/platform/published.py
@@ -1,5 +1,7 @@
 """Decodes the configuration in the platform's store into the gateway's types."""
 
+from typing import Annotated
+
 import msgspec
 
 from carawayhub.codes import Code
@@ -16,9 +18,14 @@
     Share,
 )
 from carawayhub.platform.answers import UNREADABLE
+from carawayhub.wirenumbers import Count
 
 CONFIG_KEY = "op/config"
 MS_PER_SECOND = 1000.0
+MAX_MS = 1e9
+"""Longest time that is taken from a configuration, eleven days; longer ones are lowered to it."""
+
+Priority = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
 MEGA = 1e6
 BITS_PER_BYTE = 8
 
@@ -60,7 +67,7 @@
     kind: str
     timeout_ms: float = 8000.0
     target_ms: float = 1000.0
-    priority: int = 0
+    priority: Priority = 0
     split: list[_Split] = []
     service: str = ""
     attempts: int = 1
@@ -91,18 +98,18 @@
         "link_mbit": "LinkMbps",
     },
 ):
-    slots: int = 1
-    kv_tokens: int = 0
-    stride: int = 1
+    slots: Count = 1
+    kv_tokens: Count = 0
+    stride: Count = 1
     step_ms: float = 0.0
     per_seq_ms: float = 0.0
     read_per_s: float = 0.0
-    chunk: int = 0
+    chunk: Count = 0
     usual: _Usual = _Usual()
-    sets: int = 0
-    experts: int = 0
-    places: int = 0
-    spare: int = 0
+    sets: Count = 0
+    experts: Count = 0
+    places: Count = 0
+    spare: Count = 0
     expert_share: float = 0.0
     expert_mb: float = 0.0
     link_mbit: float = 0.0
@@ -122,7 +129,7 @@
 ):
     name: str
     health: str = "/health"
-    connections: int = 100
+    connections: Count = 100
     engine: _Engine | None = None
     cold_s: float = 0.0
     cold_per_s: float = 0.0
@@ -147,12 +154,12 @@
 class _Tenant(msgspec.Struct, frozen=True, rename="pascal"):
     name: str
     keys: list[str] = []
-    priority: int | None = None
+    priority: Priority | None = None
     allowed_regions: list[str] = []
 
 
 class _Config(msgspec.Struct, frozen=True, rename="pascal"):
-    version: int
+    version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -160,7 +167,7 @@
 
 
 class _Version(msgspec.Struct, rename="pascal"):
-    version: int
+    version: Count
 
 
 def configuration_version(value: bytes) -> int | None:
@@ -203,9 +210,9 @@
         host=wire.host.lower(),
         prefix=wire.prefix,
         repeat=kind,
-        timeout=wire.timeout_ms / MS_PER_SECOND,
-        target=wire.target_ms / MS_PER_SECOND,
-        gap=wire.gap_ms / MS_PER_SECOND,
+        timeout=_seconds(wire.timeout_ms),
+        target=_seconds(wire.target_ms),
+        gap=_seconds(wire.gap_ms),
         attempts=max(1, wire.attempts),
         priority=wire.priority,
         public=wire.public,
@@ -259,8 +266,8 @@
     return CallerLimits(
         head_bytes=wire.head_bytes,
         body_bytes=wire.body_bytes,
-        head_timeout=wire.head_ms / MS_PER_SECOND,
-        idle_timeout=wire.idle_ms / MS_PER_SECOND,
+        head_timeout=_seconds(wire.head_ms),
+        idle_timeout=_seconds(wire.idle_ms),
     )
 
 
@@ -273,6 +280,10 @@
     return found
 
 
+def _seconds(ms: float) -> float:
+    return min(MAX_MS, ms) / MS_PER_SECOND
+
+
 def _regions(names: list[str], owner: str) -> frozenset[str]:
     """Return allowed regions.
 
--- a/carawayhub/platform/ranks.py
+++ b/carawayhub/platform/ranks.py
@@ -1,6 +1,6 @@
 """HTTP client of a replica that is a rank of a lock-step group."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import anyio
 import httpcore
@@ -23,6 +23,7 @@
     RankReport,
 )
 from carawayhub.platform.answers import UNREADABLE
+from carawayhub.wirenumbers import MAX_COUNT, Count
 
 READ_TIMEOUT_SECONDS = 0.5
 """Time limit of a read; a live replica answers within some milliseconds."""
@@ -31,14 +32,17 @@
 """Time limit of an order; a replica accepts one within some milliseconds. If the answer is lost,
 the rank's report shows whether the order was accepted."""
 
+MAX_SLOWDOWN = 1_000_000.0
+Slowdown = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SLOWDOWN)]
+
 EXPECT_INSTANCE = "carawayhub-expect-instance"
 OK_STATUS = 200
 
 
 class _Group(msgspec.Struct, frozen=True, rename={"name": "Name", "state": "State"}):
     name: str = ""
-    epoch: int = 0
-    rank: int = 0
+    epoch: Count = 0
+    rank: Count = 0
     state: str = "open"
 
 
@@ -62,12 +66,12 @@
     """
 
     group: _Group
-    born: int = 0
-    size: int = 0
-    slowdown: float = 1.0
-    step: int = 0
-    running: int = 0
-    waiting: int = 0
+    born: Count = 0
+    size: Count = 0
+    slowdown: Slowdown = 1.0
+    step: Count = 0
+    running: Count = 0
+    waiting: Count = 0
     map: Any = 0
     prepared: Any = None
     armed: Any = None
@@ -77,10 +81,10 @@
 class _Counts(msgspec.Struct, frozen=True, rename={"counts": "Counts"}):
     """Counters of all layer sets, concatenated in order."""
 
-    step: int
-    epoch: int
-    counts: list[int]
-    born: int = 0
+    step: Count
+    epoch: Count
+    counts: list[Count]
+    born: Count = 0
 
 
 class _Lists(msgspec.Struct, frozen=True, rename={"map": "Map", "prepared": "Prepared"}):
@@ -228,10 +232,10 @@
     """Return an integer, 0 for none.
 
     Raises:
-        ValueError: The value is neither an integer nor None.
+        ValueError: The value is neither a count nor None.
     """
     if value is None:
         return 0
-    if type(value) is not int:
-        raise ValueError(f"{value!r} is not an integer")
+    if type(value) is not int or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"{value!r} is not a count")
     return value
--- a/carawayhub/platform/registrations.py
+++ b/carawayhub/platform/registrations.py
@@ -18,6 +18,7 @@
 from carawayhub.gateway.model import Endpoint, EndpointState, GroupMembership, Incarnation
 from carawayhub.gateway.revision import Revision
 from carawayhub.platform.answers import UNREADABLE
+from carawayhub.wirenumbers import Count
 
 ENDPOINT_PREFIX = "servers/"
 MS_PER_SECOND = 1000.0
@@ -32,7 +33,6 @@
 _FORMED = {"open": True, "broken": False}
 _REPLICA = re.compile(r"[A-Za-z0-9._:-]{1,190}")
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 
 
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -20,6 +20,7 @@
 from carawayhub.platform.changes import EVACUATION_PREFIX, Event, decode_published
 from carawayhub.platform.mirror import StoreMirror
 from carawayhub.platform.registrations import ENDPOINT_PREFIX
+from carawayhub.wirenumbers import Count
 
 OK_STATUS = 200
 GONE_STATUS = 410
@@ -47,12 +48,12 @@
 
     key: str
     value: str = ""
-    rev: int = 0
-    created_rev: int = 0
+    rev: Count = 0
+    created_rev: Count = 0
 
 
 class _Listing(msgspec.Struct, rename="pascal"):
-    current_rev: int
+    current_rev: Count
     items: list[_Item] = []
     has_more: bool = False
 
@@ -60,13 +61,13 @@
 class _WireEvent(msgspec.Struct, rename="pascal"):
     key: str
     value: str = ""
-    rev: int = 0
-    created_rev: int = 0
+    rev: Count = 0
+    created_rev: Count = 0
     deleted: bool = False
 
 
 class _Watch(msgspec.Struct, rename={"current_rev": "CurrentRev"}):
-    current_rev: int
+    current_rev: Count
     events: list[_WireEvent] = []
 
 
