Bound the answers that are read, and cut those that never end

What callers would see: a server in trouble may send bytes that are no answer without end, in a head or a body, until its client closes. An entry collected an answer that is no stream without a bound until the time of its request was over, 77 to 87 MB in 3 s on, of the 300 MB that it has; an event without end was kept whole and copied with each part. Clients of ranks and of the store read all that came within their time limits.

Cause: only silence was bounded, and each byte ends a silence.

Change: endpoints/boundedreads.py bounds heads (with interim answers) on all connections, and whole answers of ranks, of the store and of the project's own engines. Entries collect 16 MiB of an answer at most, and an eighth of their memory of all together, small answers aside; an event of a stream has 1 MiB. An attempt must have an event within the time that callers bear, or be complete within its part of the time left, if another endpoint is there.

--- a/carawayhub/agent/rank_client.py
+++ b/carawayhub/agent/rank_client.py
@@ -13,6 +13,7 @@
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
+from carawayhub.endpoints.boundedreads import MAX_ANSWER_BYTES, BoundedNetwork
 from carawayhub.endpoints.checkedwrites import CheckedNetwork, MaySend, WithheldError
 from carawayhub.errors import GroupError
 from carawayhub.groups.maps import ExpertMap, MapId
@@ -150,7 +151,7 @@
         max_connections=POOL_SIZE,
         keepalive_expiry=KEEPALIVE_SECONDS,
         local_address=source or None,
-        network_backend=network,
+        network_backend=BoundedNetwork(MAX_ANSWER_BYTES, network),
     )
 
 
--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -77,6 +77,7 @@
     ANSWER_STALLED = 3005
     CALLER_LEFT = 3006
     ENTRY_FAILED = 3007
+    ANSWER_TOO_LARGE = 3008
     RUN_INCARNATION_GONE = 3010
     RUN_STILL_RUNNING = 3011
     RUN_EXPIRED = 3012
@@ -329,6 +330,12 @@
         "the entry met a fault of its own",
         "repeat it if it may be repeated; operators find the fault in the log",
     ),
+    Code.ANSWER_TOO_LARGE: Meaning(
+        _UNKNOWN,
+        502,
+        "the endpoint's answer is larger than is accepted",
+        "repeat it if it may be repeated",
+    ),
     Code.RUN_INCARNATION_GONE: Meaning(
         _UNKNOWN,
         409,
--- a/carawayhub/endpoints/counters.py
+++ b/carawayhub/endpoints/counters.py
@@ -8,7 +8,8 @@
 import msgspec
 from loguru import logger
 
-from carawayhub.endpoints.watch import read_endpoint
+from carawayhub.endpoints.boundedreads import BoundedNetwork
+from carawayhub.endpoints.watch import MAX_REPORT_BYTES, read_endpoint
 from carawayhub.errors import PlatformError
 from carawayhub.groups.popularity import ExpertCounters
 
@@ -28,7 +29,11 @@
         self._layers = layers
         self._experts = experts
         self._url = url.rstrip("/") + "/experts/counters"
-        self._pool = httpcore.AsyncConnectionPool(max_connections=1, keepalive_expiry=60)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=1,
+            keepalive_expiry=60,
+            network_backend=BoundedNetwork(MAX_REPORT_BYTES),
+        )
 
     async def read(self) -> ExpertCounters | None:
         """Return the newest counters, None where none are available."""
--- a/carawayhub/endpoints/joinedwrites.py
+++ b/carawayhub/endpoints/joinedwrites.py
@@ -4,7 +4,7 @@
 and the process may be suspended there: a body sent after that would complete a request that may
 have run elsewhere meanwhile, and without the body it is unknown what the endpoint does with the
 head alone. Here the head is buffered until the body may follow, so that one check decides on both:
-the endpoint receives the complete request or nothing of it.
+the endpoint receives the complete request or nothing of it. The head of the answer has a bound.
 """
 
 import ssl
@@ -13,6 +13,9 @@
 
 import httpcore
 
+from carawayhub.endpoints.boundedreads import HeadMeter
+from carawayhub.endpoints.wrappedstream import WrappedStream
+
 
 class JoinedNetwork(httpcore.AsyncNetworkBackend):
     """Opens one connection and buffers writes to it on request.
@@ -57,7 +60,7 @@
         return data
 
 
-class JoinedStream(httpcore.AsyncNetworkStream):
+class JoinedStream(WrappedStream):
     """One connection; ``httpcore`` reads and writes it.
 
     Args:
@@ -65,26 +68,30 @@
         writes: Buffers writes and returns the data to send.
     """
 
-    __slots__ = ("_stream", "_writes")
+    __slots__ = ("_head", "_writes")
 
     def __init__(self, stream: httpcore.AsyncNetworkStream, writes: JoinedNetwork) -> None:
-        self._stream = stream
+        super().__init__(stream)
         self._writes = writes
+        self._head = HeadMeter()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return the data received, empty at the end of the connection."""
-        return await self._stream.read(max_bytes, timeout)
+        """Return the data received, empty at the end of the connection.
+
+        Raises:
+            AnswerTooLargeError: The head of the answer is too large.
+        """
+        data = await self._stream.read(max_bytes, timeout)
+        self._head.count(data)
+        return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Write buffered data and ``buffer``, or buffer it as well."""
         data = self._writes.take_buffered(buffer)
         if data:
+            self._head.restart()
             await self._stream.write(data, timeout)
 
-    async def aclose(self) -> None:
-        """Close the connection and discard buffered data."""
-        await self._stream.aclose()
-
     async def start_tls(
         self,
         ssl_context: ssl.SSLContext,
@@ -94,7 +101,3 @@
         """Return the connection with TLS on it."""
         stream = await self._stream.start_tls(ssl_context, server_hostname, timeout)
         return JoinedStream(stream, self._writes)
-
-    def get_extra_info(self, info: str) -> Any:
-        """Return information on the connection for ``httpcore``."""
-        return self._stream.get_extra_info(info)
--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -21,6 +21,7 @@
 from carawayhub.clock import Clock, SystemClock
 from carawayhub.codes import Code
 from carawayhub.endpoints.body import StreamBody
+from carawayhub.endpoints.boundedreads import AnswerTooLargeError
 from carawayhub.endpoints.joinedwrites import JoinedNetwork
 from carawayhub.endpoints.sockets import ABORTING_OPTIONS
 from carawayhub.errors import RequestError
@@ -146,6 +147,13 @@
             return True
         return self.status in NO_BODY_STATUS
 
+    @property
+    def stated_length(self) -> int:
+        """Size of the body that the head states in bytes, 0 if it states none."""
+        # The parser has accepted the value: at most 20 digits.
+        stated = [int(value) for name, value in self.headers if name.lower() == b"content-length"]
+        return max(stated, default=0)
+
     def aiter_stream(self) -> AsyncIterator[bytes]:
         """Return the body part by part."""
         return self._response.aiter_stream()
@@ -191,7 +199,7 @@
 
         Raises:
             RequestError: CONNECT_FAILED or ENDPOINT_LEAVING where no byte was sent; ANSWER_STALLED,
-                ANSWER_CUT where the endpoint may have run it.
+                ANSWER_CUT, ANSWER_TOO_LARGE where the endpoint may have run it.
         """
         conn = await self._connection(req)
         guard = _SendGuard(req, conn.writes)
@@ -209,6 +217,9 @@
         except httpcore.TimeoutException as exc:
             await self._close_unverified(req, began_at)
             raise RequestError(Code.ANSWER_STALLED, f"{req.endpoint} timed out") from exc
+        except AnswerTooLargeError as exc:
+            detail = f"{req.endpoint}: {exc}"
+            raise RequestError(Code.ANSWER_TOO_LARGE, detail) from exc
         except Broken as exc:
             if not guard.sent:
                 raise RequestError(Code.CONNECT_FAILED, req.endpoint, retry_after=1.0) from exc
--- a/carawayhub/endpoints/watch.py
+++ b/carawayhub/endpoints/watch.py
@@ -11,12 +11,15 @@
 import msgspec
 
 from carawayhub.codes import Code
+from carawayhub.endpoints.boundedreads import BoundedNetwork
 from carawayhub.endpoints.ports import CacheChange, Load
 from carawayhub.errors import PlatformError
 from carawayhub.platform.answers import decode_answer
 
 ANSWER_TIMEOUT = 1.0
 OK_STATUS = 200
+MAX_REPORT_BYTES = 2_097_152
+"""Largest answer: the counters of a hundred thousand experts are under a megabyte."""
 
 
 class _EventKind(Enum):
@@ -42,7 +45,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(max_connections=2, keepalive_expiry=30)
+        self._pool = _pool()
 
     async def load(self) -> Load:
         """Return the engine's load."""
@@ -74,7 +77,7 @@
     def __init__(self, url: str, capacity: int) -> None:
         self._url = url.rstrip("/")
         self._capacity = capacity
-        self._pool = httpcore.AsyncConnectionPool(max_connections=2, keepalive_expiry=30)
+        self._pool = _pool()
 
     async def load(self) -> Load:
         """Return an empty load if the service answers."""
@@ -90,6 +93,12 @@
         await self._pool.aclose()
 
 
+def _pool() -> httpcore.AsyncConnectionPool:
+    return httpcore.AsyncConnectionPool(
+        max_connections=2, keepalive_expiry=30, network_backend=BoundedNetwork(MAX_REPORT_BYTES)
+    )
+
+
 async def read_endpoint(pool: httpcore.AsyncConnectionPool, url: str) -> bytes:
     """Return the body of a GET.
 
--- a/carawayhub/gateway/events.py
+++ b/carawayhub/gateway/events.py
@@ -1,8 +1,15 @@
 """Splitting of an event stream into complete events."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from carawayhub.codes import Code
+from carawayhub.errors import RequestError
+
+MAX_EVENT_BYTES = 1_048_576
+"""Largest event that is buffered; it holds the tokens of one pass, a few hundred bytes."""
 
 BLANK_LINES = (b"\n\n", b"\r\n\r\n")
+MAX_BLANK_LINE_BYTES = max(map(len, BLANK_LINES))
 ID_FIELD = b"id:"
 
 
@@ -22,25 +29,34 @@
 
     last_id: bytes = b""
     complete: int = 0
-    _partial: bytes = b""
+    _partial: bytearray = field(default_factory=bytearray)
 
     def feed(self, data: bytes) -> bytes:
-        """Return the events that ``data`` completes, concatenated."""
-        pending = self._partial + data
+        """Return the events that ``data`` completes, concatenated.
+
+        Raises:
+            RequestError: ANSWER_TOO_LARGE, an event does not end.
+        """
+        pending = self._partial
+        # A blank line may have begun in the data before.
+        search_from = max(0, len(pending) - MAX_BLANK_LINE_BYTES + 1)
+        pending += data
         events: list[bytes] = []
         start = 0
-        while (end := _event_end(pending, start)) > 0:
-            event = pending[start:end]
+        while (end := _event_end(pending, max(start, search_from))) > 0:
+            event = bytes(pending[start:end])
             start = end
             self.complete += 1
             if self._accept(event):
                 events.append(event)
-        self._partial = pending[start:]
+        del pending[:start]
+        if len(pending) > MAX_EVENT_BYTES:
+            raise RequestError(Code.ANSWER_TOO_LARGE, f"event of over {MAX_EVENT_BYTES} bytes")
         return b"".join(events)
 
     def restart(self) -> None:
         """Discard the incomplete event before the stream is resumed on a new connection."""
-        self._partial = b""
+        self._partial = bytearray()
         self.complete = 0
 
     @property
@@ -59,8 +75,8 @@
         return True
 
 
-def _event_end(data: bytes, start: int) -> int:
-    """Return the end of the event that begins at ``start``, 0 if it is incomplete."""
+def _event_end(data: bytearray, start: int) -> int:
+    """Return the end of the first blank line from ``start`` on, 0 if there is none."""
     ends = [at + len(line) for line in BLANK_LINES if (at := data.find(line, start)) >= 0]
     return min(ends, default=0)
 
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -11,6 +11,7 @@
 
 from carawayhub.addresses import Address
 from carawayhub.clock import Clock
+from carawayhub.endpoints.boundedreads import AnswerMemory
 from carawayhub.endpoints.endings import Endings
 from carawayhub.endpoints.upstream import Upstream
 from carawayhub.errors import CommandError
@@ -72,6 +73,10 @@
 """Seconds added to the time without an answer from the store: the store was unreachable already
 before the first call failed."""
 
+ANSWER_MEMORY_PART = 8
+"""Part of the memory that collected answers may take together: each is in memory up to three times,
+as received, in one piece and in the buffer of its caller's connection."""
+
 CLOSE_FRACTION = 0.5
 """Fraction of the grace period after which connections are closed with their next answer."""
 
@@ -306,6 +311,8 @@
                 load=self._loads.total,
                 endings=Endings(self._upstream, self._records, clock, self._tally.endpoint_ended),
                 statements=self._statements,
+                memory=AnswerMemory(options.resources.memory // ANSWER_MEMORY_PART),
+                answer_cut=self._tally.answer_cut,
             )
         )
         admission = AdmissionControl(
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -5,6 +5,7 @@
 answer.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -13,6 +14,7 @@
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code, Outcome
+from carawayhub.endpoints.boundedreads import AnswerMemory, CollectedAnswer
 from carawayhub.endpoints.endings import BrokenAnswer, Endings
 from carawayhub.endpoints.upstream import (
     CONNECTION_CLOSE,
@@ -51,6 +53,9 @@
 _UNREACHABLE_CODES = frozenset({Code.CONNECT_FAILED, Code.ANSWER_STALLED})
 """Failures of the endpoint or of the path to it, as opposed to failures of one answer."""
 
+_CUT_CODES = frozenset({Code.ANSWER_TOO_LARGE, Code.ANSWER_STALLED})
+"""Answers that are cut off here, since they are too large or do not get on."""
+
 
 @dataclass(slots=True)
 class _Progress:
@@ -77,6 +82,10 @@
     last: RequestError | None = None
 
 
+def _ignore_cut(service: str, code: Code) -> None:
+    return
+
+
 @dataclass(frozen=True, slots=True)
 class RelayParts:
     """Dependencies of a relay.
@@ -92,6 +101,8 @@
         load: Returns the known work at an endpoint.
         endings: Records which requests were running when an endpoint ended.
         statements: Evaluates what replicas state in their answers.
+        memory: Memory for answers that are collected.
+        answer_cut: Called with the service and the code of each answer that was cut off here.
     """
 
     clock: Clock
@@ -104,6 +115,8 @@
     load: Callable[[str], Work]
     endings: Endings
     statements: ReplicaStatements
+    memory: AnswerMemory = field(default_factory=AnswerMemory)
+    answer_cut: Callable[[str, Code], None] = _ignore_cut
 
 
 class GatewayRelay:
@@ -251,6 +264,8 @@
             self._parts.health.unreachable(endpoint.id)
         if exc.code is Code.ENDPOINT_REFUSED:
             pool.refused(slot)
+        if exc.code in _CUT_CODES:
+            self._parts.answer_cut(progress.call.service, exc.code)
         if exc.outcome is not Outcome.NOT_RUN:
             progress.may_have_run = True
             self._parts.health.answered(endpoint.id, self._now() - sent_at, ok=False)
@@ -266,22 +281,52 @@
     async def _exchange(
         self, progress: _Progress, pool: ServicePool, slot: Slot, sent_at: float
     ) -> None:
+        """Send a request and relay its answer.
+
+        Raises:
+            RequestError: The request has no complete answer.
+        """
         req = self._upstream_request(progress, pool, slot)
         progress.events.restart()
-        async with self._parts.upstream.open(req) as response:
-            head = self._parts.wire.answer(response.status, list(response.headers))
-            if head.misdirected:
-                self._parts.view.misdirected(slot.endpoint.id)
-            self._parts.statements.evaluate(progress.call, pool, slot.endpoint, head, sent_at)
-            self._check_answer(progress, head)
-            if head.is_stream and head.status == OK_STATUS:
-                complete = await self._relay_stream(progress, pool, slot, sent_at, head, response)
-            else:
-                complete = await self._relay_complete_answer(
-                    progress, slot, sent_at, head, response
-                )
-            if complete:
-                self._parts.endings.answered(progress.call.traits)
+        with anyio.CancelScope() as patience:
+            self._extend(progress, patience)
+            async with self._parts.upstream.open(req) as response:
+                await self._relay_answer(progress, pool, slot, sent_at, response, patience)
+        if patience.cancelled_caught:
+            # Guards against an answer that goes on and on: each part of it ends a silence.
+            raise RequestError(Code.ANSWER_STALLED, "the answer did not get on in time")
+
+    def _extend(self, progress: _Progress, patience: anyio.CancelScope) -> None:
+        """Set the time until which an attempt must have an event, or its complete answer."""
+        now = self._now()
+        seconds = self._silence_timeout(progress, now)
+        if seconds < progress.call.ends_at - now:
+            patience.deadline = anyio.current_time() + seconds
+
+    async def _relay_answer(
+        self,
+        progress: _Progress,
+        pool: ServicePool,
+        slot: Slot,
+        sent_at: float,
+        response: UpstreamResponse,
+        patience: anyio.CancelScope,
+    ) -> None:
+        head = self._parts.wire.answer(response.status, list(response.headers))
+        if head.misdirected:
+            self._parts.view.misdirected(slot.endpoint.id)
+        self._parts.statements.evaluate(progress.call, pool, slot.endpoint, head, sent_at)
+        self._check_answer(progress, head)
+        if head.is_stream and head.status == OK_STATUS:
+            complete = await self._relay_stream(
+                progress, pool, slot, sent_at, head, response, patience
+            )
+        else:
+            complete = await self._relay_complete_answer(
+                progress, slot, sent_at, head, response, patience
+            )
+        if complete:
+            self._parts.endings.answered(progress.call.traits)
 
     def _check_answer(self, progress: _Progress, head: AnswerHead) -> None:
         """Raise if an answer must not reach the caller.
@@ -317,15 +362,16 @@
         sent_at: float,
         head: AnswerHead,
         response: UpstreamResponse,
+        patience: anyio.CancelScope,
     ) -> bool:
         """Relay an answer in one piece; return whether it is known to be complete."""
-        body = bytearray()
-        async for part in response.aiter_stream():
-            body += part
-        complete = await self._verify_end(slot.endpoint, response)
-        ok = head.status < SERVER_ERROR
-        self._parts.health.answered(slot.endpoint.id, self._now() - sent_at, ok=ok)
-        await progress.answer.whole(head.status, head.headers, bytes(body))
+        with CollectedAnswer(self._parts.memory) as collected:
+            body = await collected.read(response.aiter_stream(), response.stated_length)
+            complete = await self._verify_end(slot.endpoint, response)
+            patience.deadline = math.inf
+            ok = head.status < SERVER_ERROR
+            self._parts.health.answered(slot.endpoint.id, self._now() - sent_at, ok=ok)
+            await progress.answer.whole(head.status, head.headers, body)
         return complete
 
     async def _verify_end(self, endpoint: Endpoint, response: UpstreamResponse) -> bool:
@@ -350,6 +396,7 @@
         sent_at: float,
         head: AnswerHead,
         response: UpstreamResponse,
+        patience: anyio.CancelScope,
     ) -> bool:
         """Relay a stream event by event; return whether it is known to be complete."""
         events = progress.events
@@ -367,13 +414,17 @@
             event_at = now
             if not progress.answer.started:
                 await progress.answer.start(head.status, head.headers)
+            # A caller that reads slowly must not be taken for a silent endpoint.
+            patience.deadline = math.inf
             await progress.answer.part(whole)
+            self._extend(progress, patience)
         if events.unfinished:
             raise RequestError(Code.ANSWER_CUT, "the stream ended in the middle of an event")
         resumed = events.last_id or progress.call.req.last_event_id
         if not response.framed and not events.complete and not resumed:
             raise RequestError(Code.ANSWER_CUT, "the stream ended before its first event")
         complete = await self._verify_end(slot.endpoint, response)
+        patience.deadline = math.inf
         if not progress.answer.started:
             await progress.answer.start(head.status, head.headers)
         await progress.answer.end()
--- a/carawayhub/gateway/tally.py
+++ b/carawayhub/gateway/tally.py
@@ -87,6 +87,7 @@
     """
 
     __slots__ = (
+        "_cut_answers",
         "_ended_under_requests",
         "_ends",
         "_locality_counts",
@@ -127,6 +128,7 @@
         self._ends: Counter[tuple[str, str, Code, int]] = Counter()
         self._times: dict[str, Recorder] = {}
         self._ended_under_requests: Counter[str] = Counter()
+        self._cut_answers: Counter[tuple[str, Code]] = Counter()
 
     def ended(self, route: str, organisation: str, code: Code, status: int, seconds: float) -> None:
         """Record a completed request."""
@@ -136,6 +138,10 @@
             recorder = self._times[route] = Recorder()
         recorder.record(seconds)
 
+    def answer_cut(self, service: str, code: Code) -> None:
+        """Record an answer of an endpoint that was cut off here."""
+        self._cut_answers[(service, code)] += 1
+
     def table_applied(self, late_at_most: float) -> None:
         """Record the maximum delay between publication and activation of a configuration.
 
@@ -165,6 +171,10 @@
         for service, count in sorted(self._ended_under_requests.items()):
             labels = f'service="{service}"'
             lines.append(f"carawayhub_gateway_cut_by_endpoint_ends_total{{{labels}}} {count}")
+        lines.append("# TYPE carawayhub_gateway_cut_answers_total counter")
+        for (service, code), count in sorted(self._cut_answers.items()):
+            labels = f'service="{service}",code="{int(code)}"'
+            lines.append(f"carawayhub_gateway_cut_answers_total{{{labels}}} {count}")
         met = self._replica_limits()
         lines.append("# TYPE carawayhub_gateway_replica_limit gauge")
         for key, per_second in sorted(met.limits.items()):
--- a/carawayhub/platform/client.py
+++ b/carawayhub/platform/client.py
@@ -6,6 +6,7 @@
 import httpcore
 
 from carawayhub.codes import Code
+from carawayhub.endpoints.boundedreads import BoundedNetwork
 from carawayhub.errors import PlatformError
 from carawayhub.platform.answers import decode_answer
 from carawayhub.platform.ports import PublishedManifest, VmList
@@ -13,6 +14,8 @@
 OK_STATUS = 200
 ANSWER_MARGIN_SECONDS = 3.0
 MAX_VALUE_BYTES = 1_048_576
+MAX_ANSWER_BYTES = 2 * MAX_VALUE_BYTES
+"""Largest answer with its head; a value beyond its own bound is refused as malformed."""
 
 
 class PlatformClient:
@@ -32,7 +35,10 @@
     def __init__(self, url: str, source: str = "") -> None:
         self._url = url.rstrip("/")
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=8, keepalive_expiry=60, local_address=source or None
+            max_connections=8,
+            keepalive_expiry=60,
+            local_address=source or None,
+            network_backend=BoundedNetwork(MAX_ANSWER_BYTES),
         )
 
     async def manifest(self, after: int, wait: float) -> PublishedManifest:
--- a/carawayhub/platform/ranks.py
+++ b/carawayhub/platform/ranks.py
@@ -8,6 +8,7 @@
 
 from carawayhub.addresses import Address
 from carawayhub.codes import Code
+from carawayhub.endpoints.boundedreads import BoundedNetwork
 from carawayhub.endpoints.sockets import LIVENESS_OPTIONS
 from carawayhub.errors import GroupError
 from carawayhub.experts.model import (
@@ -35,6 +36,9 @@
 MAX_SLOWDOWN = 1_000_000.0
 Slowdown = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_SLOWDOWN)]
 
+MAX_ANSWER_BYTES = 2_097_152
+"""Largest answer: the counters of a hundred thousand experts are under a megabyte."""
+
 EXPECT_INSTANCE = "carawayhub-expect-instance"
 OK_STATUS = 200
 
@@ -112,6 +116,7 @@
             keepalive_expiry=5,
             local_address=source or None,
             socket_options=LIVENESS_OPTIONS,
+            network_backend=BoundedNetwork(MAX_ANSWER_BYTES),
         )
 
     async def report(self) -> RankReport:
--- a/carawayhub/platform/store.py
+++ b/carawayhub/platform/store.py
@@ -12,6 +12,7 @@
 
 from carawayhub.addresses import Address
 from carawayhub.codes import Code
+from carawayhub.endpoints.boundedreads import BoundedNetwork
 from carawayhub.endpoints.sockets import LIVENESS_OPTIONS
 from carawayhub.errors import PlatformError
 from carawayhub.gateway.ports import Published
@@ -26,6 +27,10 @@
 GONE_STATUS = 410
 ANSWER_MARGIN_SECONDS = 1.0
 """Time limit of a call beyond its wait; a live store answers within milliseconds."""
+MAX_ANSWER_BYTES = 16_777_216
+"""Largest answer. A page has a megabyte; the history of some seconds may have many configurations,
+each of a megabyte and a third as much again in base64."""
+
 MS_PER_SECOND = 1000
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 15
@@ -120,7 +125,7 @@
             max_keepalive_connections=0,
             local_address=source or None,
             socket_options=LIVENESS_OPTIONS,
-            network_backend=backend,
+            network_backend=BoundedNetwork(MAX_ANSWER_BYTES, backend),
         )
 
     async def snapshot(self) -> Published:
--- a/tests/entry_harness.py
+++ b/tests/entry_harness.py
@@ -122,6 +122,7 @@
             load=loads.total,
             endings=Endings(upstream, self.records, self.clock, self.tally.endpoint_ended),
             statements=ReplicaStatements(rates(self.clock), self.view),
+            answer_cut=self.tally.answer_cut,
         )
         desk = AdmissionControl(self.view, self.clock, rng, 5.0)
         self.relay = GatewayRelay(parts)
