Judge slow answers at reads instead of by a timer

Cause: the time within which an answer must get on was a cancel scope that each event of a stream set again, two timers an event, and it ended an attempt of an entry that had been suspended although its answer was there.

Change: connections check the time before a read, from the ninth one without progress on; an event only stores when the next one is due.

--- a/carawayhub/endpoints/joinedwrites.py
+++ b/carawayhub/endpoints/joinedwrites.py
@@ -8,7 +8,7 @@
 """
 
 import ssl
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import httpcore
@@ -22,14 +22,18 @@
 
     Args:
         network: Opens the connection.
+
+    Attributes:
+        is_late: Returns whether nothing more of the answer is to be read.
     """
 
-    __slots__ = ("_buffered", "_buffering", "_network")
+    __slots__ = ("_buffered", "_buffering", "_network", "is_late")
 
     def __init__(self, network: httpcore.AsyncNetworkBackend) -> None:
         self._network = network
         self._buffered = b""
         self._buffering = False
+        self.is_late: Callable[[], bool] = _is_never_late
 
     async def connect_tcp(
         self,
@@ -80,7 +84,10 @@
 
         Raises:
             AnswerTooLargeError: The head of the answer is too large.
+            httpcore.ReadTimeout: The answer does not get on in time, though data arrives.
         """
+        if self._writes.is_late():
+            raise httpcore.ReadTimeout("the answer did not get on in time")
         data = await self._stream.read(max_bytes, timeout)
         self._head.count(data)
         return data
@@ -101,3 +108,7 @@
         """Return the connection with TLS on it."""
         stream = await self._stream.start_tls(ssl_context, server_hostname, timeout)
         return JoinedStream(stream, self._writes)
+
+
+def _is_never_late() -> bool:
+    return False
--- a/carawayhub/endpoints/upstream.py
+++ b/carawayhub/endpoints/upstream.py
@@ -6,6 +6,7 @@
 used idle connection, regardless of the number of open streams.
 """
 
+import math
 import re
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Iterable
@@ -44,6 +45,9 @@
 request, those of a plain service may not, so its connections carry one request each.
 """
 
+MIN_LATE_READS = 8
+"""Number of reads without progress up to which an answer is not late."""
+
 PROBE_TIMEOUT = 0.25
 """Seconds in which a probed endpoint must accept or refuse a connection: some round trips between
 failure domains."""
@@ -74,14 +78,34 @@
 
     Attributes:
         values: The mapping that ``httpcore`` reads before each wait.
+        answer_by: Time by which the answer must get on, though data arrives. Each part of an answer
+            that goes on and on ends a silence.
+        reads: Number of reads since the answer last got on.
     """
 
     values: dict[str, float] = field(default_factory=dict)
+    answer_by: float = math.inf
+    reads: int = 0
 
     @classmethod
-    def waiting(cls, seconds: float) -> "UpstreamTimeouts":
+    def waiting(cls, seconds: float, answer_by: float = math.inf) -> "UpstreamTimeouts":
         """Return the timeouts until the answer begins or is complete."""
-        return cls({"connect": CONNECT_TIMEOUT, "read": seconds, "write": seconds, "pool": seconds})
+        values = {"connect": CONNECT_TIMEOUT, "read": seconds, "write": seconds, "pool": seconds}
+        return cls(values, answer_by)
+
+    def got_on(self, answer_by: float) -> None:
+        """Record that the answer got on, and by when it must do so again."""
+        self.answer_by = answer_by
+        self.reads = 0
+
+    def is_late(self, now: float) -> bool:
+        """Count a read; return whether it must not take place.
+
+        The first reads are exempt: after a suspension of this process they return data that had
+        arrived in time.
+        """
+        self.reads += 1
+        return self.reads > MIN_LATE_READS and now > self.answer_by
 
     def streaming(self, seconds: float) -> None:
         """Allow ``seconds`` of silence between two parts of the answer."""
@@ -202,6 +226,7 @@
                 ANSWER_CUT, ANSWER_TOO_LARGE where the endpoint may have run it.
         """
         conn = await self._connection(req)
+        conn.writes.is_late = lambda: req.timeouts.is_late(self._clock.monotonic())
         guard = _SendGuard(req, conn.writes)
         began_at = self._clock.monotonic()
         try:
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -288,20 +288,8 @@
         """
         req = self._upstream_request(progress, pool, slot)
         progress.events.restart()
-        with anyio.CancelScope() as patience:
-            self._extend(progress, patience)
-            async with self._parts.upstream.open(req) as response:
-                await self._relay_answer(progress, pool, slot, sent_at, response, patience)
-        if patience.cancelled_caught:
-            # Guards against an answer that goes on and on: each part of it ends a silence.
-            raise RequestError(Code.ANSWER_STALLED, "the answer did not get on in time")
-
-    def _extend(self, progress: _Progress, patience: anyio.CancelScope) -> None:
-        """Set the time until which an attempt must have an event, or its complete answer."""
-        now = self._now()
-        seconds = self._silence_timeout(progress, now)
-        if seconds < progress.call.ends_at - now:
-            patience.deadline = anyio.current_time() + seconds
+        async with self._parts.upstream.open(req) as response:
+            await self._relay_answer(progress, pool, slot, sent_at, response, req.timeouts)
 
     async def _relay_answer(
         self,
@@ -310,7 +298,7 @@
         slot: Slot,
         sent_at: float,
         response: UpstreamResponse,
-        patience: anyio.CancelScope,
+        timeouts: UpstreamTimeouts,
     ) -> None:
         head = self._parts.wire.answer(response.status, list(response.headers))
         if head.misdirected:
@@ -319,12 +307,10 @@
         self._check_answer(progress, head)
         if head.is_stream and head.status == OK_STATUS:
             complete = await self._relay_stream(
-                progress, pool, slot, sent_at, head, response, patience
+                progress, pool, slot, sent_at, head, response, timeouts
             )
         else:
-            complete = await self._relay_complete_answer(
-                progress, slot, sent_at, head, response, patience
-            )
+            complete = await self._relay_complete_answer(progress, slot, sent_at, head, response)
         if complete:
             self._parts.endings.answered(progress.call.traits)
 
@@ -362,13 +348,11 @@
         sent_at: float,
         head: AnswerHead,
         response: UpstreamResponse,
-        patience: anyio.CancelScope,
     ) -> bool:
         """Relay an answer in one piece; return whether it is known to be complete."""
         with CollectedAnswer(self._parts.memory) as collected:
             body = await collected.read(response.aiter_stream(), response.stated_length)
             complete = await self._verify_end(slot.endpoint, response)
-            patience.deadline = math.inf
             ok = head.status < SERVER_ERROR
             self._parts.health.answered(slot.endpoint.id, self._now() - sent_at, ok=ok)
             await progress.answer.whole(head.status, head.headers, body)
@@ -396,7 +380,7 @@
         sent_at: float,
         head: AnswerHead,
         response: UpstreamResponse,
-        patience: anyio.CancelScope,
+        timeouts: UpstreamTimeouts,
     ) -> bool:
         """Relay a stream event by event; return whether it is known to be complete."""
         events = progress.events
@@ -414,17 +398,14 @@
             event_at = now
             if not progress.answer.started:
                 await progress.answer.start(head.status, head.headers)
-            # A caller that reads slowly must not be taken for a silent endpoint.
-            patience.deadline = math.inf
             await progress.answer.part(whole)
-            self._extend(progress, patience)
+            timeouts.got_on(self._now() + progress.call.route.stream_timeout)
         if events.unfinished:
             raise RequestError(Code.ANSWER_CUT, "the stream ended in the middle of an event")
         resumed = events.last_id or progress.call.req.last_event_id
         if not response.framed and not events.complete and not resumed:
             raise RequestError(Code.ANSWER_CUT, "the stream ended before its first event")
         complete = await self._verify_end(slot.endpoint, response)
-        patience.deadline = math.inf
         if not progress.answer.started:
             await progress.answer.start(head.status, head.headers)
         await progress.answer.end()
@@ -445,6 +426,9 @@
                 last_event_id=progress.events.last_id or call.req.last_event_id,
             ),
         )
+        silence = self._silence_timeout(progress, now)
+        left = call.ends_at - now
+        answer_by = now + silence if silence < left else math.inf
         if call.route.repeat is Repeat.ONCE:
             # The endpoint may be closing a reused connection at this moment. It would then be
             # unknown whether the request ran, so it could be neither repeated nor refused.
@@ -456,7 +440,7 @@
             method=call.req.method,
             headers=headers,
             body=call.req.body,
-            timeouts=UpstreamTimeouts.waiting(self._silence_timeout(progress, now)),
+            timeouts=UpstreamTimeouts.waiting(silence, answer_by),
             still_allowed=lambda: self._claim_send(progress, pool, endpoint.id),
             fresh=call.route.repeat is Repeat.ONCE,
         )
