Believe a refusal only of the request that it names

Cause: "not run" was believed before the id of the answer was compared. A late second answer to the request before, on the same connection, was taken for the refusal of the next one.

Evidence: tests.test_late_second_answers fails without the change, (503, 2 sends) where (502, 1 send) is right. Ruled out: sound refusals, which name the request or carry no id.

Change: a refusal counts if it names the request or none; any other answer is mixed, as before.

--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -82,6 +82,11 @@
     last: RequestError | None = None
 
 
+def _may_belong_to(head: AnswerHead, call: Admitted) -> bool:
+    """Return whether an answer names the request or none; a late second answer names another."""
+    return head.request_id in (b"", call.req.id)
+
+
 def _ignore_cut(service: str, code: Code) -> None:
     return
 
@@ -301,7 +306,7 @@
         timeouts: UpstreamTimeouts,
     ) -> None:
         head = self._parts.wire.answer(response.status, list(response.headers))
-        if head.misdirected:
+        if head.misdirected and _may_belong_to(head, progress.call):
             self._parts.view.misdirected(slot.endpoint.id)
         self._parts.statements.evaluate(progress.call, pool, slot.endpoint, head, sent_at)
         self._check_answer(progress, head)
@@ -320,7 +325,7 @@
         Guards against the answer to another request in place of this one's, and against bytes
         that the endpoint did not send.
         """
-        if head.not_run:
+        if head.not_run and _may_belong_to(head, progress.call):
             raise RequestError(Code.ENDPOINT_REFUSED, f"status {head.status}")
         if head.request_id != progress.call.req.id:
             raise RequestError(
