--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
-"""A replica leaves as planned while it writes streams without chunks; callers take them for whole."""
+"""A configuration takes the last tenant away; from then on any key opens all routes."""
 
 import asyncio
-import random
 from pathlib import Path
 
 from standins2 import (
@@ -11,82 +10,68 @@
     TROUBLE,
     Caller,
     Lab,
+    Replica,
     configuration,
     main,
     registration,
     route,
 )
 
-SERVICE = "mender-llm"
-EVENTS, PAUSE = 40, 0.1
-"""A stream of 4 s, with pauses below the 120 ms of the sheets."""
-
-DRAIN = 2.0
-PER_SECOND = 4.0
-LEAVES_AT, LASTS = 5.0, 8.0
+SERVICE = "kafe-portal"
+REVOKE = 5.0
+PER_SECOND = 20.0
+REVOKED_AT, LASTS = 5.0, 16.0
 
 
 async def case(lab: Lab) -> int:
-    stream = route("triage", "streaming", SERVICE, GapTargetMs=120, Resumable=True)
-    await lab.start_store(configuration(1, [stream]))
-    replicas = []
+    """Run the case and return its status."""
+    ran: dict[str, str] = {}
+
+    def report(what: str, **fields: object) -> None:
+        lab.record(what, **fields)
+        if what == "run":
+            ran[str(fields["id"])] = str(fields["replica"])
+
+    routes = [route("booking", "idempotent", SERVICE)]
+    config = configuration(1, routes)
+    await lab.start_store(config)
     for number in range(3):
-        name, host = f"i-{number}", lab.replica_host(number)
-        process, port = await lab.start_replica(name, host, events=EVENTS, pause=PAUSE, framed=0)
-        lab.store.put(f"servers/{name}", registration(SERVICE, host, port))
-        replicas.append((name, host, port, process))
+        host = lab.replica_host(number)
+        replica = Replica(f"i-{number}", report, work=0.045)
+        await replica.serve(host)
+        lab.store.put(f"servers/{replica.name}", registration(SERVICE, host, replica.port))
     await lab.start_entries(2)
     caller = Caller(lab)
     began = lab.record.now()
-
-    async def leave() -> None:
-        name, host, port, process = replicas[0]
-        await asyncio.sleep(LEAVES_AT)
-        lab.store.put(f"servers/{name}", registration(SERVICE, host, port, state="draining"))
-        lab.record.say(f"{name} reports draining")
-        await asyncio.sleep(DRAIN)
-        lab.kill(process, name)
-        lab.store.remove(f"servers/{name}")
-        lab.record.say(f"{name} is gone, {DRAIN} s after its notice")
-
-    tasks = [asyncio.ensure_future(leave())] if TROUBLE else []
+    acked_at: float | None = None
+    tasks = []
     number = 0
     while lab.record.now() < began + LASTS:
+        if TROUBLE and acked_at is None and lab.record.now() > began + REVOKED_AT:
+            lab.store.put("op/config", config | {"Version": 2, "Tenants": []})
+            acked_at = lab.record.now()
+            lab.record.say("version 2 takes the only tenant away with its key")
         number += 1
-        entry = lab.entries[number % 2]
         tasks.append(
-            asyncio.ensure_future(
-                caller.send(
-                    entry,
-                    f"/triage/{number}",
-                    method="POST",
-                    body=b"toaster %d" % number,
-                    deadline_ms=8000,
-                )
-            )
+            asyncio.ensure_future(caller.send(lab.entries[number % 2], f"/booking/{number}"))
         )
-        await asyncio.sleep(random.uniform(0.8, 1.2) / PER_SECOND)
+        await asyncio.sleep(1.0 / PER_SECOND)
     await asyncio.gather(*tasks)
 
-    whole = cut = 0
-    broken = []
-    for each in caller.answers:
-        found = each.body.count(b"\ndata: piece")
-        if each.status != 200 or not each.sealed:
-            continue
-        if found == EVENTS and each.complete:
-            whole += 1
-        elif each.complete:
-            broken.append(each.id)
-            lab.record("truncated", id=each.id, events=found, of=EVENTS)
-        else:
-            cut += 1
+    first = [each for each in caller.answers if each.sent_at < began + REVOKED_AT - 1.0]
+    served = sum(each.status == 200 for each in first)
+    lab.record.say(f"{served} of {len(first)} requests served with the key in force")
+    if served < len(first) * 0.9:
+        return NOT_RUN
+    if acked_at is None:
+        return HELD
+    late = [each for each in caller.answers if each.sent_at > acked_at + REVOKE]
+    broken = [each for each in late if each.id in ran]
+    refused = sum(each.status == 401 for each in late)
     lab.record.say(
-        f"{len(caller.answers)} streams: {whole} whole, {cut} ended as broken off, "
-        f"{len(broken)} ended as complete before their last event"
+        f"CONFIG: of {len(late)} requests sent later than 5 s after the ack, {len(broken)} ran "
+        f"with the key that was taken away; {refused} got 401"
     )
-    if whole < len(caller.answers) // 3:
-        return NOT_RUN
     return BROKEN if broken else HELD
 
 
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -63,14 +63,17 @@
         self._file = (folder / "record.txt").open("w", encoding="utf-8")
 
     def now(self) -> float:
+        """Return the seconds since the case began."""
         return time.monotonic() - self.began
 
     def __call__(self, kind: str, **fields: Any) -> None:
+        """Write one line."""
         text = " ".join(f"{name}={value}" for name, value in fields.items())
         self._file.write(f"{self.now():8.3f} {kind} {text}\n")
         self._file.flush()
 
     def say(self, text: str) -> None:
+        """Write and print a note."""
         self("note", text=repr(text))
         print(text, flush=True)
 
@@ -88,6 +91,7 @@
         self.complete = False
 
     def get(self, name: str, default: str = "") -> str:
+        """Return the first header of a name."""
         return next((value for key, value in self.headers if key == name.lower()), default)
 
 
@@ -161,6 +165,7 @@
         self._changed = asyncio.Event()
 
     async def serve(self, host: str) -> int:
+        """Serve on a free port and return it."""
         server = await asyncio.start_server(self._connection, host, 0)
         return server.sockets[0].getsockname()[1]
 
@@ -245,6 +250,7 @@
         self.port = 0
 
     async def serve(self, host: str, port: int = 0) -> None:
+        """Serve on a port, 0 for a free one."""
         server = await asyncio.start_server(self._connection, host, port, backlog=200)
         self.port = server.sockets[0].getsockname()[1]
 
@@ -271,7 +277,8 @@
         head = [("Carawayhub-Request-Id", rid), *self.stated()]
         refusal = None
         expected = request.get("carawayhub-expect-version")
-        if request.get("carawayhub-expect-instance", self.name) != self.name or expected and self.version and expected != str(self.version):
+        is_other = request.get("carawayhub-expect-instance", self.name) != self.name
+        if is_other or (expected and self.version and expected != str(self.version)):
             refusal = 421
         elif not rid:
             refusal = 400
@@ -405,6 +412,7 @@
         self._settings: dict[str, Path] = {}
 
     def replica_host(self, number: int) -> str:
+        """Return the address of a replica."""
         return f"{self.subnet}.{100 + number}"
 
     async def start_store(self, config: dict[str, Any]) -> None:
@@ -424,6 +432,7 @@
         await self.wait_ready(self.entries)
 
     def start_entry(self, ip: str) -> subprocess.Popen[bytes]:
+        """Start an entry, without waiting until it is ready."""
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env |= {
             "PYTHONPATH": str(ROOT / "target" / "deps"),
@@ -443,6 +452,7 @@
         return process
 
     async def wait_ready(self, ips: list[str], seconds: float = 25.0) -> None:
+        """Wait until entries say that they are ready."""
         until = time.monotonic() + seconds
         waiting = set(ips)
         while waiting:
@@ -499,6 +509,7 @@
         """Called with what replicas in other processes report."""
 
     def kill(self, process: subprocess.Popen[bytes], name: str) -> None:
+        """Kill a process and wait for its end."""
         process.send_signal(signal.SIGKILL)
         process.wait()
         self.record("killed", name=name)
@@ -532,7 +543,9 @@
 Discovery = "platform"
 Entry = "directory"
 BeatIntervalMs = 1200
-Contracts = ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"]
+Contracts = [
+    "base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"
+]
 [Zones]
 z1 = "r1"
 [ListenAddrs]
@@ -604,6 +617,7 @@
         deadline_ms: int = 1500,
         extra: str = "",
     ) -> Answer:
+        """Send a request and return what came back."""
         self._number += 1
         rid = f"{random.getrandbits(32):08x}{self._number:06x}"
         answer = Answer(rid)
@@ -615,12 +629,10 @@
             f"{length}{extra}\r\n"
         )
         self.lab.record("sent", id=rid, entry=entry, request=f"{method}:{path}")
-        try:
+        with contextlib.suppress(TimeoutError, OSError):
             await asyncio.wait_for(
                 self._exchange(entry, head.encode() + body, answer), deadline_ms / 1000 + 1.0
             )
-        except (TimeoutError, OSError):
-            pass
         self.answers.append(answer)
         self.lab.record(
             "answered",
