--- a/review/standins2.py
+++ b/review/standins2.py
@@ -342,11 +342,14 @@
     await writer.drain()
 
 
+_BORN: dict[tuple[str, int], int] = {}
+
+
 def registration(
-    service: str, host: str, port: int, *, state: str = "ready", born: int = 0, zone: str = "z1"
+    service: str, host: str, port: int, *, state: str = "ready", zone: str = "z1"
 ) -> dict[str, Any]:
-    """Return the entry that a replica writes to the store."""
-    entry = {
+    """Return the entry that a replica writes to the store; each address is one start of one."""
+    return {
         "Service": service,
         "Address": f"{host}:{port}",
         "Zone": zone,
@@ -355,8 +358,8 @@
         "State": state,
         "ColdLeftMs": 0,
         "Seq": 1,
+        "born": _BORN.setdefault((host, port), int(time.time() * 1000)),
     }
-    return entry | ({"born": born} if born else {})
 
 
 def route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -600,12 +603,49 @@
 
 
 class Caller:
-    """Sends requests, each on a new connection."""
+    """Sends requests, each on a new connection to an entry that the directory names."""
 
     def __init__(self, lab: Lab) -> None:
         self.lab = lab
         self.answers: list[Answer] = []
         self._number = 0
+        self._named: list[str] = []
+        self._named_until = 0.0
+
+    async def _choose(self, wanted: str) -> str:
+        """Return the wanted entry if the directory names it, else another one that it names.
+
+        An answer is kept for the time that it states, and longer if there is no new one.
+        """
+        if time.monotonic() >= self._named_until:
+            self._named_until = time.monotonic() + 0.2
+            for ip in self.lab.entries:
+                if found := await self._resolve(ip):
+                    self._named, seconds = found
+                    self._named_until = time.monotonic() + seconds
+                    break
+        if wanted in self._named or not self._named:
+            return wanted
+        return random.choice(self._named)
+
+    async def _resolve(self, ip: str) -> tuple[list[str], float] | None:
+        """Ask the directory of an entry; return what it names and for how long."""
+        try:
+            reader, writer = await asyncio.open_connection(ip, self.lab.base + 24)
+            writer.write(
+                f"GET /v1/resolve?Name={HOST}&Region=r1&Zone=z1 HTTP/1.1\r\nHost: {ip}\r\n"
+                "Connection: close\r\n\r\n".encode()
+            )
+            answer = await asyncio.wait_for(read_head(reader), 1.0)
+            if answer is None or " 200" not in answer.first:
+                return None
+            await read_body(answer, reader)
+            writer.close()
+            content = json.loads(answer.body)
+            named = [each.rpartition(":")[0] for each in content["Addrs"]]
+            return (named, min(float(content["TtlS"]), 5.0)) if named else None
+        except (TimeoutError, OSError, ValueError, KeyError):
+            return None
 
     async def send(
         self,
@@ -618,6 +658,7 @@
         extra: str = "",
     ) -> Answer:
         """Send a request and return what came back."""
+        entry = await self._choose(entry)
         self._number += 1
         rid = f"{random.getrandbits(32):08x}{self._number:06x}"
         answer = Answer(rid)
@@ -695,6 +736,12 @@
         version=options.version,
     )
     await replica.serve(options.host, options.port)
+
+    def leave() -> None:
+        replica.stated = lambda: [("Server-Leaving", "1")]
+
+    # A replica that reports that it leaves says so in its answers too.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, leave)
     report("listens", port=replica.port)
     await asyncio.Event().wait()
 
