Drop trailers and bound the framing of a request

What callers saw: 40 connections, without a key, that send trailers without end behind a chunked body took an entry to several gigabytes; nobody was served, and on its machine the process would have ended.

Cause: the HTTP parser reports trailers as headers, and each was kept in the list of the request's headers, at some 170 bytes for five that were sent. No limit holds for them: the check of the head ends with the head. The same is true of the size line of a chunk. All servers of all programs share the protocol class, so every port had the fault.

Change: the protocol moves from http.py to the package `inbound`. Trailers are dropped. What is neither the head of a request nor its body counts towards the limit of the head, and starts anew with each byte of a body. A client over the limit is refused: by the application where the body of a known request is incomplete (431, not run), by the connection otherwise. A refused connection is closed after its client has read the answer, or after a bounded number of bytes and seconds: to close a socket with unread bytes resets it, which may destroy the answer. Refusals are counted by port and reason (`carawayhub_inbound_refusals_total`) and logged once a second at most. A head over the limit gets 431 instead of 400, the number 2037.

--- a/carawayhub/agent/process.py
+++ b/carawayhub/agent/process.py
@@ -107,7 +107,12 @@
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
-        operators = HttpServer(self._operators(), self.runtime.operator_socket)
+        operators = HttpServer(
+            self._operators(),
+            self.runtime.operator_socket,
+            port="operators",
+            inbound=self.runtime.inbound,
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.runtime.host.watch_stop, self.runtime.stop)
             tasks.start_soon(self._run_member)
@@ -229,7 +234,11 @@
 
     def _operators(self) -> OperatorApp:
         return OperatorApp(
-            self.runtime.audit, self.runtime.metrics, self.runtime.health, self._status
+            self.runtime.audit,
+            self.runtime.metrics,
+            self.runtime.health,
+            self._status,
+            self.runtime.inbound,
         )
 
     def _status(self) -> ProcessStatus:
--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -69,6 +69,9 @@
     POISON_REQUEST = 2034
     REGIONS_CONTRADICT = 2035
     REGION_WITHOUT_ENDPOINT = 2036
+    HEAD_TOO_LARGE = 2037
+    HEAD_LATE = 2038
+    REQUEST_MALFORMED = 2039
 
     ANSWER_CUT = 3001
     ANSWER_TIMEOUT = 3002
@@ -300,6 +303,15 @@
         "no endpoint is in the regions in which the request may run",
         "come back after 'retry-after'",
     ),
+    Code.HEAD_TOO_LARGE: Meaning(
+        _NOT_RUN, 431, "the head or the trailers are larger than the limit", "send fewer headers"
+    ),
+    Code.HEAD_LATE: Meaning(
+        _NOT_RUN, 400, "the head of the request did not come in time", "send the head at once"
+    ),
+    Code.REQUEST_MALFORMED: Meaning(
+        _NOT_RUN, 400, "the request is no valid HTTP/1.1", "send a request that follows RFC 9112"
+    ),
     Code.ANSWER_CUT: Meaning(
         _UNKNOWN, 502, "the answer broke off before its end", "repeat it if it may be repeated"
     ),
--- a/carawayhub/entry/app.py
+++ b/carawayhub/entry/app.py
@@ -135,7 +135,7 @@
             await req.reply(models_reply(cfg, organisation))
             return
         if req.matches("POST", TICKETS_PATH):
-            body = await calls.read_body(req.headers, req.receive)
+            body = await calls.read_body(req.scope, req.headers, req.receive)
             await req.reply(self._parts.run_once.issue(cfg, organisation, body))
             return
         call = await self._read_call(req, organisation)
@@ -187,7 +187,7 @@
     async def _read_call(self, req: Incoming, organisation: Organisation) -> Call:
         cfg = self._ready_configuration()
         deadline = calls.deadline(req.headers, cfg, self._parts.clock)
-        body = await calls.read_body(req.headers, req.receive)
+        body = await calls.read_body(req.scope, req.headers, req.receive)
         target = self._target(cfg, req, body)
         call = Call(
             request_id=req.request_id,
--- a/carawayhub/entry/calls.py
+++ b/carawayhub/entry/calls.py
@@ -24,6 +24,7 @@
 )
 from carawayhub.entry.prompts import prompt_parts
 from carawayhub.errors import RequestError
+from carawayhub.inbound.requests import receive_part
 from carawayhub.limits.fingerprint import RequestTraits, fingerprint
 
 Scope = dict[str, Any]
@@ -214,29 +215,30 @@
     return headers.text(TICKET_HEADER)
 
 
-async def read_body(headers: Headers, receive: Receive) -> bytes:
+async def read_body(scope: Scope, headers: Headers, receive: Receive) -> bytes:
     """Return the complete body.
 
     Raises:
-        RequestError: BODY_TOO_LARGE, or BODY_MALFORMED if the body is incomplete.
+        RequestError: BODY_TOO_LARGE, BODY_MALFORMED if the body is incomplete, or the reason for
+            which its connection refuses the rest.
     """
     declared = headers.text(b"content-length")
     if declared.isdecimal() and int(declared[:MAX_LENGTH_DIGITS]) > MAX_BODY_BYTES:
         raise RequestError(Code.BODY_TOO_LARGE, f"at most {MAX_BODY_BYTES} bytes")
     try:
         with anyio.fail_after(BODY_TIMEOUT_SECONDS):
-            return await _read_parts(receive)
+            return await _read_parts(scope, receive)
     except TimeoutError as exc:
         raise RequestError(
             Code.BODY_MALFORMED, f"incomplete after {BODY_TIMEOUT_SECONDS:.0f} s"
         ) from exc
 
 
-async def _read_parts(receive: Receive) -> bytes:
+async def _read_parts(scope: Scope, receive: Receive) -> bytes:
     parts: list[bytes] = []
     size = 0
     while True:
-        message = await receive()
+        message = await receive_part(scope, receive)
         if message["type"] == "http.disconnect":
             raise RequestError(
                 Code.BODY_MALFORMED, "the caller disconnected before the end of the body"
--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -104,8 +104,13 @@
 
     async def run(self) -> None:
         """Serve until a planned stop has completed."""
-        callers = HttpServer(self._app, self._listen)
-        operators = HttpServer(self._operators(), self.runtime.operator_socket)
+        callers = HttpServer(self._app, self._listen, port="callers", inbound=self.runtime.inbound)
+        operators = HttpServer(
+            self._operators(),
+            self.runtime.operator_socket,
+            port="operators",
+            inbound=self.runtime.inbound,
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.runtime.host.watch_stop, self.runtime.stop)
             tasks.start_soon(self._run_member)
@@ -310,7 +315,11 @@
 
     def _operators(self) -> OperatorApp:
         return OperatorApp(
-            self.runtime.audit, self.runtime.metrics, self.runtime.health, self._status
+            self.runtime.audit,
+            self.runtime.metrics,
+            self.runtime.health,
+            self._status,
+            self.runtime.inbound,
         )
 
     def _status(self) -> ProcessStatus:
--- a/carawayhub/gateway/app.py
+++ b/carawayhub/gateway/app.py
@@ -1,14 +1,13 @@
 """The gateway's interface for callers, as an ASGI application."""
 
 from collections.abc import Callable
-from typing import Any
 
 import anyio
 from loguru import logger
 
 from carawayhub.clock import Clock
 from carawayhub.codes import Code
-from carawayhub.entry.calls import Receive, Send
+from carawayhub.entry.calls import Receive, Scope, Send
 from carawayhub.errors import RequestError
 from carawayhub.gateway.admission import AdmissionControl
 from carawayhub.gateway.answer import CallerAnswer
@@ -16,6 +15,7 @@
 from carawayhub.gateway.model import CallerLimits
 from carawayhub.gateway.relay import GatewayRelay
 from carawayhub.gateway.tally import Tally
+from carawayhub.inbound.requests import receive_part
 
 
 class GatewayApp:
@@ -63,7 +63,7 @@
         self.closing = False
         self.running = 0
 
-    async def __call__(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
         self.running += 1
         try:
@@ -71,7 +71,7 @@
         finally:
             self.running -= 1
 
-    async def _serve(self, scope: dict[str, Any], receive: Receive, send: Send) -> None:
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
         arrived_at = self._clock.monotonic()
         answer = CallerAnswer(send, closing=self.closing, clock=self._clock)
         req: CallerRequest | None = None
@@ -79,7 +79,7 @@
         code, detail = Code.OK, ""
         try:
             req = self._wire.request(scope)
-            req.body = await self._read_body(receive)
+            req.body = await self._read_body(scope, receive)
             call = self._admission.admit(req, arrived_at)
             if not await self._relay_request(call, answer, receive):
                 code = Code.CALLER_LEFT
@@ -118,11 +118,11 @@
             raise failure
         return not left or answer.ended
 
-    async def _read_body(self, receive: Receive) -> bytes:
+    async def _read_body(self, scope: Scope, receive: Receive) -> bytes:
         max_bytes = self._limits().body_bytes
         body = b""
         while True:
-            message = await receive()
+            message = await receive_part(scope, receive)
             if message["type"] == "http.disconnect":
                 raise RequestError(Code.CALLER_LEFT)
             body += message.get("body", b"")
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -44,6 +44,7 @@
 from carawayhub.gateway.telling import OwnAddress
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
+from carawayhub.inbound.shared import Inbound
 from carawayhub.limits.coldquota import ColdQuotas
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.replicarate import ReplicaRates
@@ -156,6 +157,9 @@
         clock: Source of time; it must count suspensions.
         rng: Source of randomness.
         read_settings: Reads the settings that can change; raises CommandError if these are invalid.
+
+    Attributes:
+        inbound: What the servers of the process share.
     """
 
     __slots__ = (
@@ -185,6 +189,7 @@
         "_tasks",
         "_upstream",
         "_view",
+        "inbound",
     )
 
     def __init__(
@@ -201,6 +206,7 @@
         self._options = options
         self._clock = clock
         self._rng = rng
+        self.inbound = Inbound(clock)
         self._tasks = KeptTasks()
         self._loads = Loads()
         self._health = Health(clock)
@@ -334,7 +340,7 @@
 
     def metrics(self) -> str:
         """Return the metrics as text."""
-        return self._tally.page()
+        return self._tally.page() + self.inbound.metrics()
 
     def pool(self, service: str) -> ServicePool:
         """Return the pool of a service."""
@@ -371,7 +377,13 @@
         Args:
             probes: Servers of the readiness check and the directory; they run until the end.
         """
-        server = HttpServer(self._app, bind(self._options.callers), self._connection_limits)
+        server = HttpServer(
+            self._app,
+            bind(self._options.callers),
+            self._connection_limits,
+            "callers",
+            self.inbound,
+        )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_signals)
             tasks.start_soon(self._tasks.run, "follower", self._follower.run)
@@ -584,6 +596,7 @@
         limits = self._limits()
         return ConnectionLimits(
             head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
             head_timeout=limits.head_timeout,
             idle_timeout=limits.idle_timeout,
         )
--- /dev/null
+++ b/carawayhub/inbound/protocol.py
@@ -0,0 +1,233 @@
+"""HTTP/1.1 connections of clients that may send anything."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
+
+from carawayhub.codes import meaning
+from carawayhub.constants import CODE_HEADER, JSON_TYPE
+from carawayhub.inbound.refusals import Refusal
+from carawayhub.inbound.requests import EXTENSION, InboundRequest
+from carawayhub.inbound.shared import Inbound
+from carawayhub.inbound.transport import LingeringTransport
+
+MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 8 * 1024 * 1024
+HEAD_SECONDS = 10.0
+IDLE_SECONDS = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConnectionLimits:
+    """What a client may send, and how long it may take.
+
+    Attributes:
+        head_bytes: Size of the head of a request; also of its trailers, and of the size line of a
+            chunk.
+        body_bytes: Size of the body of a request.
+        head_timeout: Seconds from the first byte of a head to its end.
+        idle_timeout: Seconds that a connection may lie idle.
+    """
+
+    head_bytes: int = MAX_HEAD_BYTES
+    body_bytes: int = MAX_BODY_BYTES
+    head_timeout: float = HEAD_SECONDS
+    idle_timeout: float = IDLE_SECONDS
+
+
+class BoundedConnection(HttpToolsProtocol):
+    """One connection whose client is refused once it sends what no request needs.
+
+    ``uvicorn`` bounds neither the head of a request nor its trailers, and times a connection only
+    from its first answer on.
+
+    Attributes:
+        limits_now: Returns the limits of a connection that begins now.
+        port: Name of the port, for logs and metrics.
+        inbound: What all servers of the process share.
+    """
+
+    limits_now: Callable[[], ConnectionLimits] = ConnectionLimits
+    port: str = ""
+    inbound: Inbound
+
+    _limits = ConnectionLimits()
+    _in_message = False
+    _in_head = False
+    _progressed = False
+    _discarding = False
+    _discard_left = 0
+    _framing_bytes = 0
+    _request: InboundRequest | None = None
+    _head_timer: asyncio.TimerHandle | None = None
+    _linger_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Begin to wait for a first request."""
+        super().connection_made(LingeringTransport(transport, self._close))  # type: ignore[arg-type]
+        self._socket = transport
+        self._limits = self.limits_now()
+        # The type is an integer in name only; the event loop takes fractions of a second.
+        self.timeout_keep_alive = self._limits.idle_timeout  # type: ignore[assignment]
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self._limits.idle_timeout, self.timeout_keep_alive_handler
+        )
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel all timers."""
+        self._end_head()
+        _cancel(self._linger_timer)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what one read brought; refuse a client that goes on with neither head nor body."""
+        if self._discarding or self.transport.is_closing():
+            self._discard(len(data))
+            return
+        self._progressed = False
+        super().data_received(data)
+        if self._progressed:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += len(data)
+        if self._framing_bytes > self._limits.head_bytes:
+            self._refuse(Refusal.HEAD_TOO_LARGE if self._in_head else Refusal.FRAMING_TOO_LARGE)
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Note that a head begins."""
+        self._in_message = self._in_head = True
+        self._time_head()
+        super().on_message_begin()
+        self._request = InboundRequest()
+        self.scope["extensions"] = {EXTENSION: self._request}  # type: ignore[dict-item]
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header; trailers are dropped."""
+        if self._in_head:
+            super().on_header(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Note that the head has ended."""
+        self._end_head()
+        self._progressed = True
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Note that the body goes on."""
+        self._progressed = True
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Note that the request is complete."""
+        self._in_message = False
+        self._progressed = True
+        super().on_message_complete()
+
+    # Time limits.
+
+    def _end_head(self) -> None:
+        self._in_head = False
+        _cancel(self._head_timer)
+        self._head_timer = None
+
+    def _time_head(self) -> None:
+        self._head_timer = self.loop.call_later(self._limits.head_timeout, self._head_is_late)
+
+    def _head_is_late(self) -> None:
+        if not self._in_head or self._discarding:
+            return
+        if self._is_answering():
+            self._time_head()
+            return
+        self._refuse(Refusal.HEAD_LATE)
+
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    # Refusals.
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what could not be parsed."""
+        self._refuse(Refusal.MALFORMED)
+
+    def _refuse(self, reason: Refusal) -> None:
+        """Refuse the client; nothing more of it is parsed."""
+        if self._discarding:
+            return
+        client = self.client[0] if self.client else ""
+        self.inbound.refusals.record(self.port, reason, client)
+        self._stop_parsing()
+        if self._in_message and not self._in_head:
+            self._refuse_body(reason)
+        elif self._is_answering():
+            # The client would take a refusal for a part of the answer before it.
+            self.cycle.keep_alive = False
+        else:
+            self._answer_refusal(reason)
+
+    def _stop_parsing(self) -> None:
+        self._discarding = True
+        self._discard_left = self._limits.body_bytes
+
+    def _refuse_body(self, reason: Refusal) -> None:
+        """Let the application refuse a request whose body is incomplete."""
+        if self.cycle.response_complete:
+            self.transport.close()
+            return
+        assert self._request is not None
+        self._request.refusal = reason
+        self.cycle.keep_alive = False
+        self.cycle.body = bytearray()
+        self.cycle.message_event.set()
+
+    def _answer_refusal(self, reason: Refusal) -> None:
+        """Answer a request whose head is incomplete, and close the connection."""
+        if self._in_head:
+            self.transport.write(_refusal_answer(reason))
+        self.transport.close()
+
+    # The end of a connection.
+
+    def _close(self) -> None:
+        """Close the connection; what its client still sends is discarded for some time."""
+        if self.transport.is_closing():
+            return
+        self.transport.closing = True  # type: ignore[attr-defined]
+        if not (self._in_message or self._discarding):
+            self._socket.close()
+            return
+        self._stop_parsing()
+        if self._socket.can_write_eof():
+            self._socket.write_eof()
+        self._linger_timer = self.loop.call_later(self._limits.head_timeout, self._socket.close)
+
+    def _discard(self, count: int) -> None:
+        """Count bytes that nobody wants, and cut the connection if they do not end."""
+        self._discard_left -= count
+        if self._discard_left < 0:
+            self._socket.abort()
+
+
+def _refusal_answer(reason: Refusal) -> bytes:
+    """Return the bytes of an answer that refuses a request and ends its connection."""
+    known = meaning(reason.code)
+    body = b'{"error":{"code":%d,"text":"%s"}}' % (int(reason.code), known.text.encode())
+    headers = [
+        (b"content-type", JSON_TYPE),
+        (b"content-length", b"%d" % len(body)),
+        (CODE_HEADER, b"%d" % int(reason.code)),
+        (b"connection", b"close"),
+    ]
+    if reason.retry_after is not None:
+        headers.append((b"retry-after", f"{reason.retry_after:.3f}".encode()))
+    lines = [name + b": " + value + b"\r\n" for name, value in headers]
+    return STATUS_LINE[known.status] + b"".join(lines) + b"\r\n" + body
+
+
+def _cancel(timer: asyncio.TimerHandle | None) -> None:
+    if timer is not None:
+        timer.cancel()
--- a/carawayhub/platform/agent.py
+++ b/carawayhub/platform/agent.py
@@ -14,6 +14,7 @@
 from carawayhub.gateway.model import EngineProfile, superseded
 from carawayhub.gateway.ports import EndpointPublished, Published, TablePublished
 from carawayhub.http import HttpServer, bind
+from carawayhub.inbound.shared import Inbound
 from carawayhub.platform.probes import METRICS_PORT, metrics_app
 from carawayhub.platform.ranks import RankClient
 from carawayhub.platform.settings import NodeSettings
@@ -39,7 +40,13 @@
     rank = RankClient(settings.endpoint, source=settings.ip)
     roster = StoreRoster(StoreClient(settings.store, settings.ip), settings.service)
     agent = ExpertAgent(options, rank, roster, clock)
-    metrics = HttpServer(metrics_app(agent.metrics), bind(Address(settings.ip, METRICS_PORT)))
+    inbound = Inbound(clock)
+    metrics = HttpServer(
+        metrics_app(lambda: agent.metrics() + inbound.metrics()),
+        bind(Address(settings.ip, METRICS_PORT)),
+        port="metrics",
+        inbound=inbound,
+    )
     logger.bind(service=settings.service, endpoint=str(settings.endpoint)).info("agent starts")
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(agent.run)
--- a/carawayhub/platform/entry.py
+++ b/carawayhub/platform/entry.py
@@ -36,9 +36,9 @@
     """
     callers = _required(settings.callers, "ListenAddrs.Front")
     probes = {
-        _required(settings.readiness, "ListenAddrs.Ready"),
-        settings.directory,
-        Address(settings.ip, METRICS_PORT),
+        settings.directory: "directory",
+        _required(settings.readiness, "ListenAddrs.Ready"): "readiness",
+        Address(settings.ip, METRICS_PORT): "metrics",
     }
 
     def reloadable() -> ReloadableSettings:
@@ -50,8 +50,13 @@
         _options(settings, callers), store, PlatformWire(), clock, rng, reloadable
     )
     app = probe_app(process.is_ready, process.addresses, process.metrics)
-    sockets = [bind(at) for at in probes if at is not None]
-    await process.run([HttpServer(app, sock) for sock in sockets])
+    await process.run(
+        [
+            HttpServer(app, bind(at), port=port, inbound=process.inbound)
+            for at, port in probes.items()
+            if at is not None
+        ]
+    )
 
 
 def _options(settings: NodeSettings, callers: Address) -> GatewayOptions:
--- a/carawayhub/process/operators.py
+++ b/carawayhub/process/operators.py
@@ -8,6 +8,7 @@
 
 from carawayhub.codes import Code
 from carawayhub.constants import JSON_TYPE
+from carawayhub.inbound.shared import Inbound
 from carawayhub.output.audit import AuditTrail
 from carawayhub.output.metrics import Metrics, as_text
 
@@ -43,9 +44,10 @@
         metrics: The metrics to show.
         health: Returns the health of the process.
         status: Returns the status page of the process.
+        inbound: What the servers of the process share; its metrics are shown as text.
     """
 
-    __slots__ = ("_audit", "_health", "_metrics", "_status")
+    __slots__ = ("_audit", "_health", "_inbound", "_metrics", "_status")
 
     def __init__(
         self,
@@ -53,7 +55,9 @@
         metrics: Metrics,
         health: Callable[[], HealthBody],
         status: Callable[[], Any],
+        inbound: Inbound | None = None,
     ) -> None:
+        self._inbound = inbound
         self._audit = audit
         self._metrics = metrics
         self._health = health
@@ -98,7 +102,8 @@
         if query.get("format") == ["json"]:
             await _send_json(send, page)
             return
-        await _send(send, 200, TEXT_TYPE, as_text(page).encode())
+        own = self._inbound.metrics() if self._inbound is not None else ""
+        await _send(send, 200, TEXT_TYPE, (as_text(page) + own).encode())
 
 
 class _Unknown(msgspec.Struct):
--- a/carawayhub/process/runtime.py
+++ b/carawayhub/process/runtime.py
@@ -10,6 +10,7 @@
 from carawayhub.addresses import Address
 from carawayhub.clock import Clock, SystemClock
 from carawayhub.http import bind
+from carawayhub.inbound.shared import Inbound
 from carawayhub.output.audit import AuditTrail, Subject
 from carawayhub.output.metrics import Metrics
 from carawayhub.peers.messages import ProcessRole
@@ -40,6 +41,7 @@
         stop: Its stop request.
         peer_socket: Listening socket for links and calls.
         operator_socket: Listening socket for operators.
+        inbound: What the servers of the process share.
     """
 
     settings: Settings
@@ -52,6 +54,7 @@
     peer_socket: socket.socket
     operator_socket: socket.socket
     host: Host
+    inbound: Inbound
     pending_reason: Callable[[], str] = lambda: ""
     stop: StopRequest = field(default_factory=StopRequest)
 
@@ -77,6 +80,7 @@
             peer_socket=bind(Address.parse(settings.peer_listen)),
             operator_socket=bind(Address.parse(settings.operator_listen)),
             host=host or OwnProcess(),
+            inbound=Inbound(clock),
         )
         audit.record(Subject.PROCESS, identity.key, "stopped", "started", "the process started")
         logger.bind(incarnation=identity.incarnation).info("started")
