Count heads while they are parsed

What callers saw: 300 connections with heads of short lines took an entry to 898 MB, and nobody was served while they sent.

Cause: the read in which a head begins was not counted, since it may hold the body before; one read brings up to 256 KiB. That is 50,000 short lines, each decoded to some 170 bytes. A head that also ended within that read was taken whatever its size. A refused connection kept its decoded lines until it was gone.

Change: what has been read is parsed 4 KiB at a time, and each URL and header counts as the parser reports it. The first one over the limit stops the parser with 431; the decoded lines are dropped.

A head of 3,000 short lines within the limit is still served (tests.test_crowds.Calm).

--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -19,6 +19,18 @@
 IDLE_SECONDS = 30.0
 
 
+PARSED_BYTES = 4_096
+"""Bytes that are parsed at a time; one read brings up to 256 KiB, and a header that is incomplete
+at the end of a part is kept by the parser whatever its size."""
+
+LINE_BYTES = 3
+"""Bytes of a header line beside its name and value: the colon and the line break."""
+
+
+class RefusedError(Exception):
+    """Stops the parser within a callback."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConnectionLimits:
     """What a client may send, and how long it may take.
@@ -60,6 +72,7 @@
     _discarding = False
     _discard_left = 0
     _framing_bytes = 0
+    _head_bytes = 0
     _request: InboundRequest | None = None
     _head_timer: asyncio.TimerHandle | None = None
     _linger_timer: asyncio.TimerHandle | None = None
@@ -82,16 +95,21 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        """Parse what one read brought; refuse a client that goes on with neither head nor body."""
-        if self._discarding or self.transport.is_closing():
-            self._discard(len(data))
-            return
+        """Parse what one read brought, part by part."""
+        for start in range(0, len(data), PARSED_BYTES):
+            if self._discarding or self.transport.is_closing():
+                self._discard(len(data) - start)
+                return
+            self._parse(data[start : start + PARSED_BYTES])
+
+    def _parse(self, part: bytes) -> None:
+        """Parse a part, and refuse the client if it goes on with neither a head nor a body."""
         self._progressed = False
-        super().data_received(data)
+        super().data_received(part)
         if self._progressed:
             self._framing_bytes = 0
             return
-        self._framing_bytes += len(data)
+        self._framing_bytes += len(part)
         if self._framing_bytes > self._limits.head_bytes:
             self._refuse(Refusal.HEAD_TOO_LARGE if self._in_head else Refusal.FRAMING_TOO_LARGE)
 
@@ -100,14 +118,21 @@
     def on_message_begin(self) -> None:
         """Note that a head begins."""
         self._in_message = self._in_head = True
+        self._head_bytes = 0
         self._time_head()
         super().on_message_begin()
         self._request = InboundRequest()
         self.scope["extensions"] = {EXTENSION: self._request}  # type: ignore[dict-item]
 
+    def on_url(self, url: bytes) -> None:
+        """Keep a part of the URL."""
+        self._grow_head(len(url))
+        super().on_url(url)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers are dropped."""
         if self._in_head:
+            self._grow_head(len(name) + len(value) + LINE_BYTES)
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
@@ -127,6 +152,17 @@
         self._progressed = True
         super().on_message_complete()
 
+    def _grow_head(self, size: int) -> None:
+        """Count a part of the head.
+
+        Raises:
+            RefusedError: The head is too large.
+        """
+        self._head_bytes += size
+        if self._head_bytes > self._limits.head_bytes:
+            self._refuse(Refusal.HEAD_TOO_LARGE)
+            raise RefusedError
+
     # Time limits.
 
     def _end_head(self) -> None:
@@ -172,6 +208,9 @@
     def _stop_parsing(self) -> None:
         self._discarding = True
         self._discard_left = self._limits.body_bytes
+        if self._in_head:
+            # A refused connection may stay open for seconds.
+            self.headers.clear()
 
     def _refuse_body(self, reason: Refusal) -> None:
         """Let the application refuse a request whose body is incomplete."""
