Close connections that send only empty lines

What callers saw: 40 connections that send empty lines without end at full speed kept the processor busy, and ordinary requests got 503. A connection that sends one empty line and nothing more stayed open for ever.

Cause: the parser skips empty lines before a request without a word, so that no head begins, and neither the size nor the timer of a head applies. Any byte stops the idle timer.

Change: empty lines count towards the limit of the head, which the bound on framing does by itself; a client over it is cut off. The idle timer goes on after them with the deadline that it had. Some clients send an empty line behind each body; their connections stay as long as before.

Measured: of three new tests in tests.test_http two failed on, with a timeout and with 64 MB of empty lines taken; all pass now.

--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -73,6 +73,7 @@
     _discard_left = 0
     _framing_bytes = 0
     _head_bytes = 0
+    _idle_until = 0.0
     _request: InboundRequest | None = None
     _head_timer: asyncio.TimerHandle | None = None
     _linger_timer: asyncio.TimerHandle | None = None
@@ -84,9 +85,8 @@
         self._limits = self.limits_now()
         # The type is an integer in name only; the event loop takes fractions of a second.
         self.timeout_keep_alive = self._limits.idle_timeout  # type: ignore[assignment]
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self._limits.idle_timeout, self.timeout_keep_alive_handler
-        )
+        self._idle_until = self.loop.time() + self._limits.idle_timeout
+        self._time_idling()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all timers."""
@@ -106,6 +106,9 @@
         """Parse a part, and refuse the client if it goes on with neither a head nor a body."""
         self._progressed = False
         super().data_received(part)
+        if not self._in_message and self.timeout_keep_alive_task is None:
+            # An empty line has stopped the timer.
+            self._time_idling()
         if self._progressed:
             self._framing_bytes = 0
             return
@@ -152,6 +155,11 @@
         self._progressed = True
         super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        """Note that the connection is idle, unless a further request waits."""
+        self._idle_until = self.loop.time() + self._limits.idle_timeout
+        super().on_response_complete()
+
     def _grow_head(self, size: int) -> None:
         """Count a part of the head.
 
@@ -165,6 +173,12 @@
 
     # Time limits.
 
+    def _time_idling(self) -> None:
+        if not self._is_answering():
+            self.timeout_keep_alive_task = self.loop.call_at(
+                self._idle_until, self.timeout_keep_alive_handler
+            )
+
     def _end_head(self) -> None:
         self._in_head = False
         _cancel(self._head_timer)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,6 +13,10 @@
 
 START = b"GET / HTTP/1.1\r\nhost: h\r\nx-long: "
 READ = 262_144
+SERVER_BYTES = 16 * 1024 * 1024
+"""More bytes than a server discards of a refused client, and the sockets between them hold."""
+
+
 TIMEOUT = 20.0
 
 
@@ -46,6 +50,14 @@
                 sent += READ
         self.assertLess(sent, 64 * READ)
 
+    def test_empty_lines_without_end_are_refused(self) -> None:
+        """Empty lines before a request count towards no limit and cost processor time."""
+        sent = 0
+        with self.assertRaises(ConnectionError):
+            while sent < 4 * SERVER_BYTES:
+                self.conn.sendall(b"\r\n" * (READ // 2))
+                sent += READ
+
     def test_a_long_head_after_a_body_is_taken(self) -> None:
         body = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % (2 * READ)
         self.conn.sendall(body + b" " * (2 * READ) + START + b"x" * (MAX_HEAD_BYTES // 2))
@@ -74,6 +86,24 @@
         conn = self.connect(ConnectionLimits(idle_timeout=0.2))
         self.assertEqual(conn.recv(READ), b"")
 
+    def test_connection_that_sends_a_single_empty_line_is_closed(self) -> None:
+        """An empty line stops the idle timer, and no timer of a head has begun."""
+        conn = self.connect(ConnectionLimits(head_timeout=0.2, idle_timeout=0.4))
+        conn.sendall(b"\r\n")
+        self.assertEqual(conn.recv(READ), b"")
+
+    def test_empty_line_behind_a_request_does_not_end_its_connection_early(self) -> None:
+        """Some clients send an empty line behind each body."""
+        conn = self.connect(ConnectionLimits(head_timeout=0.3, idle_timeout=20.0))
+        for _ in range(2):
+            conn.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n\r\n")
+            found = b""
+            while b"hello" not in found:
+                part = conn.recv(READ)
+                self.assertTrue(part, "closed though the limit of idle connections was not met")
+                found += part
+            time.sleep(0.6)
+
     def test_head_that_comes_byte_by_byte_is_refused(self) -> None:
         conn = self.connect(ConnectionLimits(head_timeout=0.3))
         with self.assertRaises(ConnectionError):
