Bound the memory of all unanswered requests together

What callers saw: 150 connections, with or without a key, whose bodies stop a byte short of the legal 4 MiB took an entry to 805 MB of the 300 that its machine has. The process would have ended, and its streams with it.

Cause: each body is bounded, and nothing bounded their sum. Nothing ended a body that stopped, either, nor counted decoded headers or requests that wait for the answer before them.

Change: each request takes its bytes from a memory that all ports of the process share, an eighth of MemoryMb (96 MiB where that is not stated): headers at what they cost decoded, bodies, 4 KiB for the request itself. It gives them back when its application has handled it. When the memory is used up, requests that are incomplete are refused with 503, not run, Retry-After 1 s (2041): first those that have brought no byte for a second, then the largest. A small request is complete as it arrives and does not pay for the crowd. A body that brings nothing for the idle time gets 408 (2040). The gateway joins a body in place instead of copying it with each part.

--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -72,6 +72,8 @@
     HEAD_TOO_LARGE = 2037
     HEAD_LATE = 2038
     REQUEST_MALFORMED = 2039
+    BODY_LATE = 2040
+    REQUEST_MEMORY_FULL = 2041
 
     ANSWER_CUT = 3001
     ANSWER_TIMEOUT = 3002
@@ -312,6 +314,15 @@
     Code.REQUEST_MALFORMED: Meaning(
         _NOT_RUN, 400, "the request is no valid HTTP/1.1", "send a request that follows RFC 9112"
     ),
+    Code.BODY_LATE: Meaning(
+        _NOT_RUN, 408, "no more of the body came for the idle time", "send the body without pauses"
+    ),
+    Code.REQUEST_MEMORY_FULL: Meaning(
+        _NOT_RUN,
+        503,
+        "the process has no memory left for requests that are being received",
+        "come back after 'retry-after'",
+    ),
     Code.ANSWER_CUT: Meaning(
         _UNKNOWN, 502, "the answer broke off before its end", "repeat it if it may be repeated"
     ),
--- a/carawayhub/gateway/app.py
+++ b/carawayhub/gateway/app.py
@@ -120,7 +120,7 @@
 
     async def _read_body(self, scope: Scope, receive: Receive) -> bytes:
         max_bytes = self._limits().body_bytes
-        body = b""
+        body = bytearray()
         while True:
             message = await receive_part(scope, receive)
             if message["type"] == "http.disconnect":
@@ -129,7 +129,7 @@
             if len(body) > max_bytes:
                 raise RequestError(Code.BODY_TOO_LARGE)
             if not message.get("more_body", False):
-                return body
+                return bytes(body)
 
     async def _send_failure(self, answer: CallerAnswer, exc: RequestError) -> None:
         """Send an error to the caller, or break off an answer that has started.
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -206,7 +206,7 @@
         self._options = options
         self._clock = clock
         self._rng = rng
-        self.inbound = Inbound(clock)
+        self.inbound = Inbound(clock, options.resources.memory)
         self._tasks = KeptTasks()
         self._loads = Loads()
         self._health = Health(clock)
--- a/carawayhub/http.py
+++ b/carawayhub/http.py
@@ -14,6 +14,7 @@
 from carawayhub.codes import Code
 from carawayhub.errors import CommandError
 from carawayhub.inbound.protocol import MAX_HEAD_BYTES, BoundedConnection, ConnectionLimits
+from carawayhub.inbound.requests import ReleasingApp
 from carawayhub.inbound.shared import Inbound
 
 __all__ = ["MAX_HEAD_BYTES", "ConnectionLimits", "HttpServer", "bind"]
@@ -70,7 +71,7 @@
         }
         protocol = type("_Connection", (BoundedConnection,), settings)
         cfg = uvicorn.Config(
-            app,
+            ReleasingApp(app),
             http=protocol,
             ws="none",
             lifespan="off",
--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -3,13 +3,15 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any, cast
 
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from carawayhub.codes import meaning
 from carawayhub.constants import CODE_HEADER, JSON_TYPE
+from carawayhub.inbound.memory import HEADER_BYTES, REQUEST_BYTES, HeldRequest
 from carawayhub.inbound.refusals import Refusal
-from carawayhub.inbound.requests import EXTENSION, InboundRequest
+from carawayhub.inbound.requests import EXTENSION
 from carawayhub.inbound.shared import Inbound
 from carawayhub.inbound.transport import LingeringTransport
 
@@ -74,8 +76,10 @@
     _framing_bytes = 0
     _head_bytes = 0
     _idle_until = 0.0
-    _request: InboundRequest | None = None
+    _request_moved_at = 0.0
+    _request: HeldRequest | None = None
     _head_timer: asyncio.TimerHandle | None = None
+    _body_timer: asyncio.TimerHandle | None = None
     _linger_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -89,8 +93,13 @@
         self._time_idling()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel all timers."""
+        """Cancel all timers, and free what no application will free."""
+        if self._request is not None and self._in_head:
+            self._request.release()
+        for cycle, _ in self.pipeline:
+            cast(dict[str, Any], cycle.scope)["extensions"][EXTENSION].release()
         self._end_head()
+        _cancel(self._body_timer)
         _cancel(self._linger_timer)
         super().connection_lost(exc)
 
@@ -106,6 +115,9 @@
         """Parse a part, and refuse the client if it goes on with neither a head nor a body."""
         self._progressed = False
         super().data_received(part)
+        self._request_moved_at = self.loop.time()
+        if self._in_message and not self._in_head and self._body_timer is None:
+            self._time_body()
         if not self._in_message and self.timeout_keep_alive_task is None:
             # An empty line has stopped the timer.
             self._time_idling()
@@ -124,18 +136,19 @@
         self._head_bytes = 0
         self._time_head()
         super().on_message_begin()
-        self._request = InboundRequest()
+        self._request = HeldRequest(self.inbound.memory, self._refuse_for_memory)
         self.scope["extensions"] = {EXTENSION: self._request}  # type: ignore[dict-item]
 
     def on_url(self, url: bytes) -> None:
         """Keep a part of the URL."""
-        self._grow_head(len(url))
+        self._grow_head(len(url), len(url))
         super().on_url(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep a header; trailers are dropped."""
         if self._in_head:
-            self._grow_head(len(name) + len(value) + LINE_BYTES)
+            text = len(name) + len(value)
+            self._grow_head(text + LINE_BYTES, text + HEADER_BYTES)
             super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
@@ -143,16 +156,23 @@
         self._end_head()
         self._progressed = True
         super().on_headers_complete()
+        self._grow(REQUEST_BYTES)
 
     def on_body(self, body: bytes) -> None:
-        """Note that the body goes on."""
+        """Keep a part of the body."""
         self._progressed = True
+        if not self.cycle.response_complete:
+            self._grow(len(body))
         super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Note that the request is complete."""
         self._in_message = False
         self._progressed = True
+        if self._request is not None:
+            self._request.complete()
+        _cancel(self._body_timer)
+        self._body_timer = None
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
@@ -160,16 +180,32 @@
         self._idle_until = self.loop.time() + self._limits.idle_timeout
         super().on_response_complete()
 
-    def _grow_head(self, size: int) -> None:
+    def _grow_head(self, size: int, memory: int) -> None:
         """Count a part of the head.
 
+        Args:
+            size: Its bytes as they were sent.
+            memory: Its bytes in memory.
+
         Raises:
-            RefusedError: The head is too large.
+            RefusedError: The head is too large, or has no place in memory.
         """
         self._head_bytes += size
         if self._head_bytes > self._limits.head_bytes:
             self._refuse(Refusal.HEAD_TOO_LARGE)
             raise RefusedError
+        self._grow(memory)
+
+    def _grow(self, memory: int) -> None:
+        """Take memory for a part of the request.
+
+        Raises:
+            RefusedError: The request gave way to others.
+        """
+        assert self._request is not None
+        self._request.grow(memory)
+        if self._request.refusal is not None:
+            raise RefusedError
 
     # Time limits.
 
@@ -195,6 +231,21 @@
             return
         self._refuse(Refusal.HEAD_LATE)
 
+    def _time_body(self) -> None:
+        assert self._request is not None
+        idle_until = self._request_moved_at + self._limits.idle_timeout
+        self._body_timer = self.loop.call_at(idle_until, self._check_body)
+
+    def _check_body(self) -> None:
+        """Refuse a request whose body has not moved for the idle time."""
+        self._body_timer = None
+        if self._discarding or self._in_head or not self._in_message:
+            return
+        if self.loop.time() < self._request_moved_at + self._limits.idle_timeout:
+            self._time_body()
+            return
+        self._refuse(Refusal.BODY_IDLE)
+
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
@@ -208,17 +259,22 @@
         """Refuse the client; nothing more of it is parsed."""
         if self._discarding:
             return
+        if self._request is not None and self._in_message:
+            self._request.refuse(reason)
         client = self.client[0] if self.client else ""
         self.inbound.refusals.record(self.port, reason, client)
         self._stop_parsing()
         if self._in_message and not self._in_head:
-            self._refuse_body(reason)
+            self._refuse_body()
         elif self._is_answering():
             # The client would take a refusal for a part of the answer before it.
             self.cycle.keep_alive = False
         else:
             self._answer_refusal(reason)
 
+    def _refuse_for_memory(self) -> None:
+        self._refuse(Refusal.MEMORY)
+
     def _stop_parsing(self) -> None:
         self._discarding = True
         self._discard_left = self._limits.body_bytes
@@ -226,13 +282,11 @@
             # A refused connection may stay open for seconds.
             self.headers.clear()
 
-    def _refuse_body(self, reason: Refusal) -> None:
+    def _refuse_body(self) -> None:
         """Let the application refuse a request whose body is incomplete."""
         if self.cycle.response_complete:
             self.transport.close()
             return
-        assert self._request is not None
-        self._request.refusal = reason
         self.cycle.keep_alive = False
         self.cycle.body = bytearray()
         self.cycle.message_event.set()
--- a/carawayhub/inbound/refusals.py
+++ b/carawayhub/inbound/refusals.py
@@ -12,6 +12,10 @@
 """Shortest time between two log lines for one reason at one port; a crowd can be refused thousands
 of times a second."""
 
+RETRY_SECONDS = 1.0
+"""Time after which a client may come back whose request did not fit into memory: requests that have
+stalled for so long give way."""
+
 
 class Refusal(Enum):
     """Why a request was refused, or its connection closed, before it was handled."""
@@ -20,6 +24,8 @@
     HEAD_LATE = "head_late"
     FRAMING_TOO_LARGE = "framing_too_large"
     MALFORMED = "malformed"
+    BODY_IDLE = "body_idle"
+    MEMORY = "memory"
 
     @property
     def code(self) -> Code:
@@ -29,7 +35,7 @@
     @property
     def retry_after(self) -> float | None:
         """Seconds after which the client may come back, None where that would not help."""
-        return None
+        return RETRY_SECONDS if self is Refusal.MEMORY else None
 
 
 _CODES = {
@@ -37,6 +43,8 @@
     Refusal.HEAD_LATE: Code.HEAD_LATE,
     Refusal.FRAMING_TOO_LARGE: Code.HEAD_TOO_LARGE,
     Refusal.MALFORMED: Code.REQUEST_MALFORMED,
+    Refusal.BODY_IDLE: Code.BODY_LATE,
+    Refusal.MEMORY: Code.REQUEST_MEMORY_FULL,
 }
 
 
--- a/carawayhub/inbound/requests.py
+++ b/carawayhub/inbound/requests.py
@@ -1,4 +1,4 @@
-"""Refusal of a request whose application has begun to read its body."""
+"""What applications have to do with the bounds of their connections."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -10,17 +10,24 @@
 """ASGI extension under which an application finds the state of its request."""
 
 
-class InboundRequest:
-    """State of one request, shared by its connection and its application.
+class ReleasingApp:
+    """Gives the memory of each request back when its application has handled it.
 
-    Attributes:
-        refusal: Why the rest of the request will not be received, None while it will.
+    Args:
+        app: The ASGI application.
     """
 
-    __slots__ = ("refusal",)
+    __slots__ = ("_app",)
 
-    def __init__(self) -> None:
-        self.refusal: Refusal | None = None
+    def __init__(self, app: Any) -> None:
+        self._app = app
+
+    async def __call__(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
+        """Handle one request."""
+        try:
+            await self._app(scope, receive, send)
+        finally:
+            scope["extensions"][EXTENSION].release()
 
 
 async def receive_part(
