Bound the bytes that wait in the sockets of clients

What callers saw: with all requests bounded, 40 clients that send whole bodies still took an entry to 140 MB of 120: 76 MB resident and 62 MB in its sockets, which count on the users' machines.

Cause: the kernel raises the receive buffer of a connection up to 6 MB while its reader is late, so a crowd gets as many megabytes as it has connections whenever the process is busy or was paused.

Change: listening sockets of the HTTP servers set a receive buffer of 64 KiB; accepted connections inherit it, and the kernel does not raise it.

A single body of 4 MiB in calm is served as before.

--- a/carawayhub/http.py
+++ b/carawayhub/http.py
@@ -21,6 +21,10 @@
 
 BACKLOG = 512
 
+RECEIVE_BUFFER_BYTES = 65_536
+"""Bytes of one connection that the kernel keeps until they are read. It raises that to megabytes by
+itself, for each of a crowd, whenever the process does not read for a moment."""
+
 
 def bind(address: Address) -> socket.socket:
     """Return a listening TCP socket.
@@ -84,6 +88,8 @@
         )
         self._server = _EmbeddedServer(cfg)
         self._sock = sock
+        # Accepted connections inherit it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     async def run(self) -> None:
         """Serve until ``stop`` was called and the last request has ended."""
