Cut off bodies that go on after their answer

What callers saw: a client whose body was refused for its size, or whose request was answered before its body had come, could send on for ever; the bytes were read and dropped. One that stopped sending kept its connection.

Cause: after an answer the parser goes on until the body ends, and no limit of size or time held for it.

Change: after the answer to a request whose body is incomplete, the client may send as many bytes as a whole body has, for as long as a head may take; then its connection is closed (reason `body_after_answer`). So a client that sends its whole body before it reads gets the answer, and keeps its connection.

--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -80,6 +80,8 @@
     _request: HeldRequest | None = None
     _head_timer: asyncio.TimerHandle | None = None
     _body_timer: asyncio.TimerHandle | None = None
+    _unwanted_left = 0
+    _unwanted_timer: asyncio.TimerHandle | None = None
     _linger_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -100,6 +102,7 @@
             cast(dict[str, Any], cycle.scope)["extensions"][EXTENSION].release()
         self._end_head()
         _cancel(self._body_timer)
+        _cancel(self._unwanted_timer)
         _cancel(self._linger_timer)
         super().connection_lost(exc)
 
@@ -161,7 +164,9 @@
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
         self._progressed = True
-        if not self.cycle.response_complete:
+        if self.cycle.response_complete:
+            self._count_unwanted(len(body))
+        else:
             self._grow(len(body))
         super().on_body(body)
 
@@ -172,6 +177,7 @@
         if self._request is not None:
             self._request.complete()
         _cancel(self._body_timer)
+        _cancel(self._unwanted_timer)
         self._body_timer = None
         super().on_message_complete()
 
@@ -179,6 +185,22 @@
         """Note that the connection is idle, unless a further request waits."""
         self._idle_until = self.loop.time() + self._limits.idle_timeout
         super().on_response_complete()
+        if self._in_message and not self._in_head and self.cycle.response_complete:
+            self._unwanted_left = self._limits.body_bytes
+            self._unwanted_timer = self.loop.call_later(
+                self._limits.head_timeout, self._refuse, Refusal.BODY_AFTER_ANSWER
+            )
+
+    def _count_unwanted(self, size: int) -> None:
+        """Count a part of a body whose request has been answered.
+
+        Raises:
+            RefusedError: The client sends more than a body that is allowed.
+        """
+        self._unwanted_left -= size
+        if self._unwanted_left < 0:
+            self._refuse(Refusal.BODY_AFTER_ANSWER)
+            raise RefusedError
 
     def _grow_head(self, size: int, memory: int) -> None:
         """Count a part of the head.
--- a/carawayhub/inbound/refusals.py
+++ b/carawayhub/inbound/refusals.py
@@ -26,11 +26,12 @@
     MALFORMED = "malformed"
     BODY_IDLE = "body_idle"
     MEMORY = "memory"
+    BODY_AFTER_ANSWER = "body_after_answer"
 
     @property
     def code(self) -> Code:
-        """The numbered result that the client is told."""
-        return _CODES[self]
+        """The numbered result that the client is told, OK where it is told nothing."""
+        return _CODES.get(self, Code.OK)
 
     @property
     def retry_after(self) -> float | None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -17,6 +17,7 @@
 """More bytes than a server discards of a refused client, and the sockets between them hold."""
 
 
+BODY_BYTES = 1024 * 1024
 TIMEOUT = 20.0
 
 
@@ -147,5 +148,51 @@
         self.assertIn(b" 400 ", rest)
 
 
+class EarlyAnswerTest(unittest.TestCase):
+    """Answers that are sent before the body of their request has come."""
+
+    def connect(self) -> socket.socket:
+        portal = self.enterContext(start_blocking_portal())
+        sock = bind(Address("127.0.0.1", 0))
+        limits = ConnectionLimits(body_bytes=BODY_BYTES, head_timeout=0.5)
+        server = HttpServer(hello, sock, lambda: limits)
+        portal.start_task_soon(server.run)
+        self.addCleanup(portal.call, server.stop)
+        return self.enterContext(socket.create_connection(sock.getsockname(), TIMEOUT))
+
+    def test_body_that_goes_on_without_end_is_cut_off(self) -> None:
+        """A refused body is read on for as long as its client sends."""
+        conn = self.connect()
+        conn.sendall(b"POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n")
+        sent = 0
+        with self.assertRaises(ConnectionError):
+            while sent < 4 * SERVER_BYTES:
+                conn.sendall(b"%x\r\n" % READ + b"x" * READ + b"\r\n")
+                sent += READ
+
+    def test_body_that_stops_is_cut_off(self) -> None:
+        """A connection whose request was answered early stays open without any limit."""
+        conn = self.connect()
+        conn.sendall(b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 1000\r\n\r\nx")
+        found = b""
+        while part := conn.recv(READ):
+            found += part
+        self.assertIn(b"hello", found)
+
+    def test_client_that_sends_its_whole_body_first_gets_the_answer(self) -> None:
+        """A reset in the middle of the body destroys the answer before its client reads it."""
+        conn = self.connect()
+        for _ in range(2):
+            body = b"x" * BODY_BYTES
+            conn.sendall(
+                b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+            )
+            found = b""
+            while b"hello" not in found:
+                part = conn.recv(READ)
+                self.assertTrue(part, "closed before the answer was read")
+                found += part
+
+
 if __name__ == "__main__":
     unittest.main()
