Check route and key before the rest of a body is read

What callers saw: a crowd without any key took as much of an entry's memory as callers with one, up to 4 MiB a connection, for as long as it liked.

Cause: the body was collected first, and then the route, the key and the age of the view were checked. The time that the caller waits counted only after the body.

Change: where a body does not arrive with its head, these are checked before more of it is read, and it is read only until its caller or its route gives up (504, not run). They are checked again with the whole body, since the configuration may have changed. A request that arrives in one read takes the same way as before.

--- a/carawayhub/gateway/admission.py
+++ b/carawayhub/gateway/admission.py
@@ -70,20 +70,23 @@
         self._others_ready = others_ready
         self._configured_at = clock.monotonic() + START_SECONDS
 
+    def check_head(self, req: CallerRequest, arrived_at: float) -> float:
+        """Return the time at which the caller or the route gives up, before the body is known.
+
+        Raises:
+            RequestError: NOT_READY, NOT_SERVED, KEY_UNKNOWN, VIEW_TOO_OLD.
+        """
+        _, route, _ = self._find_route(req)
+        return arrived_at + min(_wait_seconds(req, route), route.timeout)
+
     def admit(self, req: CallerRequest, arrived_at: float) -> Admitted:
         """Return the request with its route, service and time limits.
 
         Raises:
-            RequestError: NOT_READY, NOT_SERVED, KEY_UNKNOWN, DEADLINE_PASSED.
+            RequestError: NOT_READY, NOT_SERVED, KEY_UNKNOWN, VIEW_TOO_OLD.
         """
-        table = self._view.table
-        if table is None:
-            raise RequestError(Code.NOT_READY, retry_after=self._start_retry(req))
-        route = table.match(req.host, req.path)
-        if route is None:
-            raise RequestError(Code.NOT_SERVED, f"{req.host}{req.path}")
-        organisation = self._organisation(table, route, req)
-        waits = route.timeout if req.wait_seconds is None else req.wait_seconds
+        table, route, organisation = self._find_route(req)
+        waits = _wait_seconds(req, route)
         req.deadline = arrived_at + waits
         return Admitted(
             req=req,
@@ -98,6 +101,15 @@
             version=table.version,
         )
 
+    def _find_route(self, req: CallerRequest) -> tuple[RouteTable, Route, Organisation | None]:
+        table = self._view.table
+        if table is None:
+            raise RequestError(Code.NOT_READY, retry_after=self._start_retry(req))
+        route = table.match(req.host, req.path)
+        if route is None:
+            raise RequestError(Code.NOT_SERVED, f"{req.host}{req.path}")
+        return table, route, self._organisation(table, route, req)
+
     def _start_retry(self, req: CallerRequest) -> float:
         """Return the retry time of a request that arrives before the first configuration.
 
@@ -139,6 +151,10 @@
         self._returns.refused()
 
 
+def _wait_seconds(req: CallerRequest, route: Route) -> float:
+    return route.timeout if req.wait_seconds is None else req.wait_seconds
+
+
 def _traits(req: CallerRequest, organisation: Organisation | None) -> RequestTraits:
     caller = organisation.name if organisation is not None else ""
     content = fingerprint(caller, req.method, req.host, req.target, req.body)
--- a/carawayhub/gateway/app.py
+++ b/carawayhub/gateway/app.py
@@ -1,6 +1,7 @@
 """The gateway's interface for callers, as an ASGI application."""
 
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 from loguru import logger
@@ -79,7 +80,7 @@
         code, detail = Code.OK, ""
         try:
             req = self._wire.request(scope)
-            req.body = await self._read_body(scope, receive)
+            req.body = await self._read_body(req, arrived_at, scope, receive)
             call = self._admission.admit(req, arrived_at)
             if not await self._relay_request(call, answer, receive):
                 code = Code.CALLER_LEFT
@@ -118,11 +119,27 @@
             raise failure
         return not left or answer.ended
 
-    async def _read_body(self, scope: Scope, receive: Receive) -> bytes:
+    async def _read_body(
+        self, req: CallerRequest, arrived_at: float, scope: Scope, receive: Receive
+    ) -> bytes:
+        """Return the body of a request.
+
+        The rest of a body that did not arrive with the head is read only if the request has a
+        route and a valid key, and only until its caller gives up.
+        """
+        first = await receive_part(scope, receive)
+        if not first.get("more_body", False):
+            return await self._read_parts(first, scope, receive)
+        ends_at = self._admission.check_head(req, arrived_at)
+        with anyio.move_on_after(ends_at - self._clock.monotonic()):
+            return await self._read_parts(first, scope, receive)
+        raise RequestError(Code.DEADLINE_PASSED, "the body is incomplete")
+
+    async def _read_parts(self, first: dict[str, Any], scope: Scope, receive: Receive) -> bytes:
         max_bytes = self._limits().body_bytes
         body = bytearray()
+        message = first
         while True:
-            message = await receive_part(scope, receive)
             if message["type"] == "http.disconnect":
                 raise RequestError(Code.CALLER_LEFT)
             body += message.get("body", b"")
@@ -130,6 +147,7 @@
                 raise RequestError(Code.BODY_TOO_LARGE)
             if not message.get("more_body", False):
                 return bytes(body)
+            message = await receive_part(scope, receive)
 
     async def _send_failure(self, answer: CallerAnswer, exc: RequestError) -> None:
         """Send an error to the caller, or break off an answer that has started.
