Bound the requests that wait for the answer before them

What callers saw: nothing yet. With the memory of requests bounded, a crowd of 40 could still hold all of it with complete small requests sent one behind the other, and the entry refused ordinary ones instead.

Cause: a connection may send any number of requests before it reads an answer, and complete requests are not refused for others.

Change: sixteen requests of a connection may wait. One more ends the reading; those that wait are answered, the last one with `connection: close` (reason `pipeline`). HTTP/1.1 lets a client send the others again.

--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -29,6 +29,11 @@
 """Bytes of a header line beside its name and value: the colon and the line break."""
 
 
+MAX_PIPELINED = 16
+"""Requests of a connection that may wait for the answer before them. Callers of these systems send
+one at a time; the memory of complete requests is not taken back."""
+
+
 class RefusedError(Exception):
     """Stops the parser within a callback."""
 
@@ -134,7 +139,14 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Note that a head begins."""
+        """Note that a head begins.
+
+        Raises:
+            RefusedError: Too many requests wait for the answers before them.
+        """
+        if len(self.pipeline) >= MAX_PIPELINED:
+            self._refuse(Refusal.PIPELINE)
+            raise RefusedError
         self._in_message = self._in_head = True
         self._head_bytes = 0
         self._time_head()
--- a/carawayhub/inbound/refusals.py
+++ b/carawayhub/inbound/refusals.py
@@ -27,6 +27,7 @@
     BODY_IDLE = "body_idle"
     MEMORY = "memory"
     BODY_AFTER_ANSWER = "body_after_answer"
+    PIPELINE = "pipeline"
 
     @property
     def code(self) -> Code:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,6 +10,7 @@
 
 from carawayhub.addresses import Address
 from carawayhub.http import MAX_HEAD_BYTES, ConnectionLimits, HttpServer, bind
+from carawayhub.inbound.protocol import MAX_PIPELINED
 
 START = b"GET / HTTP/1.1\r\nhost: h\r\nx-long: "
 READ = 262_144
@@ -148,6 +149,30 @@
         self.assertIn(b" 400 ", rest)
 
 
+class PipelineTest(unittest.TestCase):
+    """Requests that are sent before the answers to earlier ones."""
+
+    def test_requests_up_to_the_limit_are_answered(self) -> None:
+        """Complete requests that wait for others take memory that nobody can take back."""
+
+        async def slow(scope: Any, receive: Any, send: Any) -> None:
+            await anyio.sleep(0.02)
+            await hello(scope, receive, send)
+
+        portal = self.enterContext(start_blocking_portal())
+        sock = bind(Address("127.0.0.1", 0))
+        server = HttpServer(slow, sock)
+        portal.start_task_soon(server.run)
+        self.addCleanup(portal.call, server.stop)
+        conn = self.enterContext(socket.create_connection(sock.getsockname(), TIMEOUT))
+        conn.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n" * 1_000)
+        found = b""
+        while part := conn.recv(READ):
+            found += part
+        self.assertEqual(found.count(b"hello"), MAX_PIPELINED + 1)
+        self.assertTrue(found.endswith(b"hello"), found[-100:])
+
+
 class EarlyAnswerTest(unittest.TestCase):
     """Answers that are sent before the body of their request has come."""
 
