Bound the connections of each port

What callers saw: 4,500 connections that send nothing, or half a head, took 4,522 descriptors of an entry that has 4,200. On its machine it could then connect neither to replicas nor to the store, and accepted no caller.

Cause: connections were bounded by time alone, and a crowd opens new ones faster than the idle timer closes them. All ports, and the connections to replicas, store and peers, draw on one number.

When a port is full, a connection gives way to a new one: that with an incomplete request, or none, that has not moved for a second and longest; else the one that is idle longest. Requests that are being handled stay. A crowd at one port takes nothing from another.

--- a/carawayhub/entry/process.py
+++ b/carawayhub/entry/process.py
@@ -21,6 +21,7 @@
 from carawayhub.fleet.membership import Member, MemberState
 from carawayhub.fleet.neighbours import entry_nodes, gossip_neighbours
 from carawayhub.http import HttpServer, bind
+from carawayhub.inbound.shared import CALLERS
 from carawayhub.limits.admission import Admission
 from carawayhub.limits.evidence import EndsRow
 from carawayhub.limits.poison import PoisonRecords
@@ -104,7 +105,7 @@
 
     async def run(self) -> None:
         """Serve until a planned stop has completed."""
-        callers = HttpServer(self._app, self._listen, port="callers", inbound=self.runtime.inbound)
+        callers = HttpServer(self._app, self._listen, port=CALLERS, inbound=self.runtime.inbound)
         operators = HttpServer(
             self._operators(),
             self.runtime.operator_socket,
--- a/carawayhub/gateway/process.py
+++ b/carawayhub/gateway/process.py
@@ -44,7 +44,7 @@
 from carawayhub.gateway.telling import OwnAddress
 from carawayhub.gateway.view import FleetView
 from carawayhub.http import ConnectionLimits, HttpServer, bind
-from carawayhub.inbound.shared import Inbound
+from carawayhub.inbound.shared import CALLERS, Inbound
 from carawayhub.limits.coldquota import ColdQuotas
 from carawayhub.limits.poison import PoisonRecords
 from carawayhub.limits.replicarate import ReplicaRates
@@ -206,7 +206,7 @@
         self._options = options
         self._clock = clock
         self._rng = rng
-        self.inbound = Inbound(clock, options.resources.memory)
+        self.inbound = Inbound(clock, options.resources.memory, options.resources.descriptors)
         self._tasks = KeptTasks()
         self._loads = Loads()
         self._health = Health(clock)
@@ -381,7 +381,7 @@
             self._app,
             bind(self._options.callers),
             self._connection_limits,
-            "callers",
+            CALLERS,
             self.inbound,
         )
         async with anyio.create_task_group() as tasks:
--- a/carawayhub/http.py
+++ b/carawayhub/http.py
@@ -68,10 +68,12 @@
         port: str = "",
         inbound: Inbound | None = None,
     ) -> None:
+        shared = inbound or Inbound(SystemClock())
         settings = {
             "limits_now": staticmethod(limits),
             "port": port,
-            "inbound": inbound or Inbound(SystemClock()),
+            "inbound": shared,
+            "table": shared.connections(port),
         }
         protocol = type("_Connection", (BoundedConnection,), settings)
         cfg = uvicorn.Config(
--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -9,6 +9,7 @@
 
 from carawayhub.codes import meaning
 from carawayhub.constants import CODE_HEADER, JSON_TYPE
+from carawayhub.inbound.connections import ConnectionTable
 from carawayhub.inbound.memory import HEADER_BYTES, REQUEST_BYTES, HeldRequest
 from carawayhub.inbound.refusals import Refusal
 from carawayhub.inbound.requests import EXTENSION
@@ -66,11 +67,13 @@
         limits_now: Returns the limits of a connection that begins now.
         port: Name of the port, for logs and metrics.
         inbound: What all servers of the process share.
+        table: The connections of the port.
     """
 
     limits_now: Callable[[], ConnectionLimits] = ConnectionLimits
     port: str = ""
     inbound: Inbound
+    table: ConnectionTable
 
     _limits = ConnectionLimits()
     _in_message = False
@@ -98,9 +101,18 @@
         self.timeout_keep_alive = self._limits.idle_timeout  # type: ignore[assignment]
         self._idle_until = self.loop.time() + self._limits.idle_timeout
         self._time_idling()
+        if not self.table.add(self):
+            self.give_way()
+
+    def give_way(self) -> None:
+        """Close at once, for a new connection or as the new one for which there is no place."""
+        self._record(Refusal.CONNECTIONS)
+        self._discarding = True
+        self._socket.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all timers, and free what no application will free."""
+        self.table.remove(self)
         if self._request is not None and self._in_head:
             self._request.release()
         for cycle, _ in self.pipeline:
@@ -113,6 +125,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse what one read brought, part by part."""
+        self.table.moved(self)
         for start in range(0, len(data), PARSED_BYTES):
             if self._discarding or self.transport.is_closing():
                 self._discard(len(data) - start)
@@ -188,6 +201,7 @@
         self._progressed = True
         if self._request is not None:
             self._request.complete()
+        self.table.handled(self)
         _cancel(self._body_timer)
         _cancel(self._unwanted_timer)
         self._body_timer = None
@@ -197,6 +211,8 @@
         """Note that the connection is idle, unless a further request waits."""
         self._idle_until = self.loop.time() + self._limits.idle_timeout
         super().on_response_complete()
+        if not self._is_answering():
+            self.table.idle(self)
         if self._in_message and not self._in_head and self.cycle.response_complete:
             self._unwanted_left = self._limits.body_bytes
             self._unwanted_timer = self.loop.call_later(
@@ -295,8 +311,7 @@
             return
         if self._request is not None and self._in_message:
             self._request.refuse(reason)
-        client = self.client[0] if self.client else ""
-        self.inbound.refusals.record(self.port, reason, client)
+        self._record(reason)
         self._stop_parsing()
         if self._in_message and not self._in_head:
             self._refuse_body()
@@ -306,6 +321,10 @@
         else:
             self._answer_refusal(reason)
 
+    def _record(self, reason: Refusal) -> None:
+        client = self.client[0] if self.client else ""
+        self.inbound.refusals.record(self.port, reason, client)
+
     def _refuse_for_memory(self) -> None:
         self._refuse(Refusal.MEMORY)
 
--- a/carawayhub/inbound/refusals.py
+++ b/carawayhub/inbound/refusals.py
@@ -28,6 +28,7 @@
     MEMORY = "memory"
     BODY_AFTER_ANSWER = "body_after_answer"
     PIPELINE = "pipeline"
+    CONNECTIONS = "connections"
 
     @property
     def code(self) -> Code:
--- a/carawayhub/platform/agent.py
+++ b/carawayhub/platform/agent.py
@@ -40,7 +40,7 @@
     rank = RankClient(settings.endpoint, source=settings.ip)
     roster = StoreRoster(StoreClient(settings.store, settings.ip), settings.service)
     agent = ExpertAgent(options, rank, roster, clock)
-    inbound = Inbound(clock, settings.limits.memory)
+    inbound = Inbound(clock, settings.limits.memory, settings.limits.descriptors)
     metrics = HttpServer(
         metrics_app(lambda: agent.metrics() + inbound.metrics()),
         bind(Address(settings.ip, METRICS_PORT)),
