Bound the answers that callers do not read

What callers saw: 30 callers with a key that ask for a large answer and do not read it took an entry to 451 MB where 120 are allowed.

Cause: an answer is written to its caller's connection in one piece, and the memory reserved for it was given back there and then, while it stayed in the buffer of the connection. Nothing ended a connection whose client reads nothing; to close it waits until the client has read.

Change: connections whose clients do not keep up are counted with what waits in their buffers. Beyond an eighth of MemoryMb, 16 MiB at least, the one that has waited for longest is cut; so is one whose client has read nothing for the idle time (reason `answer_unread`). An answer that is ready and is being read is delivered, also late; the newest is never cut for itself.

Weighed: to hold the reservation until the caller has read. The slot of the endpoint would be held with it, by a caller that reads nothing.

A new test of the idle time in tests.test_http fails on: the whole answer was delivered after 2.5 s in which nothing was read.

--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -90,6 +90,8 @@
     _body_timer: asyncio.TimerHandle | None = None
     _unwanted_left = 0
     _unwanted_timer: asyncio.TimerHandle | None = None
+    _unread_before = 0
+    _unread_timer: asyncio.TimerHandle | None = None
     _linger_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -113,6 +115,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel all timers, and free what no application will free."""
         self.table.remove(self)
+        self._end_unread()
         if self._request is not None and self._in_head:
             self._request.release()
         for cycle, _ in self.pipeline:
@@ -299,6 +302,45 @@
     def _is_answering(self) -> bool:
         return self.cycle is not None and not self.cycle.response_complete
 
+    # Answers that the client does not read.
+
+    def pause_writing(self) -> None:
+        """Note that the client does not keep up with its answer."""
+        super().pause_writing()
+        self._watch_reading()
+
+    def resume_writing(self) -> None:
+        """Note that the client has caught up."""
+        self._end_unread()
+        super().resume_writing()
+
+    def unread_bytes(self) -> int:
+        """Return the bytes that were written and not yet taken by the network."""
+        return self._socket.get_write_buffer_size()
+
+    def cut_answer(self) -> None:
+        """Close at once, since the client does not read its answer."""
+        self._record(Refusal.ANSWER_UNREAD)
+        self._discarding = True
+        self._socket.abort()
+
+    def _watch_reading(self) -> None:
+        self._unread_before = self.unread_bytes()
+        self._unread_timer = self.loop.call_later(self._limits.idle_timeout, self._check_reading)
+        self.inbound.unread.add(self)
+
+    def _check_reading(self) -> None:
+        """Cut the connection if its client has read nothing for the idle time."""
+        if self.unread_bytes() >= self._unread_before:
+            self.cut_answer()
+            return
+        self._watch_reading()
+
+    def _end_unread(self) -> None:
+        _cancel(self._unread_timer)
+        self._unread_timer = None
+        self.inbound.unread.remove(self)
+
     # Refusals.
 
     def send_400_response(self, msg: str) -> None:
@@ -358,12 +400,18 @@
             return
         self.transport.closing = True  # type: ignore[attr-defined]
         if not (self._in_message or self._discarding):
-            self._socket.close()
+            self._close_socket()
             return
         self._stop_parsing()
         if self._socket.can_write_eof():
             self._socket.write_eof()
-        self._linger_timer = self.loop.call_later(self._limits.head_timeout, self._socket.close)
+        self._linger_timer = self.loop.call_later(self._limits.head_timeout, self._close_socket)
+
+    def _close_socket(self) -> None:
+        """Close the connection once its client has read what was written."""
+        self._socket.close()
+        if self._unread_timer is None and self.unread_bytes() > 0:
+            self._watch_reading()
 
     def _discard(self, count: int) -> None:
         """Count bytes that nobody wants, and cut the connection if they do not end."""
--- a/carawayhub/inbound/refusals.py
+++ b/carawayhub/inbound/refusals.py
@@ -29,6 +29,7 @@
     BODY_AFTER_ANSWER = "body_after_answer"
     PIPELINE = "pipeline"
     CONNECTIONS = "connections"
+    ANSWER_UNREAD = "answer_unread"
 
     @property
     def code(self) -> Code:
--- a/carawayhub/inbound/shared.py
+++ b/carawayhub/inbound/shared.py
@@ -4,6 +4,7 @@
 from carawayhub.inbound.connections import ConnectionTable, usable_descriptors
 from carawayhub.inbound.memory import RequestMemory
 from carawayhub.inbound.refusals import RefusalCounts
+from carawayhub.inbound.unread import UnreadAnswers
 
 CALLERS = "callers"
 """Name of the port for requests."""
@@ -22,6 +23,9 @@
 """Part of the memory of the machine that requests may take. The memory that bodies occupy is about
 twice their size, since the parts of many bodies alternate in the heap while they arrive."""
 
+UNREAD_MEMORY_PART = 8
+"""Part of the memory of the machine that answers may take while they wait to be read."""
+
 
 class Inbound:
     """What clients of all ports of a process use together.
@@ -34,9 +38,10 @@
     Attributes:
         refusals: Counts refused clients.
         memory: Memory of unanswered requests.
+        unread: Answers that clients have not read yet.
     """
 
-    __slots__ = ("_clock", "_descriptors", "_tables", "memory", "refusals")
+    __slots__ = ("_clock", "_descriptors", "_tables", "memory", "refusals", "unread")
 
     def __init__(self, clock: Clock, memory: int = 0, descriptors: int = 0) -> None:
         self._clock = clock
@@ -44,6 +49,7 @@
         self._tables: dict[str, ConnectionTable] = {}
         self.refusals = RefusalCounts(clock)
         self.memory = RequestMemory(clock, memory // REQUEST_MEMORY_PART)
+        self.unread = UnreadAnswers(memory // UNREAD_MEMORY_PART)
 
     def connections(self, port: str) -> ConnectionTable:
         """Return the connections of a port, which other ports do not displace."""
@@ -60,6 +66,8 @@
             *self.refusals.lines(),
             "# TYPE carawayhub_inbound_request_bytes gauge",
             f"carawayhub_inbound_request_bytes {self.memory.used}",
+            "# TYPE carawayhub_inbound_unread_answer_bytes gauge",
+            f"carawayhub_inbound_unread_answer_bytes {self.unread.used()}",
             "# TYPE carawayhub_inbound_connections gauge",
             *(
                 f'carawayhub_inbound_connections{{port="{port}"}} {len(table)}'
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -18,6 +18,7 @@
 """More bytes than a server discards of a refused client, and the sockets between them hold."""
 
 
+ANSWER_BYTES = 64 * 1024 * 1024
 BODY_BYTES = 1024 * 1024
 TIMEOUT = 20.0
 
@@ -173,6 +174,43 @@
         self.assertTrue(found.endswith(b"hello"), found[-100:])
 
 
+class UnreadAnswerTest(unittest.TestCase):
+    """Clients that do not read their answers."""
+
+    def receive(self, pause: float) -> int:
+        """Return the bytes of a large answer that a client gets which reads nothing at first."""
+
+        async def large(scope: Any, receive: Any, send: Any) -> None:
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            await send({"type": "http.response.body", "body": b"x" * ANSWER_BYTES})
+
+        portal = self.enterContext(start_blocking_portal())
+        sock = bind(Address("127.0.0.1", 0))
+        server = HttpServer(large, sock, lambda: ConnectionLimits(idle_timeout=1.0))
+        portal.start_task_soon(server.run)
+        self.addCleanup(portal.call, server.stop)
+        conn = self.enterContext(socket.socket())
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        conn.settimeout(TIMEOUT)
+        conn.connect(sock.getsockname())
+        conn.sendall(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+        time.sleep(pause)
+        found = 0
+        try:
+            while part := conn.recv(READ):
+                found += len(part)
+        except ConnectionError:
+            pass
+        return found
+
+    def test_answer_that_nobody_reads_is_cut_off(self) -> None:
+        """An answer stays in memory, and its connection open, for as long as the client likes."""
+        self.assertLess(self.receive(pause=2.5), ANSWER_BYTES)
+
+    def test_answer_that_is_read_late_is_whole(self) -> None:
+        self.assertGreaterEqual(self.receive(pause=0.2), ANSWER_BYTES)
+
+
 class EarlyAnswerTest(unittest.TestCase):
     """Answers that are sent before the body of their request has come."""
 
--- a/tests/test_inbound_bounds.py
+++ b/tests/test_inbound_bounds.py
@@ -7,6 +7,7 @@
 from carawayhub.inbound.connections import ConnectionTable
 from carawayhub.inbound.memory import SMALL_BYTES, STALLED_SECONDS, HeldRequest, RequestMemory
 from carawayhub.inbound.refusals import LOG_INTERVAL_SECONDS, Refusal, RefusalCounts
+from carawayhub.inbound.unread import MIN_TOTAL_BYTES, UnreadAnswers
 
 LARGE = 4 * SMALL_BYTES
 TOTAL = 4 * LARGE
@@ -139,6 +140,41 @@
         self.assertEqual(len(self.table), 0)
 
 
+class FakeReader:
+    """A connection whose client reads nothing."""
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.cut = False
+
+    def unread_bytes(self) -> int:
+        return self.size
+
+    def cut_answer(self) -> None:
+        self.cut = True
+
+
+class UnreadAnswersTest(unittest.TestCase):
+    """Answers that clients have not read."""
+
+    def test_answer_that_waits_for_longest_is_cut(self) -> None:
+        """A crowd that does not read its answers takes all memory, or that of a new caller."""
+        answers = UnreadAnswers(0)
+        readers = [FakeReader(MIN_TOTAL_BYTES // 2) for _ in range(4)]
+        for each in readers:
+            answers.add(each)
+        self.assertEqual([each.cut for each in readers], [True, True, False, False])
+        self.assertEqual(answers.used(), MIN_TOTAL_BYTES)
+
+    def test_client_that_has_caught_up_is_not_cut(self) -> None:
+        answers = UnreadAnswers(0)
+        first, second = (FakeReader(MIN_TOTAL_BYTES) for _ in range(2))
+        answers.add(first)
+        answers.remove(first)
+        answers.add(second)
+        self.assertEqual([first.cut, second.cut], [False, False])
+
+
 class RefusalCountsTest(unittest.TestCase):
     """Counters and log lines of refused clients."""
 
