Never refuse the only request for its memory

Cause: operators may allow bodies that are larger than the memory of all requests together, and a single request within the limits must be served in calm. The memory refused it though nothing else needed room.

Change: a request is not refused while it is the only one.

Measured: the new test in tests.test_inbound_bounds fails before the change.

--- a/carawayhub/inbound/memory.py
+++ b/carawayhub/inbound/memory.py
@@ -29,7 +29,8 @@
 
     When it is used up, incomplete requests are refused: first those that have stalled, the longest
     stall first, then the largest ones. A small request is complete as soon as it arrives, so that a
-    crowd of large incomplete ones does not displace it.
+    crowd of large incomplete ones does not displace it. A request that is alone is never refused:
+    operators may allow bodies that are larger than the memory for all.
 
     Args:
         clock: Source of time.
@@ -55,7 +56,8 @@
         self.used += more
         self._incomplete.pop(request, None)
         self._incomplete[request] = None
-        if self.used > self._total:
+        alone = self.used == request.size
+        if self.used > self._total and not alone:
             self._refuse_some()
 
     def protect(self, request: "HeldRequest") -> None:
--- a/tests/test_inbound_bounds.py
+++ b/tests/test_inbound_bounds.py
@@ -54,6 +54,13 @@
         self.assertIsNone(kept.refusal)
         self.assertEqual(self.refused, ["incomplete"])
 
+    def test_request_that_is_alone_stays(self) -> None:
+        """A body that the operators allow is refused though nothing else needs the memory."""
+        large = self.request("alone", 2 * TOTAL)
+        self.assertIsNone(large.refusal)
+        self.request("second", SMALL_BYTES)
+        self.assertEqual(self.refused, ["alone"])
+
     def test_memory_is_free_after_the_end(self) -> None:
         """Memory of requests that have ended is never given back, or twice."""
         for _ in range(20):
