Keep routes closed when the list of tenants is empty

Cause: keys were required where the list was true, and an empty list is not; it was taken for a configuration without `Tenants`, which requires no keys.

Change: the field itself decides. A list that is empty requires keys, of which none is valid; a configuration without the field requires none, as before; null is malformed.

--- a/carawayhub/platform/published.py
+++ b/carawayhub/platform/published.py
@@ -163,7 +163,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
-    tenants: list[_Tenant] = []
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Version(msgspec.Struct, rename="pascal"):
@@ -186,12 +186,15 @@
     """
     try:
         wire = msgspec.json.decode(value, type=_Config)
+        # An empty list still requires keys: none is valid.
+        keys_required = not isinstance(wire.tenants, msgspec.UnsetType)
+        tenants = [] if isinstance(wire.tenants, msgspec.UnsetType) else wire.tenants
         table = RouteTable(
             version=wire.version,
             services={each.name: _service(each) for each in wire.services},
             limits=_limits(wire.limits),
-            organisations=_organisations(wire.tenants),
-            keys_required=bool(wire.tenants),
+            organisations=_organisations(tenants),
+            keys_required=keys_required,
         )
         for each in wire.routes:
             table.add(_route(each))
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -159,6 +159,16 @@
         self.assertEqual(table.services["a"].engine.experts.expert_bytes, 780e6)
         self.assertIsNone(table.services["b"].engine)
 
+    def test_empty_list_of_tenants_closes_all_routes_that_are_not_public(self) -> None:
+        """A configuration that takes the last tenant away opens every route to everybody."""
+        closed = decode_route_table(json.dumps(CONFIG | {"Tenants": []}).encode())
+        self.assertTrue(closed.keys_required)
+        self.assertEqual(dict(closed.organisations), {})
+        open_to_all = {name: value for name, value in CONFIG.items() if name != "Tenants"}
+        self.assertFalse(decode_route_table(json.dumps(open_to_all).encode()).keys_required)
+        with self.assertRaises(PlatformError):
+            decode_route_table(json.dumps(CONFIG | {"Tenants": None}).encode())
+
     def test_unreadable_configuration_is_an_error_with_the_field(self) -> None:
         for change in ({"Version": "x"}, {"Routes": [{"Name": "r"}]}, {"Services": None}):
             with self.subTest(change=change), self.assertRaises(PlatformError) as caught:
