Take the answer of an endpoint that has ended for cut, also where it leaves

Cause: an answer that ends with its connection is checked by a probe of its endpoint. If nothing listened there, the answer was still taken for complete where the endpoint was known to leave, since it may stop right after its last answer.

Change: the probe decides alone. An answer whose endpoint has ended is cut: a stream that may be resumed goes on at another endpoint, other requests that may be repeated are repeated, and a caller of one that may not is told that it may have run. An end in a planned leaving is still no end under a request. An answer that was whole, and whose endpoint closed its listener before the probe arrived, is now repeated as well; that is a loss of work, and the other a broken answer.

The test `test_answer_of_an_endpoint_that_left_speaks_for_nothing` expected that such an answer is delivered and clears nothing. That was the fault; its successor is stricter, since the answer is not delivered either.

--- a/carawayhub/endpoints/endings.py
+++ b/carawayhub/endpoints/endings.py
@@ -166,21 +166,20 @@
         ).info("endpoint ended under a request" if ended else "answer broke off")
         return ended
 
-    async def verify_end(self, address: Address, *, planned: bool) -> bool:
+    async def verify_end(self, address: Address) -> bool:
         """Return whether an answer that ended with its connection is known to be complete.
 
-        An endpoint that crashes closes its connections as well, but it accepts no further ones.
-        One that leaves as planned may stop right after its last answer.
+        An endpoint that ends closes its connections as well, but it accepts no further ones. One
+        that leaves as planned may end before its answers are complete, too.
 
         Args:
             address: Address of the endpoint.
-            planned: Whether the endpoint is known to be leaving.
 
         Raises:
             RequestError: ANSWER_CUT, the endpoint ended.
         """
         listening = await self._probe(address)
-        if listening is Listening.NO and not planned:
+        if listening is Listening.NO:
             raise RequestError(Code.ANSWER_CUT, "the endpoint ended with its connection")
         return listening is Listening.YES
 
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -374,8 +374,7 @@
         if not self._parts.view.is_group_available(endpoint):
             # Ranks of a group that stands still break off their answers and go on listening.
             raise RequestError(Code.ANSWER_CUT, "the group stands still")
-        planned = self._parts.view.is_departing(endpoint.id)
-        return await self._parts.endings.verify_end(endpoint.address, planned=planned)
+        return await self._parts.endings.verify_end(endpoint.address)
 
     async def _relay_stream(
         self,
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -7,12 +7,17 @@
 
 from carawayhub.addresses import Address
 from carawayhub.clock import SystemClock
+from carawayhub.codes import Code
 from carawayhub.endpoints.endings import Endings
 from carawayhub.endpoints.upstream import Listening
-from carawayhub.gateway.model import Repeat
+from carawayhub.errors import RequestError
+from carawayhub.gateway.model import EndpointState, Repeat
+from carawayhub.gateway.ports import EndpointPublished, Published
+from carawayhub.gateway.revision import Revision
 from carawayhub.limits.fingerprint import part_fingerprint
 from carawayhub.limits.poison import PoisonRecords
 from tests.entry_harness import EntryHarness
+from tests.gateway_world import endpoint
 from tests.scripted_endpoint import SEAL, ClosedError, Taken, event
 
 PART = part_fingerprint(b"", b"5c1e07a2")
@@ -108,21 +113,71 @@
         self.assertNotIn(b"li\n", reply.body)
         self.assertFalse(self.harness.records._was_answered(PART))
 
-    def test_answer_of_an_endpoint_that_left_speaks_for_nothing(self) -> None:
+    def test_answer_of_an_endpoint_that_has_ended_is_not_taken_for_whole(self) -> None:
         """Guards against clearing by an answer that may have ended with its endpoint."""
-        records, found = PoisonRecords(SystemClock()), []
 
         class Refusing:
             async def probe(self, address: Address) -> Listening:
                 return Listening.NO
 
-        endings = Endings(Refusing(), records, SystemClock(), lambda service: None)
+        endings = Endings(
+            Refusing(), PoisonRecords(SystemClock()), SystemClock(), lambda service: None
+        )
+        with self.assertRaises(RequestError) as caught:
+            anyio.run(endings.verify_end, Address("127.0.0.1", 1))
+        self.assertEqual(caught.exception.code, Code.ANSWER_CUT)
 
-        async def verify() -> None:
-            found.append(await endings.verify_end(Address("127.0.0.1", 1), planned=True))
+    def test_stream_of_a_leaving_endpoint_that_ends_is_resumed_at_another_one(self) -> None:
+        """Guards against a stream that looks complete though its endpoint left in the middle."""
+        replies = []
 
-        anyio.run(verify)
-        self.assertEqual(found, [False])
+        def rank(at: int):
+            async def script(stream, taken) -> None:
+                if taken.headers.get("last-event-id") == "1":
+                    await stream.send(head(taken) + event(2))
+                    raise ClosedError
+                await stream.send(head(taken) + event(1))
+                self.leave(harness, at)
+                harness.endpoints[at].end()
+
+            return script
+
+        async def scenario(harness: EntryHarness) -> None:
+            replies.append(await harness.ask())
+
+        harness = EntryHarness([rank(0), rank(1)], attempts=2)
+        harness.run(scenario)
+        self.assertEqual([(each.whole, each.body.count(b"line")) for each in replies], [(True, 2)])
+
+    def test_answer_of_a_leaving_endpoint_that_ends_is_not_delivered(self) -> None:
+        """Guards against half an answer of a leaving endpoint that is passed on as a whole one."""
+        replies = []
+
+        async def script(stream, taken) -> None:
+            await stream.send(head(taken, b"text/plain") + b"boo")
+            self.leave(harness, 0)
+            harness.endpoints[0].end()
+
+        async def scenario(harness: EntryHarness) -> None:
+            replies.append(await harness.ask())
+
+        harness = EntryHarness([script], repeat=Repeat.ONCE)
+        harness.run(scenario)
+        self.assertEqual([each.status for each in replies], [502])
+        self.assertEqual(len(harness.records._ends(PART)), 0)
+
+    def leave(self, harness: EntryHarness, at: int) -> None:
+        """Let an endpoint register that it drains."""
+        service = "plain" if "repeat" in harness.options else "llm"
+        draining = endpoint(
+            f"i-{at}",
+            service,
+            address=harness.endpoints[at].address,
+            born=0,
+            state=EndpointState.DRAINING,
+        )
+        change = EndpointPublished(draining)
+        harness.view.extend(Published(revision=Revision(0, 2), changes=(change,)))
 
     def test_resumed_stream_that_has_nothing_left_is_delivered(self) -> None:
         """Guards against a caller who has all events and is told that the stream broke off."""
