Read stated numbers with fractions of any length

Cause: the pattern of a decimal number took at most nine digits of a fraction. A longer one counted as unreadable, was logged and changed nothing. `Retry-After` beside a 503 and `Carawayhub-Cold-Remaining` share the pattern.

Change: a fraction may have any length; of a number 40 bytes are converted, more digits do not change it.

Measured: the new test fails before for each of four numbers and passes now; the tests of the three headers pass.

--- a/carawayhub/platform/headers.py
+++ b/carawayhub/platform/headers.py
@@ -57,8 +57,11 @@
 _NOT_RETURNED = HOP_BY_HOP_HEADERS | {b"proxy-connection", LIMIT, LEAVING, COLD_REMAINING}
 """Callers cannot act on what one replica states of itself: the entry chooses the replica."""
 
-_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
-_SECONDS = re.compile(rb"[0-9]{1,19}(\.[0-9]{1,9})?")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]+)?")
+_SECONDS = re.compile(rb"[0-9]{1,19}(\.[0-9]+)?")
+MAX_CONVERTED_BYTES = 40
+"""Bytes of a number that are converted; further digits of its fraction do not change it."""
+
 MAX_LOGGED_BYTES = 40
 """Bytes of an unreadable value that are logged."""
 
@@ -167,7 +170,7 @@
 
 
 def _decimals(values: list[bytes], form: re.Pattern[bytes]) -> list[float]:
-    return [float(value) for value in values if form.fullmatch(value)]
+    return [float(value[:MAX_CONVERTED_BYTES]) for value in values if form.fullmatch(value)]
 
 
 def _unreadable(values: list[bytes]) -> UnreadableValue:
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -139,6 +139,23 @@
 class Replicas(unittest.TestCase):
     """Numbers in answers of endpoints."""
 
+    def test_fractions_of_any_length_are_read(self) -> None:
+        """Guards against a limit or a backoff that is ignored since 7 / 3 has many digits."""
+        wire = PlatformWire()
+        for text, value in (
+            (b"2.3333333333333335", 7 / 3),
+            (b"2.6666666666666665", 8 / 3),
+            (b"0.1000000000000000055511151231257827", 0.1),
+            (b"2." + b"3" * 10_000, 7 / 3),
+        ):
+            with self.subTest(text=text[:20]):
+                limit = wire.answer(200, [(b"Server-Limit", text)]).limit
+                self.assertAlmostEqual(limit.per_second, value, places=12)
+                backoff = wire.answer(503, [(b"Retry-After", text)]).backoff
+                self.assertAlmostEqual(backoff.seconds, value, places=12)
+                cold = wire.answer(200, [(b"Carawayhub-Cold-Remaining", text)]).cold_left
+                self.assertAlmostEqual(cold, value / 1000, places=12)
+
     def test_event_ids_of_any_length_are_compared(self) -> None:
         """Guards against a stream that fails because of an id that Python does not convert."""
         events = EventBuffer()
