Keep endpoints in use that have another version of the weights

Cause: each 421 was taken as the sign that another incarnation has the address, which drops the endpoint until its entry in the store is removed. A replica answers 421 as well where the request asks for another version.

Change: a 421 to a request that asks for a version says nothing of the endpoint's incarnation and nothing of other requests; the request is offered to further endpoints as after any refusal, and in the end refused with 503, not run (2042). Another incarnation at the address is found by the next request without a version.

Measured: the new test fails before and passes now, for streams and for requests that run once; a second one holds that other incarnations are still found.

--- a/carawayhub/codes.py
+++ b/carawayhub/codes.py
@@ -74,6 +74,7 @@
     REQUEST_MALFORMED = 2039
     BODY_LATE = 2040
     REQUEST_MEMORY_FULL = 2041
+    WEIGHTS_DIFFER = 2042
 
     ANSWER_CUT = 3001
     ANSWER_TIMEOUT = 3002
@@ -323,6 +324,12 @@
         "the process has no memory left for requests that are being received",
         "come back after 'retry-after'",
     ),
+    Code.WEIGHTS_DIFFER: Meaning(
+        _NOT_RUN,
+        503,
+        "the endpoints that were asked have another version of the weights",
+        "come back after 'retry-after', or ask for a version that is served",
+    ),
     Code.ANSWER_CUT: Meaning(
         _UNKNOWN, 502, "the answer broke off before its end", "repeat it if it may be repeated"
     ),
--- a/carawayhub/gateway/calls.py
+++ b/carawayhub/gateway/calls.py
@@ -27,6 +27,7 @@
         answer_tokens: Maximum tokens of the answer, 0 for a plain service.
         last_event_id: Event after which a resumed stream continues, empty for a new one.
         prompt_parts: Fingerprints of the parts of its prompt that other prompts may share.
+        expects_version: Whether only a certain version of the weights may run it.
         deadline: When the caller gives up, by this process's clock.
         body: The complete body.
     """
@@ -43,6 +44,7 @@
     answer_tokens: int
     last_event_id: bytes
     prompt_parts: tuple[bytes, ...] = ()
+    expects_version: bool = False
     deadline: float = 0.0
     body: bytes = b""
 
--- a/carawayhub/gateway/relay.py
+++ b/carawayhub/gateway/relay.py
@@ -53,6 +53,9 @@
 _UNREACHABLE_CODES = frozenset({Code.CONNECT_FAILED, Code.ANSWER_STALLED})
 """Failures of the endpoint or of the path to it, as opposed to failures of one answer."""
 
+_REFUSED_CODES = frozenset({Code.ENDPOINT_REFUSED, Code.WEIGHTS_DIFFER})
+"""Requests that their endpoint did not run."""
+
 _CUT_CODES = frozenset({Code.ANSWER_TOO_LARGE, Code.ANSWER_STALLED})
 """Answers that are cut off here, since they are too large or do not get on."""
 
@@ -163,7 +166,7 @@
                 return
             except RequestError as exc:
                 progress.last = exc
-                refused = exc.code is Code.ENDPOINT_REFUSED
+                refused = exc.code in _REFUSED_CODES
             finally:
                 pool.release(slot, ran=not refused)
             slot = self._next_slot(progress, pool) or await self._wait_for_slot(progress, pool)
@@ -307,7 +310,7 @@
     ) -> None:
         head = self._parts.wire.answer(response.status, list(response.headers))
         if head.misdirected and _may_belong_to(head, progress.call):
-            self._parts.view.misdirected(slot.endpoint.id)
+            self._record_misdirected(progress.call, slot.endpoint)
         self._parts.statements.evaluate(progress.call, pool, slot.endpoint, head, sent_at)
         self._check_answer(progress, head)
         if head.is_stream and head.status == OK_STATUS:
@@ -319,6 +322,15 @@
         if complete:
             self._parts.endings.answered(progress.call.traits)
 
+    def _record_misdirected(self, call: Admitted, endpoint: Endpoint) -> None:
+        """Record that another incarnation has the address of an endpoint.
+
+        An endpoint with another version of the weights answers a request for a certain version with
+        the same status, which says nothing of other requests.
+        """
+        if not call.req.expects_version:
+            self._parts.view.misdirected(endpoint.id)
+
     def _check_answer(self, progress: _Progress, head: AnswerHead) -> None:
         """Raise if an answer must not reach the caller.
 
@@ -326,7 +338,9 @@
         that the endpoint did not send.
         """
         if head.not_run and _may_belong_to(head, progress.call):
-            raise RequestError(Code.ENDPOINT_REFUSED, f"status {head.status}")
+            versions = head.misdirected and progress.call.req.expects_version
+            code = Code.WEIGHTS_DIFFER if versions else Code.ENDPOINT_REFUSED
+            raise RequestError(code, f"status {head.status}")
         if head.request_id != progress.call.req.id:
             raise RequestError(
                 Code.ANSWER_MIXED, "the answer does not carry the id of this request"
--- a/carawayhub/platform/headers.py
+++ b/carawayhub/platform/headers.py
@@ -24,6 +24,7 @@
 MODEL = b"carawayhub-model"
 TOKEN_COUNTS = b"carawayhub-token-counts"
 EXPECT_INSTANCE = b"carawayhub-expect-instance"
+EXPECT_VERSION = b"carawayhub-expect-version"
 ORGANISATION = b"carawayhub-tenant"
 URGENCY = b"carawayhub-request-urgency"
 SEAL = b"carawayhub-response-seal"
@@ -96,6 +97,7 @@
             answer_tokens=answer,
             last_event_id=found.get(LAST_EVENT_ID, b""),
             prompt_parts=_shared_parts(headers, found.get(MODEL, b"")),
+            expects_version=EXPECT_VERSION in found,
         )
 
     def dispatch(self, req: CallerRequest, dispatch: Dispatch) -> Headers:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -307,6 +307,43 @@
         EntryHarness([answers], repeat=Repeat.ONCE).run(scenario)
 
 
+class Versions(unittest.TestCase):
+    """Requests for a certain version of the weights."""
+
+    def test_other_version_of_the_weights_leaves_endpoints_in_use(self) -> None:
+        """Requests for a former version take one sound endpoint after the other out of use."""
+
+        async def newer(stream, taken) -> None:
+            if "carawayhub-expect-version" in taken.headers:
+                await stream.send(b"HTTP/1.1 421 -\r\nContent-Length: 0\r\n\r\n")
+            else:
+                await stream.send(whole(taken))
+
+        async def scenario(harness: EntryHarness) -> None:
+            versioned = harness.request(extra=b"Carawayhub-Expect-Version: 1\r\n")
+            for _ in range(3):
+                refusal = await harness.ask(versioned)
+                self.assertEqual(refusal.status, 503)
+                self.assertIn(b"x-carawayhub-code: 2042", refusal.head)
+                self.assertEqual((await harness.ask()).status, 200)
+            self.assertEqual(harness.health.refusing("i-0"), False)
+
+        for repeat in (Repeat.STREAM, Repeat.ONCE):
+            EntryHarness([newer, newer], repeat=repeat, attempts=2).run(scenario)
+
+    def test_other_incarnation_is_found_by_a_request_for_any_version(self) -> None:
+        """A replica that has the address of another one goes on getting its requests."""
+
+        async def another(stream, taken) -> None:
+            await stream.send(b"HTTP/1.1 421 -\r\nContent-Length: 0\r\n\r\n")
+
+        async def scenario(harness: EntryHarness) -> None:
+            await harness.ask()
+            self.assertIsNone(harness.view.endpoint("i-0"))
+
+        EntryHarness([another], repeat=Repeat.ONCE).run(scenario)
+
+
 class Streams(unittest.TestCase):
     """Streams of events."""
 
