Close half requests at once when a server stops

Cause: since refused clients may read their answer before the connection closes, a connection with half a head stayed open for the time of a head when its server stopped, and the server waits for its connections.

Change: at a stop a connection without a request in progress is closed as before.

Measured: the new test in tests.test_http times out before and passes now.

--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -394,6 +394,14 @@
 
     # The end of a connection.
 
+    def shutdown(self) -> None:
+        """Close the connection, after its answer if there is one, as the server stops."""
+        if self._is_answering():
+            super().shutdown()
+        elif not self.transport.is_closing():
+            self.transport.closing = True  # type: ignore[attr-defined]
+            self._close_socket()
+
     def _close(self) -> None:
         """Close the connection; what its client still sends is discarded for some time."""
         if self.transport.is_closing():
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -126,6 +126,18 @@
             time.sleep(0.1)
         self.assertEqual(conn.recv(READ), b"")
 
+    def test_half_a_head_does_not_hold_up_a_stop(self) -> None:
+        """A server that stops waits for clients that have sent half a head."""
+        portal = self.enterContext(start_blocking_portal())
+        sock = bind(Address("127.0.0.1", 0))
+        server = HttpServer(hello, sock, lambda: ConnectionLimits(head_timeout=60.0))
+        stopped = portal.start_task_soon(server.run)
+        conn = self.enterContext(socket.create_connection(sock.getsockname(), TIMEOUT))
+        conn.sendall(b"GET / HT")
+        time.sleep(0.2)
+        portal.call(server.stop)
+        stopped.result(TIMEOUT)
+
     def test_late_head_leaves_the_answer_before_it_alone(self) -> None:
         """A caller begins its next request while it still receives an answer.
 
