Answer 400 to requests whose URL cannot be parsed

Cause: the check of the URL fails in the callback at the end of the head, after the head was noted as ended and before there is a request to refuse. The refusal met no request, and the connection broke off without an answer. Bytes that begin no request were refused without one as well.

Change: the head ends after the check.

Measured: the new test in tests.test_http fails before (no answer) and passes now.

--- a/carawayhub/inbound/protocol.py
+++ b/carawayhub/inbound/protocol.py
@@ -21,7 +21,6 @@
 HEAD_SECONDS = 10.0
 IDLE_SECONDS = 30.0
 
-
 PARSED_BYTES = 4_096
 """Bytes that are parsed at a time; one read brings up to 256 KiB, and a header that is incomplete
 at the end of a part is kept by the parser whatever its size."""
@@ -29,7 +28,6 @@
 LINE_BYTES = 3
 """Bytes of a header line beside its name and value: the colon and the line break."""
 
-
 MAX_PIPELINED = 16
 """Requests of a connection that may wait for the answer before them. Callers of these systems send
 one at a time; the memory of complete requests is not taken back."""
@@ -184,9 +182,9 @@
 
     def on_headers_complete(self) -> None:
         """Note that the head has ended."""
+        super().on_headers_complete()
         self._end_head()
         self._progressed = True
-        super().on_headers_complete()
         self._grow(REQUEST_BYTES)
 
     def on_body(self, body: bytes) -> None:
@@ -388,7 +386,7 @@
 
     def _answer_refusal(self, reason: Refusal) -> None:
         """Answer a request whose head is incomplete, and close the connection."""
-        if self._in_head:
+        if self._in_head or reason is Refusal.MALFORMED:
             self.transport.write(_refusal_answer(reason))
         self.transport.close()
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -38,7 +38,8 @@
         server = HttpServer(hello, sock)
         portal.start_task_soon(server.run)
         self.addCleanup(portal.call, server.stop)
-        self.conn = self.enterContext(socket.create_connection(sock.getsockname(), TIMEOUT))
+        self.address = sock.getsockname()
+        self.conn = self.enterContext(socket.create_connection(self.address, TIMEOUT))
 
     def test_a_header_without_end_is_not_kept(self) -> None:
         """An entry runs out of memory, and with it go all the streams that it relays.
@@ -61,6 +62,22 @@
                 self.conn.sendall(b"\r\n" * (READ // 2))
                 sent += READ
 
+    def test_malformed_requests_are_refused(self) -> None:
+        """A request that cannot be parsed ends its connection without a word."""
+        for data in (
+            b"GET http://[:: HTTP/1.1\r\nhost: h\r\n\r\n",
+            b"\x00\xff\r\n\r\n",
+            b"no request at all\r\n\r\n",
+        ):
+            with self.subTest(data=data):
+                conn = self.enterContext(socket.create_connection(self.address, TIMEOUT))
+                conn.sendall(data)
+                found = b""
+                while part := conn.recv(READ):
+                    found += part
+                self.assertTrue(found.startswith(b"HTTP/1.1 400 "), found)
+                self.assertIn(b"x-carawayhub-code: 2039", found)
+
     def test_a_long_head_after_a_body_is_taken(self) -> None:
         body = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: %d\r\n\r\n" % (2 * READ)
         self.conn.sendall(body + b" " * (2 * READ) + START + b"x" * (MAX_HEAD_BYTES // 2))
